--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,53 @@
+// Package cli is the command line of jujubeshed.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes of the program.
+const (
+	ExitOK      = 0
+	ExitFailed  = 1 // the command ran and what it reports is a failure
+	ExitUsage   = 2 // wrong flags, settings or files
+	ExitOffline = 3 // the platform or a node could not be reached
+)
+
+// envPrefix begins the environment variable of each flag.
+const envPrefix = "JUJUBESHED_"
+
+// usageError marks an error of flags, settings or files.
+type usageError struct{ error }
+
+// Run executes the command line and returns the exit code.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	cmd := &cli.Command{
+		Name:      "jujubeshed",
+		Usage:     "serves model and web traffic on reclaimable hosts",
+		Writer:    stdout,
+		ErrWriter: stderr,
+		Commands:  commands(),
+		ExitErrHandler: func(context.Context, *cli.Command, error) {
+		},
+	}
+	err := cmd.Run(ctx, args)
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(stderr, "jujubeshed:", err)
+	var usage usageError
+	if errors.As(err, &usage) {
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+// commands lists the subcommands. Each lives in a file of its own.
+func commands() []*cli.Command {
+	return nil
+}
--- /dev/null
+++ b/internal/endpoint/token.go
@@ -0,0 +1,45 @@
+package endpoint
+
+import (
+	"github.com/cespare/xxhash/v2"
+)
+
+// BlockBytes is the prompt text that one block of the prefix cache covers.
+const BlockBytes = 64
+
+// BytesPerToken is the estimate used to turn text into tokens.
+const BytesPerToken = 4
+
+// PromptText returns the text whose prefix an engine caches.
+func PromptText(messages []Message) string {
+	n := 0
+	for _, m := range messages {
+		n += len(m.Role) + len(m.Content) + 2
+	}
+	b := make([]byte, 0, n)
+	for _, m := range messages {
+		b = append(b, m.Role...)
+		b = append(b, '\n')
+		b = append(b, m.Content...)
+		b = append(b, '\n')
+	}
+	return string(b)
+}
+
+// PromptTokens estimates the number of tokens of a text.
+func PromptTokens(text string) int {
+	return (len(text) + BytesPerToken - 1) / BytesPerToken
+}
+
+// BlockChain returns the chained hashes of the full blocks of a text: the hash
+// of block i covers all text up to its end.
+func BlockChain(text string) []uint64 {
+	n := len(text) / BlockBytes
+	chain := make([]uint64, 0, n)
+	d := xxhash.New()
+	for i := range n {
+		_, _ = d.WriteString(text[i*BlockBytes : (i+1)*BlockBytes])
+		chain = append(chain, d.Sum64())
+	}
+	return chain
+}
