--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -18,9 +18,6 @@
 	ExitOffline = 3 // the platform or a node could not be reached
 )
 
-// envPrefix begins the environment variable of each flag.
-const envPrefix = "JUJUBESHED_"
-
 // usageError marks an error of flags, settings or files.
 type usageError struct{ error }
 
