Add the platform API, its client and its stand-in

The store, host list and cloud had interfaces but nothing that speaks them.

The client sends each call once and maps failures to what is known: a refused connection, 503 or 429 did nothing; a write without an answer is ErrUnknown; a read without one is ErrUnavailable, as nothing depends on it. Transport-level retries of net/http were looked at: it repeats only requests without a body effect (GET) or of which nothing was written, so a put is never sent twice.

The stand-in serves the same OpenAPI document over an in-memory store whose faults and counts tests use directly. Deadlines, lag and cost follow an injected clock.

go test ./internal/standin/platform: passes; causes each fault through the client, the lag of a reclaim wave, and a purchase whose answer is lost.

--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,303 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	api "github.com/jujubeshed/jujubeshed/api/gen/platform"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+)
+
+// ClientOptions are the settings of a Client.
+type ClientOptions struct {
+	// Address of the platform: "ip:port" or a URL.
+	Address string
+	// CallTimeout ends a call; a Watch has its wait on top. Default: 2s.
+	CallTimeout time.Duration
+	// DialTimeout ends an attempt to connect. Default: 500ms.
+	DialTimeout time.Duration
+	// MaxConns limits the connections to the platform. Default: 32.
+	MaxConns int
+}
+
+func (o ClientOptions) withDefaults() ClientOptions {
+	if o.CallTimeout == 0 {
+		o.CallTimeout = 2 * time.Second
+	}
+	if o.DialTimeout == 0 {
+		o.DialTimeout = 500 * time.Millisecond
+	}
+	if o.MaxConns == 0 {
+		o.MaxConns = 32
+	}
+	if !strings.Contains(o.Address, "://") {
+		o.Address = "http://" + o.Address
+	}
+	return o
+}
+
+// ClientCounts counts the calls that a Client sent, failed ones included.
+type ClientCounts struct {
+	Reads   uint64 // get, list, hosts, notices
+	Writes  uint64 // put, delete, buy, release
+	Watches uint64
+	Failed  uint64 // unavailable, throttled or unknown
+}
+
+// Client speaks to the platform over HTTP. It sends each call once: whether a
+// write may be repeated is the caller's to decide.
+type Client struct {
+	opts      ClientOptions
+	api       *api.Client
+	transport *http.Transport
+
+	reads, writes, watches, failed atomic.Uint64
+}
+
+var (
+	_ Store = (*Client)(nil)
+	_ Hosts = (*Client)(nil)
+	_ Cloud = (*Client)(nil)
+)
+
+// NewClient returns a client. It does not connect yet.
+func NewClient(opts ClientOptions) (*Client, error) {
+	opts = opts.withDefaults()
+	dialer := &net.Dialer{Timeout: opts.DialTimeout}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxConnsPerHost:     opts.MaxConns,
+		MaxIdleConnsPerHost: opts.MaxConns,
+	}
+	c, err := api.NewClient(opts.Address, api.WithClient(&http.Client{Transport: refusals{transport}}))
+	if err != nil {
+		return nil, errors.Wrapf(err, "platform address %q", opts.Address)
+	}
+	return &Client{opts: opts, api: c, transport: transport}, nil
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.transport.CloseIdleConnections()
+}
+
+// Counts returns the calls sent so far.
+func (c *Client) Counts() ClientCounts {
+	return ClientCounts{
+		Reads:   c.reads.Load(),
+		Writes:  c.writes.Load(),
+		Watches: c.watches.Load(),
+		Failed:  c.failed.Load(),
+	}
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, key Key) (Object, error) {
+	ctx, cancel := c.begin(ctx, &c.reads, 0)
+	defer cancel()
+	o, err := c.api.GetObject(ctx, api.GetObjectParams{Key: string(key)})
+	if err != nil {
+		return Object{}, c.readError(err, "get object %q", key)
+	}
+	return objectFromAPI(*o), nil
+}
+
+// Put implements Store.
+func (c *Client) Put(ctx context.Context, key Key, value []byte, expect Version) (Version, error) {
+	if len(value) > MaxObjectBytes {
+		return 0, errors.Wrapf(ErrTooLarge, "put object %q of %d bytes", key, len(value))
+	}
+	ctx, cancel := c.begin(ctx, &c.writes, 0)
+	defer cancel()
+	if value == nil {
+		value = []byte{}
+	}
+	w, err := c.api.PutObject(ctx, &api.Value{Value: value}, api.PutObjectParams{Key: string(key), Expect: uint64(expect)})
+	if err != nil {
+		return 0, c.writeError(err, "put object %q", key)
+	}
+	return Version(w.Version), nil
+}
+
+// Delete implements Store.
+func (c *Client) Delete(ctx context.Context, key Key, expect Version) error {
+	ctx, cancel := c.begin(ctx, &c.writes, 0)
+	defer cancel()
+	err := c.api.DeleteObject(ctx, api.DeleteObjectParams{Key: string(key), Expect: uint64(expect)})
+	if err != nil {
+		return c.writeError(err, "delete object %q", key)
+	}
+	return nil
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, prefix Key) ([]Object, error) {
+	ctx, cancel := c.begin(ctx, &c.reads, 0)
+	defer cancel()
+	list, err := c.api.ListObjects(ctx, api.ListObjectsParams{Prefix: string(prefix)})
+	if err != nil {
+		return nil, c.readError(err, "list objects under %q", prefix)
+	}
+	return objectsFromAPI(list.Objects), nil
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, prefix Key, after uint64, wait time.Duration) (WatchResult, error) {
+	ctx, cancel := c.begin(ctx, &c.watches, wait)
+	defer cancel()
+	r, err := c.api.WatchObjects(ctx, api.WatchObjectsParams{Prefix: string(prefix), After: after, WaitMs: wait.Milliseconds()})
+	if err != nil {
+		return WatchResult{}, c.readError(err, "watch objects under %q", prefix)
+	}
+	return WatchResult{Position: r.Position, Changed: objectsFromAPI(r.Changed), Gap: r.Gap}, nil
+}
+
+// ListHosts implements Hosts.
+func (c *Client) ListHosts(ctx context.Context) ([]HostInfo, error) {
+	ctx, cancel := c.begin(ctx, &c.reads, 0)
+	defer cancel()
+	list, err := c.api.ListHosts(ctx)
+	if err != nil {
+		return nil, c.readError(err, "list hosts")
+	}
+	out := make([]HostInfo, 0, len(list.Hosts))
+	for _, h := range list.Hosts {
+		out = append(out, HostFromAPI(h))
+	}
+	return out, nil
+}
+
+// Buy implements Cloud.
+func (c *Client) Buy(ctx context.Context, req BuyRequest) (ident.Host, error) {
+	ctx, cancel := c.begin(ctx, &c.writes, 0)
+	defer cancel()
+	h, err := c.api.BuyHost(ctx, &api.BuyRequest{
+		Token:       req.Token,
+		DataCentre:  string(req.DataCentre),
+		Class:       req.Class,
+		Reclaimable: req.Reclaimable,
+		Service:     api.NewOptString(string(req.Service)),
+		Version:     api.NewOptString(string(req.Version)),
+	})
+	if err != nil {
+		return "", c.writeError(err, "buy host with token %q", req.Token)
+	}
+	return ident.Host(h.Host), nil
+}
+
+// Release implements Cloud.
+func (c *Client) Release(ctx context.Context, host ident.Host) error {
+	ctx, cancel := c.begin(ctx, &c.writes, 0)
+	defer cancel()
+	if err := c.api.ReleaseHost(ctx, api.ReleaseHostParams{Host: string(host)}); err != nil {
+		return c.writeError(err, "release host %q", host)
+	}
+	return nil
+}
+
+// Notices implements Cloud.
+func (c *Client) Notices(ctx context.Context) ([]Notice, error) {
+	ctx, cancel := c.begin(ctx, &c.reads, 0)
+	defer cancel()
+	list, err := c.api.ListNotices(ctx)
+	if err != nil {
+		return nil, c.readError(err, "list reclaim notices")
+	}
+	out := make([]Notice, 0, len(list.Notices))
+	for _, n := range list.Notices {
+		out = append(out, Notice{Host: ident.Host(n.Host), Incarnation: ident.Incarnation(n.Incarnation), Deadline: n.Deadline})
+	}
+	return out, nil
+}
+
+// begin counts a call and bounds its time.
+func (c *Client) begin(ctx context.Context, n *atomic.Uint64, wait time.Duration) (context.Context, context.CancelFunc) {
+	n.Add(1)
+	return context.WithTimeout(ctx, c.opts.CallTimeout+wait)
+}
+
+// readError maps the failure of a call without effect: a lost answer is as good
+// as a refusal.
+func (c *Client) readError(err error, format string, args ...any) error {
+	return c.callError(err, ErrUnavailable, format, args...)
+}
+
+// writeError maps the failure of a call that may have had an effect.
+func (c *Client) writeError(err error, format string, args ...any) error {
+	return c.callError(err, ErrUnknown, format, args...)
+}
+
+func (c *Client) callError(err, lost error, format string, args ...any) error {
+	kind := classify(err, lost)
+	if !errors.IsAny(kind, ErrConflict, ErrNotFound, ErrRefused) {
+		c.failed.Add(1)
+	}
+	return fmt.Errorf("%s: %w: %w", fmt.Sprintf(format, args...), kind, err)
+}
+
+// codeErrors maps the platform's error codes.
+var codeErrors = map[api.ErrorCode]error{
+	api.ErrorCodeConflict:    ErrConflict,
+	api.ErrorCodeNotFound:    ErrNotFound,
+	api.ErrorCodeTooLarge:    ErrTooLarge,
+	api.ErrorCodeThrottled:   ErrThrottled,
+	api.ErrorCodeUnavailable: ErrUnavailable,
+	api.ErrorCodeUnknown:     ErrUnknown,
+	api.ErrorCodeRefused:     ErrRefused,
+	api.ErrorCodeBadRequest:  ErrBadRequest,
+}
+
+// classify returns the platform error that a call's failure stands for; lost is
+// that of an answer which did not come.
+func classify(err, lost error) error {
+	var status *api.ErrorStatusCode
+	if errors.As(err, &status) {
+		if kind, ok := codeErrors[status.Response.Code]; ok {
+			return kind
+		}
+		return lost
+	}
+	if errors.Is(err, ErrThrottled) {
+		return ErrThrottled
+	}
+	if errors.Is(err, ErrUnavailable) || neverConnected(err) {
+		return ErrUnavailable
+	}
+	return lost
+}
+
+// neverConnected reports whether no connection was made, so that nothing was sent.
+func neverConnected(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// refusals turns the refusals of the platform, or of a balancer before it, into
+// errors, whatever their body is.
+type refusals struct {
+	next http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t refusals) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.next.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	switch resp.StatusCode {
+	case http.StatusServiceUnavailable:
+		err = ErrUnavailable
+	case http.StatusTooManyRequests:
+		err = ErrThrottled
+	default:
+		return resp, nil
+	}
+	return nil, errors.CombineErrors(err, resp.Body.Close())
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -36,6 +36,7 @@
 	ErrThrottled   = errors.New("store refused the call for its rate limit")
 	ErrUnavailable = errors.New("store is unavailable")
 	ErrUnknown     = errors.New("outcome of the store call is unknown")
+	ErrBadRequest  = errors.New("platform does not understand the call")
 )
 
 // Store is the platform's object API.
--- /dev/null
+++ b/internal/standin/control/control.go
@@ -0,0 +1,71 @@
+// Package control holds what the control pages of the stand-ins share.
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Path of every stand-in's control page: GET its state, POST its faults.
+const Path = "/control"
+
+// maxBody bounds the body of a control call, in bytes.
+const maxBody = 1 << 20
+
+// Write answers with v as JSON.
+func Write(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// Read decodes the body into v. Where it can't, it answers 400 and returns false.
+func Read(w http.ResponseWriter, r *http.Request, v any) bool {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// Post sends body as JSON to a control page at address ("ip:port" or a URL).
+func Post(ctx context.Context, address, path string, body any) error {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrapf(err, "encode %T", body)
+	}
+	return call(ctx, http.MethodPost, address, path, b, nil)
+}
+
+// Get decodes the answer of a control page into out.
+func Get(ctx context.Context, address, path string, out any) error {
+	return call(ctx, http.MethodGet, address, path, nil, out)
+}
+
+func call(ctx context.Context, method, address, path string, body []byte, out any) error {
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	req, err := http.NewRequestWithContext(ctx, method, address+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrapf(err, "control page %s%s", address, path)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrapf(err, "control page %s%s", address, path)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode/100 != 2 {
+		return errors.Newf("control page %s%s answered %s", address, path, resp.Status)
+	}
+	if out == nil {
+		return nil
+	}
+	return errors.Wrapf(json.NewDecoder(resp.Body).Decode(out), "control page %s%s", address, path)
+}
--- /dev/null
+++ b/internal/standin/platform/platform_test.go
@@ -0,0 +1,178 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+	"github.com/jujubeshed/jujubeshed/internal/standin/control"
+	"github.com/jujubeshed/jujubeshed/internal/standin/memstore"
+)
+
+// pair returns a stand-in with a clock that the test moves, and a client of it.
+func pair(t *testing.T) (*Server, *platform.Client, *time.Time, string) {
+	t.Helper()
+	now := time.Unix(1000, 0)
+	s := New(Options{Seed: 1, Now: func() time.Time { return now }})
+	srv := httptest.NewServer(s.Handler())
+	t.Cleanup(srv.Close)
+	c, err := platform.NewClient(platform.ClientOptions{Address: srv.Listener.Addr().String()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return s, c, &now, srv.URL
+}
+
+// want fails the test unless err is (or, for nil, is not) the error.
+func want(t *testing.T, what string, err, is error) {
+	t.Helper()
+	if !errors.Is(err, is) {
+		t.Errorf("%s: error = %v, want %v", what, err, is)
+	}
+}
+
+func TestStoreThroughClient(t *testing.T) {
+	s, c, _, url := pair(t)
+	ctx := context.Background()
+	v, err := c.Put(ctx, "a/1", []byte("x"), 0)
+	want(t, "create", err, nil)
+	_, err = c.Put(ctx, "a/1", []byte("y"), 0)
+	want(t, "create again", err, platform.ErrConflict)
+	_, err = c.Get(ctx, "a/2")
+	want(t, "get", err, platform.ErrNotFound)
+	_, err = c.Put(ctx, "a/3", make([]byte, platform.MaxObjectBytes+1), 0)
+	want(t, "large", err, platform.ErrTooLarge)
+
+	w, err := c.Watch(ctx, "a/", 0, time.Minute)
+	want(t, "watch", err, nil)
+	if len(w.Changed) != 1 || string(w.Changed[0].Value) != "x" || w.Gap {
+		t.Errorf("watch = %+v", w)
+	}
+	done := make(chan platform.WatchResult, 1)
+	go func() {
+		r, _ := c.Watch(ctx, "a/", w.Position, time.Minute)
+		done <- r
+	}()
+	for s.Status().Store.Watches < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	want(t, "delete", c.Delete(ctx, "a/1", v), nil)
+	if r := <-done; len(r.Changed) != 1 || r.Changed[0].Version != 0 {
+		t.Errorf("watch of a deletion = %+v", r)
+	}
+
+	for _, tt := range []struct {
+		name   string
+		faults memstore.Faults
+		write  error
+		read   error
+		effect bool
+	}{
+		{"down", memstore.Faults{Down: true}, platform.ErrUnavailable, platform.ErrUnavailable, false},
+		{"throttled", memstore.Faults{Throttled: true}, platform.ErrThrottled, platform.ErrThrottled, false},
+		{"lost answer", memstore.Faults{LoseNext: 1}, platform.ErrUnknown, platform.ErrNotFound, true},
+		{"lost request", memstore.Faults{LoseRequest: 1}, platform.ErrUnknown, platform.ErrNotFound, false},
+		{"conflict", memstore.Faults{ConflictNext: 1}, platform.ErrConflict, platform.ErrNotFound, false},
+	} {
+		want(t, tt.name, control.Post(ctx, url, control.Path, Faults{Store: tt.faults}), nil)
+		key := platform.Key("f/" + tt.name)
+		_, err := c.Put(ctx, key, nil, 0)
+		want(t, tt.name+" write", err, tt.write)
+		_, err = c.Get(ctx, "none")
+		want(t, tt.name+" read", err, tt.read)
+		s.SetFaults(Faults{})
+		_, err = c.Get(ctx, key)
+		if got := err == nil; got != tt.effect {
+			t.Errorf("%s: effect = %v, want %v", tt.name, got, tt.effect)
+		}
+	}
+	var st Status
+	want(t, "status", control.Get(ctx, url, control.Path, &st), nil)
+	got := c.Counts()
+	if st.Store.Calls != got.Reads+got.Writes+got.Watches {
+		t.Errorf("client counts %+v, store counts %+v", got, st.Store)
+	}
+}
+
+func TestClientWithoutPlatform(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "no backend", http.StatusServiceUnavailable)
+	}))
+	c, err := platform.NewClient(platform.ClientOptions{Address: srv.URL})
+	want(t, "new", err, nil)
+	_, err = c.Put(context.Background(), "k", nil, 0)
+	want(t, "refused by a balancer", err, platform.ErrUnavailable)
+	srv.Close()
+	_, err = c.Put(context.Background(), "k", nil, 0)
+	want(t, "refused connection", err, platform.ErrUnavailable)
+
+	hung := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	defer hung.Close()
+	c, err = platform.NewClient(platform.ClientOptions{Address: hung.URL, CallTimeout: 20 * time.Millisecond})
+	want(t, "new", err, nil)
+	want(t, "write without answer", c.Delete(context.Background(), "k", 1), platform.ErrUnknown)
+	_, err = c.List(context.Background(), "k")
+	want(t, "read without answer", err, platform.ErrUnavailable)
+}
+
+func TestReclaimAndLag(t *testing.T) {
+	s, c, now, url := pair(t)
+	ctx := context.Background()
+	h := platform.HostInfo{Host: "h1", DataCentre: "kalamaria", Incarnation: 2, State: platform.HostLive, Reclaimable: true,
+		PricePerHour: 2, Endpoints: []platform.EndpointInfo{{ID: "e1", Address: "127.0.0.1:1", Kind: platform.KindEngine}}}
+	want(t, "register", RegisterHost(ctx, url, h), nil)
+	want(t, "lag", control.Post(ctx, url, control.Path, Faults{HostLag: 5 * time.Second}), nil)
+	states := func() (out string) {
+		list, err := c.ListHosts(ctx)
+		want(t, "list", err, nil)
+		for _, h := range list {
+			out += string(h.State) + " " + string(h.Endpoints[0].ID)
+		}
+		return out
+	}
+	step := func(d time.Duration, list string, notices int) {
+		t.Helper()
+		*now = now.Add(d)
+		n, err := c.Notices(ctx)
+		want(t, "notices", err, nil)
+		if got := states(); got != list || len(n) != notices {
+			t.Errorf("after %v: list %q, %d notices, want %q, %d", d, got, len(n), list, notices)
+		}
+	}
+	step(4*time.Second, "", 0)
+	step(time.Second, "live e1", 0)
+	want(t, "reclaim", control.Post(ctx, url, PathReclaim, Reclaim{DataCentre: "kalamaria", Notice: 10 * time.Second}), nil)
+	step(0, "live e1", 1)
+	step(5*time.Second, "leaving e1", 1)
+	step(5*time.Second, "leaving e1", 0)
+	step(5*time.Second, "", 0)
+	if st := s.Status(); st.Reclaimed != 1 || st.Cost != 2*15.0/3600 {
+		t.Errorf("status = %+v", st)
+	}
+}
+
+func TestBuyOnce(t *testing.T) {
+	s, c, _, _ := pair(t)
+	ctx := context.Background()
+	s.SetFaults(Faults{LoseBuyAnswers: 1})
+	req := platform.BuyRequest{Token: "t1", DataCentre: "pylaia", Class: "gpu", Reclaimable: true}
+	_, err := c.Buy(ctx, req)
+	want(t, "lost answer", err, platform.ErrUnknown)
+	host, err := c.Buy(ctx, req)
+	want(t, "repeat", err, nil)
+	s.SetFaults(Faults{RefuseStarts: true})
+	req.Token = "t2"
+	_, err = c.Buy(ctx, req)
+	want(t, "refused", err, platform.ErrRefused)
+	want(t, "release", c.Release(ctx, host), nil)
+	want(t, "release again", c.Release(ctx, host), nil)
+	if st := s.Status(); st.Bought != 1 || st.Released != 1 || st.Refused != 1 || st.Hosts != 0 {
+		t.Errorf("status = %+v", st)
+	}
+}
