--- a/internal/endpoint/wire.go
+++ b/internal/endpoint/wire.go
@@ -16,6 +16,7 @@
 	HeaderWorkspace  = "X-Workspace"   // the customer
 	HeaderIdemKey    = "Idempotency-Key"
 	HeaderNodeID     = "X-Node-Id"
+	HeaderRoute      = "X-Route" // the route's name
 )
 
 // Paths of an engine.
