Merge the operator's files, name what is wrong, and add check

Cause: nothing read an operator's folder. Ruled out: decoding whole files into structs in strict mode, which stops at the first unknown field and loses the line of every later finding; a list of objects with a name field, since a mapping makes a repeated name in one file an error of the parser itself. An unstarted move whose from version nobody serves is a warning, not an error: files of finished moves stay in folders, and must not block a later change of the service's version. Change: parser over the YAML tree with a table of fields, merge by names with the last word winning and a warning on override, checks over several objects, longest-prefix match, keys to workspaces, two example folders, the check command. Found: "20-desk.yaml" sorts after "20-desk-copy.yaml", so a copy may lose to its original; the warning names both files.

--- /dev/null
+++ b/internal/config/parse.go
@@ -0,0 +1,255 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+)
+
+// MaxFileBytes is the largest configuration file.
+const MaxFileBytes = 256 << 10
+
+// File is one configuration file of the operator's folder.
+type File struct {
+	// Name orders the files, for example "20-routes.yaml".
+	Name string `json:"name"`
+	Data []byte `json:"data"`
+}
+
+// The sections of a file.
+const (
+	sectionRoutes     = "routes"
+	sectionServices   = "services"
+	sectionWorkspaces = "workspaces"
+	sectionMoves      = "moves"
+)
+
+var sectionNames = []string{sectionMoves, sectionRoutes, sectionServices, sectionWorkspaces}
+
+// origin is the place where an object or field was declared.
+type origin struct {
+	file string
+	line int
+}
+
+// object is one declared object with the places of its fields.
+type object[T any] struct {
+	value  T
+	at     origin
+	fields map[string]origin
+	set    map[string]bool // fields given by the operator
+}
+
+// parsed holds the objects of one file in the order of their lines.
+type parsed struct {
+	routes     []object[Route]
+	services   []object[Service]
+	workspaces []object[WorkspaceConfig]
+	moves      []object[Move]
+}
+
+// fileParser collects the diagnostics of one file.
+type fileParser struct {
+	file  string
+	diags []Diagnostic
+}
+
+// parseFile parses one file. Objects with an error in them are left out.
+func parseFile(f File) (out parsed, diags []Diagnostic) {
+	p := &fileParser{file: f.Name}
+	defer func() {
+		// The parser panics on some malformed documents.
+		if r := recover(); r != nil {
+			p.errorf(0, "", "", "not a YAML document: %v", r)
+			out, diags = parsed{}, p.diags
+		}
+	}()
+	if len(f.Data) > MaxFileBytes {
+		p.errorf(0, "", "", "file has %d bytes; at most %d are allowed", len(f.Data), MaxFileBytes)
+		return out, p.diags
+	}
+	doc, err := parser.ParseBytes(f.Data, 0)
+	if err != nil {
+		p.syntax(err)
+		return out, p.diags
+	}
+	if len(doc.Docs) > 1 {
+		p.errorf(0, "", "", "file has %d YAML documents; one is allowed", len(doc.Docs))
+		return out, p.diags
+	}
+	if len(doc.Docs) == 1 && doc.Docs[0].Body != nil {
+		p.sections(doc.Docs[0].Body, &out)
+	}
+	return out, p.diags
+}
+
+func (p *fileParser) syntax(err error) {
+	var ye yaml.Error
+	if errors.As(err, &ye) && ye.GetToken() != nil {
+		p.errorf(ye.GetToken().Position.Line, "", "", "not a YAML document: %s", ye.GetMessage())
+		return
+	}
+	p.errorf(0, "", "", "not a YAML document: %v", err)
+}
+
+func (p *fileParser) sections(body ast.Node, out *parsed) {
+	values, ok := p.mapping(body, "")
+	if !ok {
+		return
+	}
+	for _, v := range values {
+		switch name := keyOf(v); name {
+		case sectionRoutes:
+			out.routes = parseObjects(p, name, v.Value, routeFields, newRoute)
+		case sectionServices:
+			out.services = parseObjects(p, name, v.Value, serviceFields, newService)
+		case sectionWorkspaces:
+			out.workspaces = parseObjects(p, name, v.Value, workspaceFields, newWorkspace)
+		case sectionMoves:
+			out.moves = parseObjects(p, name, v.Value, moveFields, newMove)
+		default:
+			p.errorf(lineOf(v), name, "", "unknown section %q; allowed are %s", shorten(name), strings.Join(sectionNames, ", "))
+		}
+	}
+}
+
+// mapping returns the entries of a mapping node; an empty value has none.
+func (p *fileParser) mapping(n ast.Node, field string) ([]*ast.MappingValueNode, bool) {
+	switch n := n.(type) {
+	case *ast.MappingNode:
+		return n.Values, true
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{n}, true
+	case *ast.NullNode, *ast.CommentGroupNode, nil:
+		return nil, true
+	default:
+		p.errorf(lineOf(n), field, text(n), "%s found; a mapping of names is allowed", strings.ToLower(n.Type().String()))
+		return nil, false
+	}
+}
+
+// parseObjects parses the objects of one section.
+func parseObjects[T any](p *fileParser, section string, n ast.Node, fields []field[T], fresh func(name string) T) []object[T] {
+	entries, ok := p.mapping(n, section)
+	if !ok {
+		return nil
+	}
+	out := make([]object[T], 0, len(entries))
+	for _, e := range entries {
+		name := keyOf(e)
+		path := section + "." + name
+		if !namePattern.MatchString(name) {
+			p.errorf(lineOf(e), path, name, "name %q is not allowed; %s", shorten(name), nameAllowed)
+			continue
+		}
+		if o, ok := parseObject(p, path, e, fields, fresh(name)); ok {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+func parseObject[T any](p *fileParser, path string, e *ast.MappingValueNode, fields []field[T], value T) (object[T], bool) {
+	o := object[T]{
+		value:  value,
+		at:     origin{p.file, lineOf(e)},
+		fields: make(map[string]origin),
+		set:    make(map[string]bool),
+	}
+	entries, ok := p.mapping(e.Value, path)
+	if !ok {
+		return o, false
+	}
+	good := true
+	for _, v := range entries {
+		good = parseField(p, path, v, fields, &o) && good
+	}
+	for _, f := range fields {
+		if f.required && !o.set[f.name] {
+			p.errorf(o.at.line, path+"."+f.name, "", "field is missing; %s is required", f.allowed)
+			good = false
+		}
+	}
+	return o, good
+}
+
+func parseField[T any](p *fileParser, path string, v *ast.MappingValueNode, fields []field[T], o *object[T]) bool {
+	name := keyOf(v)
+	for _, f := range fields {
+		if f.name != name {
+			continue
+		}
+		o.fields[name] = origin{p.file, lineOf(v)}
+		o.set[name] = true
+		if err := f.set(&o.value, v.Value); err != nil {
+			p.badValue(lineOf(v), path+"."+name, text(v.Value), f.allowed, f.secret)
+			return false
+		}
+		return true
+	}
+	p.errorf(lineOf(v), path+"."+name, text(v.Value), "unknown field %q; allowed are %s", shorten(name), fieldNames(fields))
+	return false
+}
+
+func (p *fileParser) badValue(line int, field, value, allowed string, secret bool) {
+	if secret {
+		p.errorf(line, field, "", "value is not allowed; %s is allowed", allowed)
+		return
+	}
+	p.errorf(line, field, value, "value %q is not allowed; %s is allowed", shorten(value), allowed)
+}
+
+func (p *fileParser) errorf(line int, field, value, format string, args ...any) {
+	p.diags = append(p.diags, Diagnostic{
+		File: p.file, Line: line, Field: shorten(field), Value: shorten(value),
+		Message: fmt.Sprintf(format, args...), Severity: SeverityError,
+	})
+}
+
+func keyOf(v *ast.MappingValueNode) string {
+	if t := v.Key.GetToken(); t != nil {
+		return t.Value
+	}
+	return ""
+}
+
+func lineOf(n ast.Node) int {
+	if v, ok := n.(*ast.MappingValueNode); ok {
+		n = v.Key
+	}
+	if t := n.GetToken(); t != nil && t.Position != nil {
+		return t.Position.Line
+	}
+	return 0
+}
+
+func text(n ast.Node) string {
+	switch n := n.(type) {
+	case nil:
+		return ""
+	case *ast.StringNode:
+		return n.Value
+	default:
+		return strings.TrimSpace(n.String())
+	}
+}
+
+// newRoute and its kin return an object with the defaults that hang on no other field.
+func newRoute(name string) Route { return Route{Name: ident.RouteName(name)} }
+
+func newService(name string) Service { return Service{Name: ident.Service(name)} }
+
+func newWorkspace(name string) WorkspaceConfig {
+	return WorkspaceConfig{
+		Name: ident.Workspace(name), Weight: defaultWeight,
+		RatePerSecond: defaultRatePerSecond, Concurrency: defaultWorkspaceConcurrency,
+	}
+}
+
+func newMove(name string) Move { return Move{Name: ident.MoveName(name), Bake: defaultBake} }
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -19,6 +19,8 @@
 	Services   map[ident.Service]Service           `json:"services,omitempty"`
 	Workspaces map[ident.Workspace]WorkspaceConfig `json:"workspaces,omitempty"`
 	Moves      map[ident.MoveName]Move             `json:"moves,omitempty"`
+
+	lookup *lookup
 }
 
 // Route maps callers' requests to a service. The longest matching path prefix wins.
@@ -74,4 +76,7 @@
 	FinishBy time.Time `json:"finish_by"`
 	// Bake keeps the old version warm after the end. Default: 30m.
 	Bake time.Duration `json:"bake"`
+	// SupersededBy names the later move of the same service, if there is one.
+	// Merge sets it; only a move that nothing supersedes may act.
+	SupersededBy ident.MoveName `json:"superseded_by,omitempty"`
 }
