Accept configuration by conditional update and spread it without reverting

Cause: files could be checked but not accepted, kept or spread. Change: Propose (which part of the changes merges without error), Acceptor (one idempotent round, any number at once), Holder (only higher revisions), deltas with digests of base and result, and the driver syncer with Apply, Remove, Accept, Run, Offer and CatchUp.

--- /dev/null
+++ b/internal/config/accept_test.go
@@ -0,0 +1,316 @@
+package config
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/invariant"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+)
+
+// seeds returns how many seeds a randomised test runs.
+func seeds(t testing.TB, short int) int {
+	v := os.Getenv("JUJUBESHED_SEEDS")
+	if v == "" {
+		return short
+	}
+	n, err := strconv.Atoi(v)
+	if err != nil {
+		t.Fatalf("JUJUBESHED_SEEDS: %v", err)
+	}
+	return n
+}
+
+// TestPropose runs scripts in which operators drop and remove files.
+func TestPropose(t *testing.T) {
+	var s proposeState
+	datadriven.RunTest(t, "testdata/propose", func(_ *testing.T, d *datadriven.TestData) string {
+		return s.step(d)
+	})
+}
+
+type proposeState struct {
+	prev  Accepted
+	files []File
+}
+
+func (s *proposeState) step(d *datadriven.TestData) string {
+	if d.Cmd == "reset" {
+		s.prev, s.files = Accepted{}, nil
+		return ""
+	}
+	for _, f := range splitFiles(d.Input) {
+		s.files = slices.DeleteFunc(s.files, func(o File) bool { return o.Name == f.Name })
+		if strings.TrimSpace(string(f.Data)) != "removed" {
+			s.files = append(s.files, f)
+		}
+	}
+	p := Propose(s.prev, s.files, 0)
+	s.prev = p.Accepted
+	var b strings.Builder
+	fmt.Fprintf(&b, "revision %d, changed %t\n", p.Accepted.Revision, p.Changed)
+	for _, f := range p.Status.Files {
+		fmt.Fprintf(&b, "%s: %s, since revision %d", f.Name, f.State, f.Revision)
+		for _, o := range f.OverriddenBy {
+			fmt.Fprintf(&b, ", %s overridden by %s", o.Object, o.By)
+		}
+		b.WriteString("\n")
+		for _, diag := range f.Diagnostics {
+			fmt.Fprintf(&b, "  %s\n", diag)
+		}
+	}
+	return b.String()
+}
+
+// raceWorld is a store with operators and rounds of acceptance that take turns
+// one call at a time, so that every crossing of two rounds comes up.
+type raceWorld struct {
+	rng      *rand.Rand
+	accepted platform.Object
+	status   platform.Object
+	files    map[string]int // generation of each file
+	rounds   []*raceRound
+	high     map[string]int // highest generation accepted of each file
+	revision ident.Revision
+}
+
+// raceRound is a round of acceptance in the middle of its reads.
+type raceRound struct {
+	a      *Acceptor
+	action Action
+	step   int
+	read   ReadResult
+}
+
+func raceFile(name string, generation int) File {
+	return File{Name: name, Data: fmt.Appendf(nil, "workspaces: {%s: {keys: [key-of-%s], weight: %d}}",
+		strings.TrimSuffix(name, ".yaml"), name, generation)}
+}
+
+func (w *raceWorld) step() {
+	switch w.rng.IntN(10) {
+	case 0:
+		w.files[fmt.Sprintf("f%d.yaml", w.rng.IntN(3))]++
+	case 1:
+		a := NewAcceptor(0, rand.New(rand.NewPCG(w.rng.Uint64(), 0)))
+		w.rounds = append(w.rounds, &raceRound{a: a, action: a.Start()})
+	case 2: // a node dies in the middle of a round, rarely
+		if len(w.rounds) > 0 && w.rng.IntN(4) == 0 {
+			w.rounds = w.rounds[1:]
+		}
+	default:
+		if len(w.rounds) > 0 {
+			w.advance(w.rounds[w.rng.IntN(len(w.rounds))])
+		}
+	}
+}
+
+// advance makes one store call of a round.
+func (w *raceWorld) advance(r *raceRound) {
+	switch a := r.action.(type) {
+	case ReadAction:
+		switch r.step {
+		case 0:
+			r.read = ReadResult{Accepted: w.accepted}
+		case 1:
+			r.read.Status = w.status
+		case 2:
+			r.read.Files = w.list()
+		}
+		if r.step++; r.step > 2 {
+			r.step = 0
+			r.action = r.a.Read(r.read)
+		}
+	case PutAction:
+		r.action = r.a.Put(w.put(a))
+	case WaitAction:
+		r.action = r.a.Waited()
+	case DoneAction:
+		w.rounds = slices.DeleteFunc(w.rounds, func(o *raceRound) bool { return o == r })
+	}
+}
+
+func (w *raceWorld) list() []File {
+	var files []File
+	for _, name := range []string{"f0.yaml", "f1.yaml", "f2.yaml"} {
+		if g := w.files[name]; g > 0 {
+			files = append(files, raceFile(name, g))
+		}
+	}
+	return files
+}
+
+func (w *raceWorld) put(a PutAction) error {
+	object := &w.accepted
+	if a.Key == KeyStatus {
+		object = &w.status
+	}
+	if w.rng.IntN(10) == 0 {
+		return platform.ErrUnknown // had no effect
+	}
+	if object.Version != a.Expect {
+		return platform.ErrConflict
+	}
+	*object = platform.Object{Key: a.Key, Version: a.Expect + 1, Value: a.Value}
+	if a.Key == KeyAccepted {
+		w.check()
+	}
+	if w.rng.IntN(5) == 0 {
+		return platform.ErrUnknown // the answer was lost
+	}
+	return nil
+}
+
+// check asserts that neither the revision nor any file's content goes back.
+func (w *raceWorld) check() {
+	acc, err := DecodeAccepted(w.accepted.Value)
+	if err != nil {
+		panic(err)
+	}
+	invariant.Check(acc.Revision > w.revision, invariant.RevisionGrows, "revision %d follows %d", acc.Revision, w.revision)
+	w.revision = acc.Revision
+	for name, ws := range acc.Config.Workspaces {
+		invariant.Check(ws.Weight >= w.high[string(name)], invariant.RevisionGrows,
+			"file %q went back from %d to %d", name, w.high[string(name)], ws.Weight)
+		w.high[string(name)] = ws.Weight
+	}
+}
+
+// TestAcceptanceRaces crosses operators' changes, rounds, deaths and lost answers.
+func TestAcceptanceRaces(t *testing.T) {
+	defer invariant.SetFatal(invariant.SetFatal(true))
+	for seed := range seeds(t, 40) {
+		w := &raceWorld{rng: rand.New(rand.NewPCG(uint64(seed), 6)), files: map[string]int{}, high: map[string]int{}}
+		for range 300 {
+			w.step()
+		}
+		// One undisturbed round after the last change accepts everything.
+		a := NewAcceptor(0, w.rng)
+		r := &raceRound{a: a, action: a.Start()}
+		for range 1000 {
+			if _, done := r.action.(DoneAction); done {
+				break
+			}
+			w.advance(r)
+		}
+		acc, _ := DecodeAccepted(w.accepted.Value)
+		status, _ := DecodeStatus(w.status.Value)
+		if !status.Judges(w.list(), acc.Revision) || len(acc.Files) != len(w.list()) {
+			t.Fatalf("seed %d: status %+v does not judge the files of revision %d", seed, status, acc.Revision)
+		}
+		for name, g := range w.files {
+			if f, ok := acc.file(name); !ok || string(f.Data) != string(raceFile(name, g).Data) {
+				t.Fatalf("seed %d: file %q of generation %d is not accepted: %q", seed, name, g, f.Data)
+			}
+		}
+	}
+}
+
+// TestHolderConverges sends revisions, deltas and full messages late, repeated
+// and crossed; every holder ends with the newest, and none goes back.
+func TestHolderConverges(t *testing.T) {
+	defer invariant.SetFatal(invariant.SetFatal(true))
+	for seed := range seeds(t, 100) {
+		rng := rand.New(rand.NewPCG(uint64(seed), 7))
+		holders := make([]Holder, 4)
+		var newest *Config
+		for rev := 1; rev <= 60; rev++ {
+			newest = randomConfig(rng, ident.Revision(rev))
+			if rng.IntN(3) > 0 {
+				holders[0].Offer(newest)
+			}
+			from, to := &holders[rng.IntN(4)], &holders[rng.IntN(4)]
+			b, err := from.Message(ident.Revision(rng.IntN(rev + 1)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			before := to.Revision()
+			if b != nil {
+				_, _ = to.Receive(b)
+			}
+			if to.Revision() < before {
+				t.Fatalf("seed %d: revision went from %d to %d", seed, before, to.Revision())
+			}
+		}
+		holders[0].Offer(newest)
+		for i := 1; i < len(holders); i++ {
+			b, err := holders[0].Message(holders[i].Revision())
+			if err == nil && b != nil {
+				_, err = holders[i].Receive(b)
+			}
+			if err != nil || holders[i].Revision() != newest.Revision || holders[i].Current().digest() != newest.digest() {
+				t.Fatalf("seed %d: holder %d has revision %d, error %v", seed, i, holders[i].Revision(), err)
+			}
+		}
+	}
+}
+
+// randomConfig returns a configuration in which some workspaces changed.
+func randomConfig(rng *rand.Rand, rev ident.Revision) *Config {
+	c := &Config{Revision: rev}
+	c.index()
+	for i := range 5 {
+		if name := ident.Workspace(fmt.Sprint("w", i)); rng.IntN(4) > 0 {
+			c.Workspaces[name] = WorkspaceConfig{Name: name, Weight: 1 + rng.IntN(3), Keys: []string{string(name) + "-key"}}
+		}
+	}
+	c.index()
+	return c
+}
+
+// TestDeltaOfAnotherBase checks that a delta never lands on another content.
+func TestDeltaOfAnotherBase(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	a, b, c := randomConfig(rng, 1), randomConfig(rng, 1), randomConfig(rng, 2)
+	if _, err := b.Apply(Diff(a, c)); err == nil {
+		t.Error("delta was applied to another content of its base revision")
+	}
+	d := Diff(a, c)
+	d.Digest = "0"
+	if _, err := a.Apply(d); err == nil {
+		t.Error("delta with a wrong digest was applied")
+	}
+}
+
+// BenchmarkDelta reports the bytes that one change costs on the wire.
+func BenchmarkDelta(b *testing.B) {
+	for _, n := range []int{5, 100, 1000, 10000} {
+		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
+			base := &Config{Revision: 1}
+			base.index()
+			for i := range n {
+				name := ident.Workspace(fmt.Sprintf("workspace-%d", i))
+				base.Workspaces[name] = WorkspaceConfig{Name: name, Keys: []string{fmt.Sprintf("key-of-workspace-%d", i)}, Weight: 1, RatePerSecond: 50, Concurrency: 64}
+			}
+			var delta, full []byte
+			for i := 0; b.Loop(); i++ {
+				var h Holder
+				next := &Config{Revision: 2, Workspaces: make(map[ident.Workspace]WorkspaceConfig)}
+				for name, w := range base.Workspaces {
+					next.Workspaces[name] = w
+				}
+				w := next.Workspaces["workspace-0"]
+				w.Weight = 2 + i%10
+				next.Workspaces["workspace-0"] = w
+				next.index()
+				h.Offer(base)
+				h.Offer(next)
+				delta, _ = h.Message(1)
+				full, _ = h.Message(0)
+			}
+			const changesPerSecond = 25000.0 / 86400
+			b.ReportMetric(float64(len(delta)), "delta-B")
+			b.ReportMetric(float64(len(full)), "full-B")
+			b.ReportMetric(float64(len(delta))*changesPerSecond, "delta-B/s")
+			b.ReportMetric(float64(len(full))*changesPerSecond, "full-B/s")
+		})
+	}
+}
--- a/internal/config/diagnostic.go
+++ b/internal/config/diagnostic.go
@@ -29,6 +29,9 @@
 	Severity Severity `json:"severity"`
 	// OtherFile is the second file concerned, for example the one overridden.
 	OtherFile string `json:"other_file,omitempty"`
+
+	// local marks an error that the file has by itself, whatever the others say.
+	local bool
 }
 
 // String returns the diagnostic in the "file:line: message" form of compilers.
--- a/internal/config/match.go
+++ b/internal/config/match.go
@@ -24,8 +24,20 @@
 	keys   map[string]ident.Workspace
 }
 
-// index builds the look-up tables.
+// index builds the look-up tables and makes absent sections empty.
 func (c *Config) index() {
+	if c.Routes == nil {
+		c.Routes = make(map[ident.RouteName]Route)
+	}
+	if c.Services == nil {
+		c.Services = make(map[ident.Service]Service)
+	}
+	if c.Workspaces == nil {
+		c.Workspaces = make(map[ident.Workspace]WorkspaceConfig)
+	}
+	if c.Moves == nil {
+		c.Moves = make(map[ident.MoveName]Move)
+	}
 	l := &lookup{routes: make(map[string][]Route), keys: make(map[string]ident.Workspace)}
 	for _, r := range c.Routes {
 		l.routes[r.Prefix] = append(l.routes[r.Prefix], r)
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -209,6 +209,7 @@
 	p.diags = append(p.diags, Diagnostic{
 		File: p.file, Line: line, Field: shorten(field), Value: shorten(value),
 		Message: fmt.Sprintf(format, args...), Severity: SeverityError,
+		local: true,
 	})
 }
 
--- /dev/null
+++ b/internal/config/syncer/apply.go
@@ -0,0 +1,259 @@
+package syncer
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jujubeshed/jujubeshed/internal/config"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+)
+
+// Errors of Apply and Remove.
+var (
+	// ErrRefused means that nothing was written, as the files have errors.
+	ErrRefused = errors.New("the files were refused; nothing was changed")
+	// ErrChangedMeanwhile means that somebody else wrote the same file at the
+	// same time; theirs was left in place.
+	ErrChangedMeanwhile = errors.New("somebody else changed the file at the same time; look at theirs and apply again")
+	// ErrPending means that the files are in the store but were not accepted yet;
+	// any watching node accepts them.
+	ErrPending = errors.New("the files are stored but not accepted yet; a watching node will accept them")
+)
+
+// ApplyResult tells what became of an operator's files.
+type ApplyResult struct {
+	// Status covers all files in the store. Where the files were refused it says
+	// what would have become of them.
+	Status config.Status
+	// Written and Replaced are the names of the files that were written, and of
+	// those among them that had another content before.
+	Written  []string
+	Replaced []string
+}
+
+// Apply stores an operator's files and has them accepted. Files of other names
+// stay. Where one of the files would be refused nothing is written, and
+// ErrRefused is returned with the reasons in the result.
+func (s *Syncer) Apply(ctx context.Context, files []config.File) (ApplyResult, error) {
+	for _, f := range files {
+		if !config.ValidFileName(f.Name) {
+			return ApplyResult{}, errors.Wrapf(ErrRefused, "file name %q is not allowed; allowed are %s", f.Name, config.FileNameAllowed)
+		}
+	}
+	var base map[string]platform.Object
+	var result ApplyResult
+	err := s.retry(ctx, func() error {
+		var err error
+		base, result.Status, err = s.preview(ctx, files)
+		return err
+	})
+	if err != nil {
+		return result, errors.Wrap(err, "read the files in the store")
+	}
+	if anyRefused(result.Status, files) {
+		return result, ErrRefused
+	}
+	for _, f := range files {
+		if err := s.store(ctx, f, base[f.Name], &result); err != nil {
+			return result, errors.Wrapf(err, "store file %q", f.Name)
+		}
+	}
+	return s.acceptAll(ctx, result)
+}
+
+// Remove deletes files from the store and has the rest accepted.
+func (s *Syncer) Remove(ctx context.Context, names []string) (ApplyResult, error) {
+	var result ApplyResult
+	for _, name := range names {
+		err := s.retry(ctx, func() error {
+			object, err := s.get(ctx, config.FileKey(name))
+			if err != nil || object.Version == 0 {
+				return err
+			}
+			return s.opts.Store.Delete(ctx, object.Key, object.Version)
+		})
+		if err != nil {
+			return result, errors.Wrapf(err, "remove file %q", name)
+		}
+		result.Written = append(result.Written, name)
+	}
+	return s.acceptAll(ctx, result)
+}
+
+// Status reads what became of every file in the store.
+func (s *Syncer) Status(ctx context.Context) (config.Status, error) {
+	object, err := s.get(ctx, config.KeyStatus)
+	if err != nil {
+		return config.Status{}, err
+	}
+	return config.DecodeStatus(object.Value)
+}
+
+func (s *Syncer) acceptAll(ctx context.Context, result ApplyResult) (ApplyResult, error) {
+	_, status, err := s.Accept(ctx)
+	if err != nil {
+		return result, errors.CombineErrors(ErrPending, err)
+	}
+	result.Status = status
+	return result, nil
+}
+
+// preview returns the stored files by name, and the status as it would be with
+// files on top.
+func (s *Syncer) preview(ctx context.Context, files []config.File) (map[string]platform.Object, config.Status, error) {
+	accepted, err := s.get(ctx, config.KeyAccepted)
+	if err != nil {
+		return nil, config.Status{}, err
+	}
+	prev, err := config.DecodeAccepted(accepted.Value)
+	if err != nil {
+		return nil, config.Status{}, err
+	}
+	objects, err := s.list(ctx, config.KeyFilesPrefix)
+	if err != nil {
+		return nil, config.Status{}, err
+	}
+	base := make(map[string]platform.Object, len(objects))
+	all := make(map[string]config.File, len(objects)+len(files))
+	for _, o := range objects {
+		base[fileName(o.Key)] = o
+		all[fileName(o.Key)] = config.File{Name: fileName(o.Key), Data: o.Value}
+	}
+	for _, f := range files {
+		all[f.Name] = f
+	}
+	merged := make([]config.File, 0, len(all))
+	for _, f := range all {
+		merged = append(merged, f)
+	}
+	return base, config.Propose(prev, merged, s.Revision()).Status, nil
+}
+
+func anyRefused(status config.Status, files []config.File) bool {
+	for _, f := range files {
+		if st, ok := status.File(f.Name); ok && st.State != config.FileAccepted {
+			return true
+		}
+	}
+	return false
+}
+
+// store writes a file over the version that the operator's check has seen.
+func (s *Syncer) store(ctx context.Context, f config.File, base platform.Object, result *ApplyResult) error {
+	if base.Version != 0 && bytes.Equal(base.Value, f.Data) {
+		return nil
+	}
+	key := config.FileKey(f.Name)
+	err := s.retry(ctx, func() error {
+		callCtx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
+		defer cancel()
+		_, err := s.opts.Store.Put(callCtx, key, f.Data, base.Version)
+		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknown) {
+			return err
+		}
+		return s.settle(ctx, f, base, err)
+	})
+	if err != nil {
+		return err
+	}
+	result.Written = append(result.Written, f.Name)
+	if base.Version != 0 {
+		result.Replaced = append(result.Replaced, f.Name)
+	}
+	return nil
+}
+
+// settle finds out what a put without a clear answer did.
+func (s *Syncer) settle(ctx context.Context, f config.File, base platform.Object, cause error) error {
+	object, err := s.get(ctx, config.FileKey(f.Name))
+	switch {
+	case err != nil:
+		return err
+	case object.Version != 0 && bytes.Equal(object.Value, f.Data):
+		return nil
+	case object.Version == base.Version:
+		return cause // had no effect; the same put again is safe
+	default:
+		return ErrChangedMeanwhile
+	}
+}
+
+// retry calls f until it succeeds, fails for good, or ctx ends.
+func (s *Syncer) retry(ctx context.Context, f func() error) error {
+	backoff := minBackoff / 4
+	for {
+		err := f()
+		if err == nil || !transient(err) {
+			return err
+		}
+		if sleep(ctx, backoff/2+s.jitter(backoff/2)) != nil {
+			return errors.CombineErrors(err, ctx.Err())
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func transient(err error) bool {
+	return errors.IsAny(err, platform.ErrUnavailable, platform.ErrThrottled, platform.ErrUnknown, platform.ErrConflict)
+}
+
+// Accept runs one round of acceptance to its end and puts its result in force.
+func (s *Syncer) Accept(ctx context.Context) (config.Accepted, config.Status, error) {
+	s.opts.Metrics.rounds.Inc()
+	s.mu.Lock()
+	rng := rand.New(rand.NewPCG(s.mu.rng.Uint64(), 2))
+	known := s.mu.holder.Revision()
+	s.mu.Unlock()
+	round := config.NewAcceptor(known, rng)
+	action := round.Start()
+	for {
+		switch a := action.(type) {
+		case config.ReadAction:
+			action = round.Read(s.read(ctx))
+		case config.PutAction:
+			action = round.Put(s.putObject(ctx, a))
+		case config.WaitAction:
+			s.opts.Metrics.retries.Inc()
+			if sleep(ctx, a.Delay) != nil {
+				return config.Accepted{}, config.Status{}, errors.CombineErrors(a.Cause, ctx.Err())
+			}
+			action = round.Waited()
+		case config.DoneAction:
+			if a.Err != nil {
+				return config.Accepted{}, config.Status{}, a.Err
+			}
+			s.put(a.Accepted.Config, time.Time{}) // confirms nothing: another round may be further
+			return a.Accepted, a.Status, nil
+		}
+	}
+}
+
+func (s *Syncer) putObject(ctx context.Context, a config.PutAction) error {
+	ctx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
+	defer cancel()
+	_, err := s.opts.Store.Put(ctx, a.Key, a.Value, a.Expect)
+	return err
+}
+
+// read answers a ReadAction, in the order that it asks for.
+func (s *Syncer) read(ctx context.Context) config.ReadResult {
+	var r config.ReadResult
+	if r.Accepted, r.Err = s.get(ctx, config.KeyAccepted); r.Err != nil {
+		return r
+	}
+	if r.Status, r.Err = s.get(ctx, config.KeyStatus); r.Err != nil {
+		return r
+	}
+	var objects []platform.Object
+	if objects, r.Err = s.list(ctx, config.KeyFilesPrefix); r.Err != nil {
+		return r
+	}
+	for _, o := range objects {
+		r.Files = append(r.Files, config.File{Name: fileName(o.Key), Data: o.Value})
+	}
+	return r
+}
