--- /dev/null
+++ b/internal/move/counter.go
@@ -0,0 +1,128 @@
+package move
+
+import (
+	"sort"
+	"time"
+)
+
+// Buckets of the histograms. A value belongs to the first bucket whose bound is
+// not below it; the last bucket has no bound.
+const (
+	latencyBuckets    = 32
+	firstLatencyBound = time.Millisecond
+	latencyGrowth     = 1.5
+	sizeBuckets       = 24 // bounds are the powers of two from 1
+)
+
+// latencyBounds are the upper bounds of all latency buckets but the last.
+var latencyBounds = func() []time.Duration {
+	bounds := make([]time.Duration, latencyBuckets-1)
+	b := float64(firstLatencyBound)
+	for i := range bounds {
+		bounds[i] = time.Duration(b)
+		b *= latencyGrowth
+	}
+	return bounds
+}()
+
+func latencyBucket(d time.Duration) int {
+	return sort.Search(len(latencyBounds), func(i int) bool { return d <= latencyBounds[i] })
+}
+
+func sizeBucket(n int) int {
+	i := 0
+	for bound := 1; i < sizeBuckets-1 && n > bound; bound <<= 1 {
+		i++
+	}
+	return i
+}
+
+// sizeBound returns the upper bound of a size bucket.
+func sizeBound(bucket int) int { return 1 << bucket }
+
+// Result tells how a request on one version ended.
+type Result uint8
+
+// The results.
+const (
+	// OK is a whole answer.
+	OK Result = iota
+	// Failed is an error, a truncated stream or an error inside a success.
+	Failed
+	// Excused is a failure or delay that reclaim, leaving or overload explains. It
+	// is no evidence on the version.
+	Excused
+)
+
+// Counter counts the requests of one route on one version. Each number only grows.
+type Counter struct {
+	Requests uint64 `json:"n"` // without those excused
+	Failures uint64 `json:"f"`
+	Excused  uint64 `json:"x,omitempty"`
+	// Latency and Size count the whole answers by time and by size.
+	Latency [latencyBuckets]uint64 `json:"l"`
+	Size    [sizeBuckets]uint64    `json:"s"`
+}
+
+// add counts one request.
+func (c *Counter) add(r Result, latency time.Duration, size int) {
+	switch r {
+	case Excused:
+		c.Excused++
+		return
+	case Failed:
+		c.Requests++
+		c.Failures++
+		return
+	}
+	c.Requests++
+	c.Latency[latencyBucket(latency)]++
+	c.Size[sizeBucket(size)]++
+}
+
+// merge takes the maximum of each number.
+func (c *Counter) merge(o *Counter) {
+	c.Requests = max(c.Requests, o.Requests)
+	c.Failures = max(c.Failures, o.Failures)
+	c.Excused = max(c.Excused, o.Excused)
+	for i := range c.Latency {
+		c.Latency[i] = max(c.Latency[i], o.Latency[i])
+	}
+	for i := range c.Size {
+		c.Size[i] = max(c.Size[i], o.Size[i])
+	}
+}
+
+// sum adds another node's numbers.
+func (c *Counter) sum(o *Counter) {
+	c.Requests += o.Requests
+	c.Failures += o.Failures
+	c.Excused += o.Excused
+	for i := range c.Latency {
+		c.Latency[i] += o.Latency[i]
+	}
+	for i := range c.Size {
+		c.Size[i] += o.Size[i]
+	}
+}
+
+// slower returns the whole answers slower than the bound of a bucket.
+func (c *Counter) slower(bucket int) uint64 {
+	var n uint64
+	for i := bucket + 1; i < latencyBuckets; i++ {
+		n += c.Latency[i]
+	}
+	return n
+}
+
+// smaller returns the whole answers in the buckets below a bucket.
+func (c *Counter) smaller(bucket int) uint64 {
+	var n uint64
+	for i := range bucket {
+		n += c.Size[i]
+	}
+	return n
+}
+
+// whole returns the number of whole answers.
+func (c *Counter) whole() uint64 { return c.Requests - c.Failures }
--- /dev/null
+++ b/internal/move/options.go
@@ -0,0 +1,60 @@
+package move
+
+import (
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+)
+
+// Options are the settings of moves.
+type Options struct {
+	Self ident.NodeID
+	// Alpha is the probability with which the tests of one move may brake a version
+	// that is as good as the old one. Default: 0.005.
+	Alpha float64
+	// Evaluators is the number of nodes that test the evidence; Alpha covers them
+	// all. Default: 8.
+	Evaluators int
+	// FirstShare of the requests begins a move. Default: 10 thousandths.
+	FirstShare Share
+	// SmallShare bounds the share of a version not proved yet. Default: 50 thousandths.
+	SmallShare Share
+	// ProofRequests of the new version must have been compared, shadow copies
+	// included, before the share passes SmallShare. Default: 50.
+	ProofRequests int
+	// StepRequests of the new version must have been compared before each further
+	// step, unless the move is late. Default: 10.
+	StepRequests int
+	// DoubtLogE is the logarithm of the e-value from which a version is doubtful:
+	// its share does not grow, and at the time to finish it is undone. Default: 4.6.
+	DoubtLogE float64
+	// Dwell is the least time between two steps. Default: 20s.
+	Dwell time.Duration
+	// ShadowPerSecond is the rate of shadow copies aimed at. Default: 0.2.
+	ShadowPerSecond float64
+	// ReadEvery is the time between two reads of the record by a node that polls.
+	// Default: 3s.
+	ReadEvery time.Duration
+}
+
+// WithDefaults returns the options with defaults filled in.
+func (o Options) WithDefaults() Options {
+	setDefault(&o.Alpha, 0.005)
+	setDefault(&o.Evaluators, 8)
+	setDefault(&o.FirstShare, 10)
+	setDefault(&o.SmallShare, 50)
+	setDefault(&o.ProofRequests, 50)
+	setDefault(&o.StepRequests, 10)
+	setDefault(&o.DoubtLogE, 4.6)
+	setDefault(&o.Dwell, 20*time.Second)
+	setDefault(&o.ShadowPerSecond, 0.2)
+	setDefault(&o.ReadEvery, 3*time.Second)
+	return o
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
