Lower the share at once on a burst, and test slices of the workspaces

A fault of one small workspace drowns in the others' requests. Ruled out: braking for good on the first alarm, since the old version may have the same trouble a moment later.

--- a/internal/move/advance.go
+++ b/internal/move/advance.go
@@ -40,7 +40,7 @@
 	if in.Move.From == r.From && in.Move.To == r.To {
 		r.FinishBy = in.Move.FinishBy
 	}
-	if !in.Now.Before(r.FinishBy) {
+	if !in.Now.Before(r.FinishBy.Add(-lead(r))) {
 		return c.finish(in, r)
 	}
 	if r.Share >= FullShare {
@@ -81,10 +81,14 @@
 // doubt names the finding that keeps the share from growing, if there is one.
 func (c *Controller) doubt() string {
 	worst, ok := c.comparison.Worst()
-	if !ok || worst.LogE < c.opts.DoubtLogE {
+	switch {
+	case ok && worst.Odds >= c.opts.DoubtOdds:
+		return "doubtful: " + worst.String()
+	case ok && c.comparison.Alarmed(c.in.Now):
+		return "doubtful: a burst of failures on the new version alone"
+	default:
 		return ""
 	}
-	return "doubtful: " + worst.String()
 }
 
 // proved tells whether enough requests were compared without doubt.
--- a/internal/move/controller.go
+++ b/internal/move/controller.go
@@ -127,12 +127,19 @@
 	c.comparison.Observe(in.Now, in.Old, in.New)
 	c.rate.observe(in.Now, in.Old, in.New)
 	worst, ok := c.comparison.Worst()
-	if !ok || c.mark != nil || worst.LogE < brakeLogE(c.opts.Alpha, in.Routes, c.opts.Evaluators) {
+	if !ok || c.mark != nil {
+		return Mark{}, false
+	}
+	reason := worst.String()
+	switch {
+	case c.comparison.alarm.sure():
+		reason = fmt.Sprintf("%d bursts of failures on the new version alone; last seen: %s", c.comparison.alarm.bursts, reason)
+	case worst.Odds < brakeOdds(c.opts.Alpha, in.Routes, c.opts.Evaluators):
 		return Mark{}, false
 	}
 	return Mark{
 		Move: c.name, Service: c.record.Service, Version: c.record.To,
-		Reason: worst.String(), At: in.Now, By: c.opts.Self,
+		Reason: reason, At: in.Now, By: c.opts.Self,
 	}, true
 }
 
@@ -169,6 +176,8 @@
 	c.nextRead = c.in.Now.Add(c.opts.ReadEvery)
 	var r Record
 	switch {
+	case err == nil && object.Version == c.version:
+		r = c.base
 	case errors.Is(err, platform.ErrNotFound):
 		object.Version = 0
 	case err != nil:
--- a/internal/move/counter.go
+++ b/internal/move/counter.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Buckets of the histograms. A value belongs to the first bucket whose bound is
@@ -12,6 +14,7 @@
 	firstLatencyBound = time.Millisecond
 	latencyGrowth     = 1.5
 	sizeBuckets       = 24 // bounds are the powers of two from 1
+	workspaceSlices   = 8
 )
 
 // latencyBounds are the upper bounds of all latency buckets but the last.
@@ -62,22 +65,27 @@
 	// Latency and Size count the whole answers by time and by size.
 	Latency [latencyBuckets]uint64 `json:"l"`
 	Size    [sizeBuckets]uint64    `json:"s"`
+	// Slices count requests and failures by a hash of the workspace, as a fault may
+	// strike one workspace only.
+	Slices [workspaceSlices]Arm `json:"w"`
 }
 
 // add counts one request.
-func (c *Counter) add(r Result, latency time.Duration, size int) {
-	switch r {
+func (c *Counter) add(o Outcome) {
+	slice := &c.Slices[xxhash.Sum64String(string(o.Workspace))%workspaceSlices]
+	switch o.Result {
 	case Excused:
 		c.Excused++
 		return
 	case Failed:
-		c.Requests++
 		c.Failures++
-		return
+		slice.Events++
+	default:
+		c.Latency[latencyBucket(o.Latency)]++
+		c.Size[sizeBucket(o.Size)]++
 	}
 	c.Requests++
-	c.Latency[latencyBucket(latency)]++
-	c.Size[sizeBucket(size)]++
+	slice.Trials++
 }
 
 // merge takes the maximum of each number.
@@ -91,6 +99,10 @@
 	for i := range c.Size {
 		c.Size[i] = max(c.Size[i], o.Size[i])
 	}
+	for i := range c.Slices {
+		c.Slices[i].Trials = max(c.Slices[i].Trials, o.Slices[i].Trials)
+		c.Slices[i].Events = max(c.Slices[i].Events, o.Slices[i].Events)
+	}
 }
 
 // sum adds another node's numbers.
@@ -104,6 +116,9 @@
 	for i := range c.Size {
 		c.Size[i] += o.Size[i]
 	}
+	for i := range c.Slices {
+		c.Slices[i].add(o.Slices[i])
+	}
 }
 
 // slower returns the whole answers slower than the bound of a bucket.
--- a/internal/move/evidence.go
+++ b/internal/move/evidence.go
@@ -39,10 +39,11 @@
 
 // Outcome is one ended request.
 type Outcome struct {
-	Service ident.Service
-	Version ident.Version
-	Route   ident.RouteName
-	Result  Result
+	Service   ident.Service
+	Version   ident.Version
+	Route     ident.RouteName
+	Workspace ident.Workspace
+	Result    Result
 	// Latency to the first token of a stream, or to the whole answer otherwise,
 	// counted from the dispatch to the endpoint.
 	Latency time.Duration
@@ -67,7 +68,7 @@
 // Record counts a request that this node has sent.
 func (e *Evidence) Record(o Outcome) {
 	key := Key{Service: o.Service, Version: o.Version, Route: o.Route, Source: e.self}
-	e.counter(key).add(o.Result, o.Latency, o.Size)
+	e.counter(key).add(o)
 	e.changed[key] = true
 }
 
--- a/internal/move/options.go
+++ b/internal/move/options.go
@@ -25,15 +25,15 @@
 	// StepRequests of the new version must have been compared before each further
 	// step, unless the move is late. Default: 10.
 	StepRequests int
-	// DoubtLogE is the logarithm of the e-value from which a version is doubtful:
-	// its share does not grow, and at the time to finish it is undone. Default: 4.6.
-	DoubtLogE float64
+	// DoubtOdds are the odds from which a version is doubtful: its share falls to
+	// SmallShare, and at the time to finish it is undone. Default: 3.
+	DoubtOdds float64
 	// Dwell is the least time between two steps. Default: 20s.
 	Dwell time.Duration
 	// ShadowPerSecond is the rate of shadow copies aimed at. Default: 0.2.
 	ShadowPerSecond float64
 	// ReadEvery is the time between two reads of the record by a node that polls.
-	// Default: 3s.
+	// Default: 10s.
 	ReadEvery time.Duration
 }
 
@@ -45,10 +45,10 @@
 	setDefault(&o.SmallShare, 50)
 	setDefault(&o.ProofRequests, 50)
 	setDefault(&o.StepRequests, 10)
-	setDefault(&o.DoubtLogE, 4.6)
+	setDefault(&o.DoubtOdds, 3)
 	setDefault(&o.Dwell, 20*time.Second)
 	setDefault(&o.ShadowPerSecond, 0.2)
-	setDefault(&o.ReadEvery, 3*time.Second)
+	setDefault(&o.ReadEvery, 10*time.Second)
 	return o
 }
 
--- a/internal/move/pace.go
+++ b/internal/move/pace.go
@@ -37,3 +37,13 @@
 	const shortest = 40 // parts of the window
 	return min(least, r.FinishBy.Sub(r.Begun)/shortest)
 }
+
+// lead returns how long before its time to finish a move decides on its end, so
+// that the end is recorded and spread in time.
+func lead(r Record) time.Duration {
+	const (
+		longest  = 30 * time.Second
+		shortest = 40 // parts of the window
+	)
+	return min(longest, r.FinishBy.Sub(r.Begun)/shortest)
+}
--- a/internal/move/sequential.go
+++ b/internal/move/sequential.go
@@ -8,8 +8,8 @@
 // Arm counts the trials of one version in one block, and how many of them show
 // the event that is tested for.
 type Arm struct {
-	Trials uint64 `json:"trials"`
-	Events uint64 `json:"events"`
+	Trials uint64 `json:"t"`
+	Events uint64 `json:"e"`
 }
 
 func (a *Arm) add(b Arm) {
@@ -47,6 +47,7 @@
 	old, fresh  Arm // of the closed blocks
 	open        [2]Arm
 	recent      [2][2]Arm // old and new since the last start, and since the one before
+	value       float64   // see logE
 }
 
 // Starts of a Test.
@@ -109,6 +110,7 @@
 	t.fresh.add(b)
 	t.recent[0][0].add(a)
 	t.recent[0][1].add(b)
+	t.value = t.mixture()
 }
 
 // maxRate keeps the alternative's rate below one.
@@ -130,7 +132,9 @@
 }
 
 // logE returns the logarithm of the e-value.
-func (t *Test) logE() float64 {
+func (t *Test) logE() float64 { return t.value }
+
+func (t *Test) mixture() float64 {
 	sum := math.Inf(-1)
 	for _, l := range t.logs {
 		sum = logSum(sum, l)
--- a/internal/move/sim_test.go
+++ b/internal/move/sim_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -55,6 +56,11 @@
 	simWorkspaces = []float64{0.4, 0.3, 0.15, 0.1, 0.05}
 )
 
+var (
+	simRouteNames     = []ident.RouteName{"chat", "drafts", "wording", "tags"}
+	simWorkspaceNames = []ident.Workspace{"a", "b", "c", "d", "e"}
+)
+
 func fails(p float64) func(*simWorld, *simRequest) {
 	return func(w *simWorld, q *simRequest) {
 		if w.rng.Float64() < p {
@@ -258,8 +264,8 @@
 	// A node sees the end after the latency; others one second later.
 	at := (w.second + 1 + int(q.latency/time.Second)) % simHorizon
 	w.ends[at] = append(w.ends[at], simEnd{node, Outcome{
-		Service: "model", Version: version, Route: ident.RouteName(fmt.Sprint("r", q.route)),
-		Result: q.result, Latency: q.latency, Size: q.size,
+		Service: "model", Version: version, Route: simRouteNames[q.route],
+		Workspace: simWorkspaceNames[q.workspace], Result: q.result, Latency: q.latency, Size: q.size,
 	}, q.faulty})
 }
 
@@ -278,7 +284,6 @@
 type ours struct {
 	evidence [2]*Evidence
 	node     [2]*Controller
-	back     *Controller // of the later move the other way
 	object   platform.Object
 	calls    int
 	late     *PutAction // of the paused holder
@@ -443,12 +448,15 @@
 
 // tally sums up the runs of one case.
 type tally struct {
+	sync.Mutex
 	runs, undone, inTime, superseded, shown int
 	after                                   []int
 	shares, calls                           []int
 }
 
 func (l *tally) add(w *simWorld, p policy) {
+	l.Lock()
+	defer l.Unlock()
 	l.runs++
 	switch p.state() {
 	case StateUndone:
@@ -497,6 +505,9 @@
 	return n
 }
 
+// simWorkers is the number of seeds played at once.
+const simWorkers = 2
+
 // Targets of the simulated moves, in percent.
 const (
 	bestTakenBack = 98
@@ -509,15 +520,25 @@
 	for _, sc := range scenarios() {
 		t.Run(sc.name, func(t *testing.T) {
 			var own, plain tally
-			n := simSeeds(t, 8)
-			for seed := range n {
-				w, o := newSimWorld(sc, uint64(seed)), newOurs()
-				w.run(o)
-				own.add(w, o)
-				v, p := newSimWorld(sc, uint64(seed)), &naive{}
-				v.run(p)
-				plain.add(v, p)
+			short := 10
+			if sc.bad {
+				short = 36
+			}
+			n := simSeeds(t, short)
+			var wg sync.WaitGroup
+			for worker := range simWorkers {
+				wg.Go(func() {
+					for seed := worker; seed < n; seed += simWorkers {
+						w, o := newSimWorld(sc, uint64(seed)), newOurs()
+						w.run(o)
+						own.add(w, o)
+						v, p := newSimWorld(sc, uint64(seed)), &naive{}
+						v.run(p)
+						plain.add(v, p)
+					}
+				})
 			}
+			wg.Wait()
 			t.Logf("%d seeds\nours:  %v\nnaive: %v", n, &own, &plain)
 			good := pct(own.inTime, n)
 			if sc.reversed {
--- a/internal/move/split.go
+++ b/internal/move/split.go
@@ -19,7 +19,7 @@
 
 // Split returns the spread in force on this node. A version that is marked, or not
 // known to be wanted, gets nothing; while the old version is there, the new one
-// gets no more than its ready endpoints can take.
+// gets no more than its ready endpoints can take, and a small share in doubt.
 func (c *Controller) Split() Split {
 	r := c.record
 	s := Split{From: r.From, To: r.To}
@@ -39,6 +39,9 @@
 		case StateDone:
 			s.Share = FullShare
 		}
+		if r.State != StateDone && c.doubt() != "" {
+			s.Share = min(s.Share, c.opts.SmallShare)
+		}
 	}
 	invariant.Check(c.mark == nil || s.Share == 0 && s.Shadow == 0, invariant.MarkedVersionNoWork,
 		"move %q is marked and has a share of %d", c.name, s.Share)
