--- a/internal/move/evidence.go
+++ b/internal/move/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -141,6 +142,15 @@
 	return out
 }
 
+// Services returns the services that there is evidence on, in order.
+func (e *Evidence) Services() []ident.Service {
+	seen := make(map[ident.Service]bool)
+	for key := range e.counters {
+		seen[key.Service] = true
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
 // Forget drops the counters of a service, once no move of it is left.
 func (e *Evidence) Forget(service ident.Service) {
 	for key := range e.counters {
--- /dev/null
+++ b/internal/move/mover/mover.go
@@ -0,0 +1,258 @@
+// Package mover drives the version moves on one node: it ticks the controllers,
+// makes their store calls, holds the leases of the services that this node is a
+// candidate for, and exchanges evidence, marks and records with other nodes.
+package mover
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/config"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/lease"
+	"github.com/jujubeshed/jujubeshed/internal/move"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+)
+
+// Options are the settings of a Mover.
+type Options struct {
+	Store platform.Store
+	Self  lease.Owner
+	// Config returns the configuration in force, nil where there is none.
+	Config func() *config.Config
+	// Members returns the live nodes, this one included.
+	Members func() []ident.NodeID
+	// Capacity returns the share of all requests to a service that the ready
+	// endpoints of a version can take.
+	Capacity func(ident.Service, ident.Version) move.Share
+	// Candidates is the number of nodes that seek the lease of a service. Default: 3.
+	Candidates int
+	// Every is the time between two ticks. Default: 1s.
+	Every time.Duration
+	// CallTimeout bounds one call to the store. Default: 2s.
+	CallTimeout time.Duration
+	Move        move.Options
+	Lease       lease.Options
+	// Clock returns the time. Default: time.Now.
+	Clock func() time.Time
+	// Metrics is optional.
+	Metrics *Metrics
+	// Log is optional.
+	Log *slog.Logger
+}
+
+func (o *Options) setDefaults() {
+	if o.Candidates == 0 {
+		o.Candidates = 3
+	}
+	if o.Every == 0 {
+		o.Every = time.Second
+	}
+	if o.CallTimeout == 0 {
+		o.CallTimeout = 2 * time.Second
+	}
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
+	if o.Metrics == nil {
+		o.Metrics = NewMetrics(nil)
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	o.Move.Self = o.Self.Node
+}
+
+// Mover is one node's part in all version moves.
+type Mover struct {
+	opts   Options
+	splits atomic.Pointer[map[ident.Service]move.Split]
+	calls  sync.WaitGroup
+	leases leases
+
+	mu struct {
+		sync.Mutex
+		evidence    *move.Evidence
+		controllers map[ident.MoveName]*move.Controller
+		loaded      bool // the records in the store were read once
+	}
+}
+
+// New returns a Mover.
+func New(opts Options) *Mover {
+	opts.setDefaults()
+	m := &Mover{opts: opts}
+	m.leases = leases{opts: &m.opts, held: make(map[ident.Service]*candidacy)}
+	m.mu.evidence = move.NewEvidence(move.Source{Node: opts.Self.Node, Incarnation: opts.Self.Incarnation})
+	m.mu.controllers = make(map[ident.MoveName]*move.Controller)
+	m.splits.Store(&map[ident.Service]move.Split{})
+	return m
+}
+
+// Record counts the end of a request that this node has sent, or of a shadow copy.
+// Requests of services without a move under way are not counted.
+func (m *Mover) Record(o move.Outcome) {
+	if split, ok := m.Split(o.Service); !ok || split.To == "" {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.mu.evidence.Record(o)
+}
+
+// Split returns how to spread the requests of a service. It is false where the
+// service is not known. It is cheap and may be called for each request.
+func (m *Mover) Split(s ident.Service) (move.Split, bool) {
+	split, ok := (*m.splits.Load())[s]
+	return split, ok
+}
+
+// Statuses returns where all moves stand, ordered by name.
+func (m *Mover) Statuses() []move.Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]move.Status, 0, len(m.mu.controllers))
+	for _, name := range slices.Sorted(maps.Keys(m.mu.controllers)) {
+		out = append(out, m.mu.controllers[name].Status())
+	}
+	return out
+}
+
+// Run drives the moves until ctx ends. It returns ctx's error.
+func (m *Mover) Run(ctx context.Context) error {
+	defer m.calls.Wait()
+	defer m.leases.stop()
+	t := time.NewTicker(m.opts.Every)
+	defer t.Stop()
+	for {
+		m.Tick(ctx)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Tick lets every move act once. Run calls it; a driver with its own clock may.
+func (m *Mover) Tick(ctx context.Context) {
+	cfg := m.opts.Config()
+	if cfg == nil {
+		return
+	}
+	m.load(ctx)
+	m.leases.seek(ctx, m.wanted(cfg))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name := range cfg.Moves {
+		m.controllerLocked(name)
+	}
+	records := m.recordsLocked()
+	for _, name := range slices.Sorted(maps.Keys(m.mu.controllers)) {
+		c := m.mu.controllers[name]
+		for _, a := range c.Tick(m.inputLocked(cfg, c, name, records)) {
+			m.actLocked(ctx, name, c, a)
+		}
+	}
+	m.publishLocked(cfg)
+	for _, s := range m.mu.evidence.Services() {
+		if split, _ := m.Split(s); split.To == "" {
+			m.mu.evidence.Forget(s)
+		}
+	}
+}
+
+func (m *Mover) controllerLocked(name ident.MoveName) *move.Controller {
+	c := m.mu.controllers[name]
+	if c == nil {
+		c = move.NewController(name, m.opts.Move)
+		m.mu.controllers[name] = c
+	}
+	return c
+}
+
+// recordsLocked returns the records of the moves that are not marked.
+func (m *Mover) recordsLocked() []move.Record {
+	var out []move.Record
+	for _, c := range m.mu.controllers {
+		if _, bad := c.Mark(); !bad && c.Record().State != "" {
+			out = append(out, c.Record())
+		}
+	}
+	return out
+}
+
+func (m *Mover) inputLocked(cfg *config.Config, c *move.Controller, name ident.MoveName, records []move.Record) move.Input {
+	mv, present := cfg.Moves[name]
+	if !present {
+		r := c.Record()
+		mv = config.Move{Name: name, Service: r.Service, From: r.From, To: r.To, FinishBy: r.FinishBy}
+	}
+	in := move.Input{
+		Now: m.opts.Clock(), Move: mv, Present: present, Revision: cfg.Revision,
+		Serving:  move.Serving(cfg.Services[mv.Service], records),
+		Capacity: m.opts.Capacity(mv.Service, mv.To),
+		Routes:   routesTo(cfg, mv.Service),
+		Old:      m.mu.evidence.Totals(mv.Service, mv.From),
+		New:      m.mu.evidence.Totals(mv.Service, mv.To),
+		Poll:     m.candidate(mv.Service),
+	}
+	in.Epoch, in.Held = m.leases.get(mv.Service)
+	return in
+}
+
+func routesTo(cfg *config.Config, s ident.Service) int {
+	n := 0
+	for _, r := range cfg.Routes {
+		if r.Service == s {
+			n++
+		}
+	}
+	return n
+}
+
+// publishLocked computes the spread of every service anew.
+func (m *Mover) publishLocked(cfg *config.Config) {
+	records := m.recordsLocked()
+	splits := make(map[ident.Service]move.Split, len(cfg.Services))
+	for name, svc := range cfg.Services {
+		split := move.Split{From: move.Serving(svc, records)}
+		if mv, ok := cfg.ActiveMove(name); ok {
+			c := m.controllerLocked(mv.Name)
+			if s := c.Record().State; s == move.StateAdvancing || s == move.StateBaking {
+				split = c.Split()
+			}
+		}
+		splits[name] = split
+	}
+	m.splits.Store(&splits)
+}
+
+// wanted returns the services with moves that may need a holder, of which this
+// node is a candidate.
+func (m *Mover) wanted(cfg *config.Config) []ident.Service {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	services := make(map[ident.Service]bool)
+	for _, mv := range cfg.Moves {
+		c := m.mu.controllers[mv.Name]
+		if c == nil || !c.Record().State.Terminal() && mv.SupersededBy == "" {
+			services[mv.Service] = true
+		}
+	}
+	for _, c := range m.mu.controllers {
+		if r := c.Record(); r.State != "" && !r.State.Terminal() {
+			services[r.Service] = true
+		}
+	}
+	return slices.DeleteFunc(slices.Sorted(maps.Keys(services)), func(s ident.Service) bool { return !m.candidate(s) })
+}
+
+func (m *Mover) candidate(s ident.Service) bool {
+	return lease.Rank(leaseName(s), m.opts.Self.Node, m.opts.Members()) < m.opts.Candidates
+}
--- a/internal/move/status.go
+++ b/internal/move/status.go
@@ -70,14 +70,17 @@
 			return fmt.Sprintf("share stays at %s: %s; ends at %s at the latest", s.Share, why, clock(s.FinishBy))
 		}
 		share, _, _ := nextStep(c.record)
-		return fmt.Sprintf("share grows to %s", share)
+		return fmt.Sprintf("share grows to %s at the next step of the lease's holder", share)
 	case StateBaking:
+		if why := c.doubt(); why != "" {
+			return fmt.Sprintf("share is lowered to %s: %s; the move is undone if that goes on", s.Share, why)
+		}
 		return fmt.Sprintf("version %q is kept ready until %s; the move is undone if version %q turns out bad", s.From, clock(c.record.BakeUntil), s.To)
 	case StateUndone:
 		if !s.Recorded {
 			return fmt.Sprintf("version %q gets no requests; this is recorded once the store answers", s.To)
 		}
-		return fmt.Sprintf("nothing: version %q serves; to try again, add a move of another name", s.From)
+		return fmt.Sprintf("nothing: version %q serves; to try again, add a move of another name", in.Serving)
 	case StateDone:
 		return fmt.Sprintf("nothing: version %q serves", s.To)
 	default:
