Run controllers through late, lost and crossed calls

Cause: the simulation has two nodes and orderly calls. Change: TestControllersAgree (four nodes, several believed holders, late and lost writes, outages, old configurations, brakes); totals are summed without copies; the simulation's test files are split. Ruled out: a fixed epoch for the last holder in that test, which leaves a move under way when an earlier believed holder had a higher one; leases never give a lower epoch.

--- /dev/null
+++ b/internal/move/chaos_test.go
@@ -0,0 +1,163 @@
+package move
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/config"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/invariant"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+)
+
+// chaos is some nodes with one move, whose store calls are late, lost and crossed,
+// and of which several believe that they hold the lease.
+type chaos struct {
+	rng    *rand.Rand
+	now    time.Time
+	nodes  []*Controller
+	calls  [][]chaosCall // on their way, by node
+	object platform.Object
+	writes []Record // as they took effect
+	marked bool
+	down   bool
+}
+
+type chaosCall struct {
+	at  time.Time
+	put *PutAction
+}
+
+func newChaos(seed uint64) *chaos {
+	w := &chaos{rng: rand.New(rand.NewPCG(seed, 13)), now: simStart, calls: make([][]chaosCall, 4)}
+	for i := range w.calls {
+		w.nodes = append(w.nodes, NewController("up", Options{Self: ident.NodeID(fmt.Sprint("n", i))}))
+	}
+	return w
+}
+
+func (w *chaos) input(i int, calm bool) Input {
+	in := Input{
+		Now: w.now, Present: true, Revision: 2, Serving: "v1", Capacity: FullShare, Routes: 1, Poll: true,
+		Move: config.Move{Name: "up", Service: "model", From: "v1", To: "v2", FinishBy: simStart.Add(10 * time.Minute), Bake: 5 * time.Minute},
+		Held: calm && i == 0, Epoch: ident.Epoch(i + 1),
+		Old: Totals{"chat": w.total(5)}, New: Totals{"chat": w.total(1)},
+	}
+	if calm {
+		in.Epoch = 9 // the lease's holder has the highest epoch in the end
+	} else {
+		in.Held = w.rng.IntN(3) == 0 // a holder that was paused may think so too
+		if w.rng.IntN(10) == 0 {
+			in.Present, in.Revision = false, 0 // a node with an old configuration
+		}
+	}
+	return in
+}
+
+// total returns the evidence of good versions at now.
+func (w *chaos) total(perSecond float64) *Counter {
+	n := uint64(perSecond * w.now.Sub(simStart).Seconds())
+	c := &Counter{Requests: n}
+	c.Latency[10], c.Size[5], c.Slices[0] = n, n, Arm{Trials: n}
+	return c
+}
+
+func (w *chaos) step(calm bool) {
+	w.now = w.now.Add(time.Second)
+	if !calm && w.rng.IntN(200) == 0 {
+		w.down = !w.down
+	}
+	for i, c := range w.nodes {
+		for _, a := range c.Tick(w.input(i, calm)) {
+			late := time.Duration(w.rng.IntN(3)) * time.Second
+			if !calm && w.rng.IntN(8) == 0 {
+				late = time.Duration(w.rng.IntN(90)) * time.Second
+			}
+			if put, ok := a.(PutAction); ok {
+				w.calls[i] = append(w.calls[i], chaosCall{w.now.Add(late), &put})
+			} else {
+				w.calls[i] = append(w.calls[i], chaosCall{at: w.now.Add(late)})
+			}
+		}
+		w.answer(i, calm)
+		if w.rng.IntN(3) == 0 {
+			w.nodes[w.rng.IntN(len(w.nodes))].Learn(c.Record())
+		}
+	}
+}
+
+// answer ends the calls of a node that are due.
+func (w *chaos) answer(i int, calm bool) {
+	rest := w.calls[i][:0]
+	for _, call := range w.calls[i] {
+		switch {
+		case w.now.Before(call.at):
+			rest = append(rest, call)
+		case w.down && !calm:
+			if call.put != nil {
+				w.nodes[i].Wrote(0, platform.ErrUnavailable)
+			} else {
+				w.nodes[i].Read(platform.Object{}, platform.ErrUnavailable)
+			}
+		case call.put != nil:
+			w.nodes[i].Wrote(w.put(*call.put, calm))
+		case w.object.Version == 0:
+			w.nodes[i].Read(platform.Object{}, platform.ErrNotFound)
+		default:
+			w.nodes[i].Read(w.object, nil)
+		}
+	}
+	w.calls[i] = rest
+}
+
+func (w *chaos) put(a PutAction, calm bool) (platform.Version, error) {
+	lost := !calm && w.rng.IntN(4) == 0
+	if lost && w.rng.IntN(2) == 0 {
+		return 0, platform.ErrUnknown
+	}
+	if w.object.Version != a.Expect {
+		return 0, platform.ErrConflict
+	}
+	r, _ := DecodeRecord(a.Value)
+	if n := len(w.writes); n > 0 {
+		last := w.writes[n-1]
+		invariant.Check(!last.State.Terminal() || last.State == StateDone && r.State == StateUndone, invariant.UndoneStaysUndone,
+			"the record went from %s to %s", last.State, r.State)
+		invariant.Check(r.Sequence == last.Sequence+1, invariant.RevisionGrows, "sequence %d follows %d", r.Sequence, last.Sequence)
+	}
+	w.writes = append(w.writes, r)
+	w.object = platform.Object{Version: a.Expect + 1, Value: a.Value}
+	if lost {
+		return 0, platform.ErrUnknown
+	}
+	return w.object.Version, nil
+}
+
+// TestControllersAgree runs nodes through late, lost and crossed calls, outages,
+// several believed holders, old configurations and, in half of the runs, a brake
+// on one node. All nodes end in the same state: undone where there was a brake.
+func TestControllersAgree(t *testing.T) {
+	defer invariant.SetFatal(invariant.SetFatal(true))
+	for seed := range simSeeds(t, 20) {
+		w := newChaos(uint64(seed))
+		brakeAt := w.rng.IntN(2 * 900)
+		for i := range 900 {
+			w.step(false)
+			if i == brakeAt && w.nodes[0].Record().State != "" {
+				w.marked = true
+				w.nodes[0].Marked(Mark{Move: "up", Service: "model", Version: "v2", Reason: "braked"})
+			}
+		}
+		for range 1200 {
+			w.step(true)
+		}
+		for i, c := range w.nodes {
+			want := w.writes[len(w.writes)-1].State
+			if s := c.Record().State; s != want || !s.Terminal() || w.marked && s != StateUndone {
+				t.Errorf("seed %d: node %d has %q, the store %q, braked %t", seed, i, s, want, w.marked)
+			}
+		}
+	}
+}
--- a/internal/move/compare.go
+++ b/internal/move/compare.go
@@ -70,11 +70,11 @@
 	c.any = false
 	for _, name := range c.names {
 		r := c.routes[name]
-		a, b := old[name], fresh[name]
+		a, b := old.of(name), fresh.of(name)
 		before := [2]Arm{{r.old.Requests, r.old.Failures}, {r.fresh.Requests, r.fresh.Failures}}
 		all[0].add(grown(before[0], Arm{a.Requests, a.Failures}))
 		all[1].add(grown(before[1], Arm{b.Requests, b.Failures}))
-		r.observe(now, &a, &b)
+		r.observe(now, a, b)
 		if f := r.worst(); !c.any || f.Odds > c.worst.Odds {
 			c.worst, c.any = f, true
 		}
--- a/internal/move/controller_test.go
+++ b/internal/move/controller_test.go
@@ -199,7 +199,7 @@
 			}
 		}
 		for i, n := range nodes {
-			if got := n.Totals("s", "v")["r"]; got != total {
+			if got := n.Totals("s", "v").of("r"); *got != total {
 				t.Fatalf("node %d counts %+v, not %+v", i, got, total)
 			}
 		}
--- a/internal/move/evidence.go
+++ b/internal/move/evidence.go
@@ -126,7 +126,17 @@
 }
 
 // Totals holds the counters of one version by route, summed over nodes.
-type Totals map[ident.RouteName]Counter
+type Totals map[ident.RouteName]*Counter
+
+// of returns the counter of a route; it must not be changed.
+func (t Totals) of(route ident.RouteName) *Counter {
+	if c := t[route]; c != nil {
+		return c
+	}
+	return &noRequests
+}
+
+var noRequests Counter
 
 // Totals returns the totals of one version of a service.
 func (e *Evidence) Totals(service ident.Service, version ident.Version) Totals {
@@ -136,8 +146,11 @@
 			continue
 		}
 		total := out[key.Route]
+		if total == nil {
+			total = &Counter{}
+			out[key.Route] = total
+		}
 		total.sum(c)
-		out[key.Route] = total
 	}
 	return out
 }
--- /dev/null
+++ b/internal/move/policies_test.go
@@ -0,0 +1,176 @@
+package move
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/config"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+)
+
+// ours runs two nodes with real controllers over one store object.
+type ours struct {
+	evidence [2]*Evidence
+	node     [2]*Controller
+	object   platform.Object
+	calls    int
+	late     *PutAction // of the paused holder
+}
+
+func newOurs() *ours {
+	o := &ours{}
+	for i := range o.node {
+		id := ident.NodeID(fmt.Sprint("n", i))
+		o.evidence[i] = NewEvidence(Source{Node: id})
+		o.node[i] = NewController("up", Options{Self: id})
+	}
+	return o
+}
+
+func (o *ours) split(node int) Split        { return o.node[node].Split() }
+func (o *ours) ended(node int, out Outcome) { o.evidence[node].Record(out) }
+func (o *ours) state() State                { return o.node[1].Record().State }
+func (o *ours) down(w *simWorld, t time.Duration) bool {
+	return w.sc.outage && t > 10*time.Minute && t < 18*time.Minute
+}
+
+func (o *ours) tick(w *simWorld, t time.Duration) {
+	paused := w.sc.pause && t > 10*time.Minute && t < 13*time.Minute
+	for i, e := range o.evidence {
+		if !paused {
+			e.Merge(o.evidence[1-i].Changed())
+		}
+	}
+	for i, c := range o.node {
+		if paused && i == 0 {
+			continue
+		}
+		in := o.input(w, t, i)
+		for _, a := range c.Tick(in) {
+			o.act(w, t, i, a)
+		}
+		if !paused {
+			o.node[1-i].Learn(c.Record())
+		}
+	}
+	if o.late != nil && !paused && t > 13*time.Minute {
+		o.node[0].Wrote(o.put(*o.late)) // arrives after the pause, on an old version
+		o.late = nil
+	}
+}
+
+func (o *ours) input(w *simWorld, t time.Duration, i int) Input {
+	in := Input{
+		Now: simStart.Add(t), Present: true, Revision: 1, Serving: "v1", Capacity: FullShare, Routes: len(simRoutes), Poll: true,
+		Move: config.Move{Name: "up", Service: "model", From: "v1", To: "v2", FinishBy: simStart.Add(simWindow), Bake: simBake},
+		Old:  o.evidence[i].Totals("model", "v1"), New: o.evidence[i].Totals("model", "v2"),
+		Held: i == 0, Epoch: 1,
+	}
+	if w.sc.capacity != nil {
+		in.Capacity = w.sc.capacity(t)
+	}
+	if w.sc.pause && t > 10*time.Minute {
+		in.Held, in.Epoch = i == 1 && t > 10*time.Minute+15*time.Second, 2
+	}
+	if w.sc.reversed && t > 12*time.Minute {
+		in.Move.SupersededBy, in.Revision = "back", 2
+	}
+	return in
+}
+
+func (o *ours) act(w *simWorld, t time.Duration, i int, a Action) {
+	c := o.node[i]
+	o.calls++
+	switch a := a.(type) {
+	case MarkAction:
+		o.calls--
+		o.node[1-i].Marked(a.Mark)
+	case ReadAction:
+		switch {
+		case o.down(w, t):
+			c.Read(platform.Object{}, platform.ErrUnavailable)
+		case o.object.Version == 0:
+			c.Read(platform.Object{}, platform.ErrNotFound)
+		default:
+			c.Read(o.object, nil)
+		}
+	case PutAction:
+		switch {
+		case o.down(w, t):
+			c.Wrote(0, platform.ErrUnavailable)
+		case w.rng.IntN(4) == 0:
+			if w.rng.IntN(2) == 0 {
+				_, _ = o.put(a)
+			}
+			c.Wrote(0, platform.ErrUnknown)
+		case w.sc.pause && i == 0 && t > 9*time.Minute && o.late == nil && t < 10*time.Minute+simTick:
+			o.late = &a // paused between the check of its right and the write
+		default:
+			c.Wrote(o.put(a))
+		}
+	}
+}
+
+func (o *ours) put(a PutAction) (platform.Version, error) {
+	if o.object.Version != a.Expect {
+		return 0, platform.ErrConflict
+	}
+	o.object = platform.Object{Version: a.Expect + 1, Value: a.Value}
+	return o.object.Version, nil
+}
+
+// naive raises the share by a timer and looks at the mean error rate.
+type naive struct {
+	share  Share
+	undone bool
+	done   bool
+	recent []Arm // of the new version, by tick
+	cur    Arm
+}
+
+func (n *naive) split(int) Split { return Split{Share: n.share} }
+
+func (n *naive) ended(_ int, o Outcome) {
+	if o.Version == "v2" {
+		n.cur.Trials++
+		if o.Result != OK {
+			n.cur.Events++
+		}
+	}
+}
+
+func (n *naive) state() State {
+	switch {
+	case n.undone:
+		return StateUndone
+	case n.done:
+		return StateDone
+	default:
+		return StateAdvancing
+	}
+}
+
+// tick steps at each quarter of the window, and undoes where more than 5% of at
+// least 20 requests of the last 5 minutes failed.
+func (n *naive) tick(w *simWorld, t time.Duration) {
+	n.recent = append(n.recent, n.cur)
+	n.cur = Arm{}
+	if keep := int(5 * time.Minute / simTick); len(n.recent) > keep {
+		n.recent = n.recent[1:]
+	}
+	var sum Arm
+	for _, a := range n.recent {
+		sum.add(a)
+	}
+	if sum.Trials >= 20 && sum.Events*20 > sum.Trials {
+		n.undone, n.share = true, 0
+		return
+	}
+	shares := []Share{100, 250, 500, FullShare}
+	n.share = shares[min(int(t*4/simWindow), 3)]
+	n.done = t > simWindow+simBake
+	if w.sc.reversed && t > 12*time.Minute {
+		n.share = 0
+	}
+}
