Pool failures over the routes, and count every doubt

Change: tests over all routes for all failures and for slices of the workspaces, with blocks of one route each, as e-variables multiply; half of the error rate stays with the tests by route. Doubt by a test raises the same alarm as a burst, and the third alarm brakes.

--- a/internal/move/advance.go
+++ b/internal/move/advance.go
@@ -84,12 +84,12 @@
 func (c *Controller) doubt() string {
 	worst, ok := c.comparison.Worst()
 	switch {
-	case ok && worst.Odds >= c.opts.DoubtOdds:
+	case !ok || !c.comparison.Alarmed(c.in.Now):
+		return ""
+	case worst.Odds >= c.opts.DoubtOdds:
 		return "doubtful: " + worst.String()
-	case ok && c.comparison.Alarmed(c.in.Now):
-		return "doubtful: a burst of failures on the new version alone"
 	default:
-		return ""
+		return "doubtful a moment ago, by a burst of failures on the new version alone or by: " + worst.String()
 	}
 }
 
--- a/internal/move/alarm.go
+++ b/internal/move/alarm.go
@@ -5,15 +5,16 @@
 	"time"
 )
 
-// alarm watches for a burst of failures of the new version. It is quicker than the
-// tests and not as sure, so that it only lowers the share for a while: it takes the
+// alarm lowers the share for a while: where a test finds the new version doubtful,
+// and at a burst of its failures. The latter is quicker than the tests and not as
+// sure: it takes the
 // new version's requests against a fixed rate, by the cumulative sum of E. S. Page,
 // "Continuous inspection schemes", Biometrika 41 (1954), and keeps still where the
 // old version has a burst as well.
 type alarm struct {
 	old, fresh float64 // cumulative sums
 	until      time.Time
-	bursts     int // since the begin
+	raises     int // since the begin
 }
 
 // The rates that the cumulative sums compare, and the sums at which they speak.
@@ -22,10 +23,10 @@
 	burstRate = 0.3
 	freshSum  = 7.0
 	oldSum    = 2.0
-	// alarmFor is how long an alarm lasts after the last burst.
+	// alarmFor is how long an alarm lasts after its last cause.
 	alarmFor = time.Minute
-	// sureBursts of the new version alone are as good as a test's finding.
-	sureBursts = 3
+	// sureRaises are as good as a test's finding.
+	sureRaises = 3
 )
 
 // add takes the requests since the last call.
@@ -35,13 +36,16 @@
 	if a.fresh < freshSum {
 		return
 	}
-	alone := a.old < oldSum
 	a.fresh = 0
-	if !alone {
-		return
+	if a.old < oldSum {
+		a.raise(now)
 	}
+}
+
+// raise begins an alarm, or makes one last longer.
+func (a *alarm) raise(now time.Time) {
 	if !a.raised(now) {
-		a.bursts++
+		a.raises++
 	}
 	a.until = now.Add(alarmFor)
 }
@@ -56,5 +60,5 @@
 
 func (a *alarm) raised(now time.Time) bool { return now.Before(a.until) }
 
-// sure tells whether bursts came back each time that the share was raised again.
-func (a *alarm) sure() bool { return a.bursts >= sureBursts }
+// sure tells whether the alarm came back each time that it had ended.
+func (a *alarm) sure() bool { return a.raises >= sureRaises }
--- a/internal/move/compare.go
+++ b/internal/move/compare.go
@@ -54,32 +54,76 @@
 	worst  Finding
 	any    bool // worst is set
 	alarm  alarm
+	// Over all routes: failures, and failures by slice of the workspaces.
+	all    *Test
+	slices [workspaceSlices]*Test
+	// routeTests is the logarithm of the number of tests by route; see routeShare.
+	routeTests float64
 }
 
 // NewComparison returns a comparison without evidence.
 func NewComparison() *Comparison {
-	return &Comparison{routes: make(map[ident.RouteName]*routeComparison)}
+	c := &Comparison{routes: make(map[ident.RouteName]*routeComparison)}
+	c.all = newTest(failurePrior, failureDifferences)
+	for i := range c.slices {
+		c.slices[i] = newTest(failurePrior, failureDifferences)
+	}
+	return c
 }
 
 // Observe takes the totals of both versions at one time. The difference to the
-// last call makes a block of simultaneous trials.
-func (c *Comparison) Observe(now time.Time, old, fresh Totals) {
+// last call makes a block of simultaneous trials. Routes is the number of routes
+// that the error rate is shared by.
+func (c *Comparison) Observe(now time.Time, routes int, old, fresh Totals) {
 	c.addRoutes(old)
 	c.addRoutes(fresh)
+	c.routeTests = math.Log(routeShare * float64(len(mainSignals)*max(routes, len(c.names), 1)))
 	var all [2]Arm
-	c.any = false
 	for _, name := range c.names {
 		r := c.routes[name]
 		a, b := old.of(name), fresh.of(name)
 		before := [2]Arm{{r.old.Requests, r.old.Failures}, {r.fresh.Requests, r.fresh.Failures}}
 		all[0].add(grown(before[0], Arm{a.Requests, a.Failures}))
 		all[1].add(grown(before[1], Arm{b.Requests, b.Failures}))
-		r.observe(now, a, b)
-		if f := r.worst(); !c.any || f.Odds > c.worst.Odds {
-			c.worst, c.any = f, true
-		}
+		c.observe(now, r, a, b)
 	}
 	c.alarm.add(now, all[0], all[1])
+	c.findWorst()
+}
+
+// observe adds what was counted on a route since the last call to all tests.
+func (c *Comparison) observe(now time.Time, r *routeComparison, old, fresh *Counter) {
+	r.test(now, c.all, &r.all, old, fresh, failuresOf)
+	for i, t := range c.slices {
+		r.test(now, t, &r.slices[i], old, fresh, func(c *Counter) Arm { return c.Slices[i] })
+	}
+	r.observe(now, old, fresh)
+}
+
+func (c *Comparison) findWorst() {
+	c.worst, c.any = c.overall(), len(c.names) > 0
+	if f := c.worstSlice(); f.Odds > c.worst.Odds {
+		c.worst = f
+	}
+	for _, name := range c.names {
+		if f := c.routes[name].worst(c.routeTests); f.Odds > c.worst.Odds {
+			c.worst = f
+		}
+	}
+}
+
+func (c *Comparison) overall() Finding {
+	return newFinding("", SignalFailure, c.all, overallTests)
+}
+
+func (c *Comparison) worstSlice() Finding {
+	worst := c.slices[0]
+	for _, t := range c.slices {
+		if t.logE() > worst.logE() {
+			worst = t
+		}
+	}
+	return newFinding("", SignalSlice, worst, sliceTests)
 }
 
 func (c *Comparison) addRoutes(t Totals) {
@@ -92,12 +136,15 @@
 	slices.Sort(c.names)
 }
 
-// Findings returns the comparisons of the main signals, ordered by route, and of
-// the worst slice of the workspaces of each.
+// Findings returns the comparisons of the signals, ordered by route, and of the
+// worst slice of the workspaces.
 func (c *Comparison) Findings() []Finding {
 	var out []Finding
 	for _, name := range c.names {
-		out = append(out, c.routes[name].findings()...)
+		out = append(out, c.routes[name].findings(c.routeTests)...)
+	}
+	if f := c.worstSlice(); f.New.Events > 0 {
+		out = append(out, f)
 	}
 	return out
 }
@@ -105,22 +152,17 @@
 // Worst returns the finding that speaks most against the new version.
 func (c *Comparison) Worst() (Finding, bool) { return c.worst, c.any }
 
-// Alarmed tells whether the new version fails much more than it should right now;
-// see alarm.
+// Alarmed tells whether the new version is in doubt; see alarm.
 func (c *Comparison) Alarmed(now time.Time) bool { return c.alarm.raised(now) }
 
 // Compared returns the number of the new version's requests that were compared.
 func (c *Comparison) Compared() uint64 {
-	var n uint64
-	for _, r := range c.routes {
-		n += r.main[0].fresh.Trials
-	}
-	return n
+	return c.all.fresh.Trials
 }
 
 // brakeOdds returns the odds at which the tests of a move brake, such that they
-// brake a good version with a probability of at most alpha, over all routes and
-// evaluating nodes; the number of tests of a route is in Finding.Odds.
-func brakeOdds(alpha float64, routes, evaluators int) float64 {
-	return math.Log(float64(max(routes, 1)*max(evaluators, 1)) / alpha)
+// brake a good version with a probability of at most alpha, over all evaluating
+// nodes; the number of tests is in Finding.Odds.
+func brakeOdds(alpha float64, evaluators int) float64 {
+	return math.Log(float64(max(evaluators, 1)) / alpha)
 }
--- a/internal/move/controller.go
+++ b/internal/move/controller.go
@@ -124,17 +124,20 @@
 	if s := c.record.State; s != StateAdvancing && s != StateBaking {
 		return Mark{}, false
 	}
-	c.comparison.Observe(in.Now, in.Old, in.New)
+	c.comparison.Observe(in.Now, in.Routes, in.Old, in.New)
 	c.rate.observe(in.Now, in.Old, in.New)
 	worst, ok := c.comparison.Worst()
 	if !ok || c.mark != nil {
 		return Mark{}, false
 	}
+	if worst.Odds >= c.opts.DoubtOdds {
+		c.comparison.alarm.raise(in.Now)
+	}
 	reason := worst.String()
 	switch {
 	case c.comparison.alarm.sure():
-		reason = fmt.Sprintf("%d bursts of failures on the new version alone; last seen: %s", c.comparison.alarm.bursts, reason)
-	case worst.Odds < brakeOdds(c.opts.Alpha, in.Routes, c.opts.Evaluators):
+		reason = fmt.Sprintf("in doubt %d times, each time its share was raised again; last seen: %s", c.comparison.alarm.raises, reason)
+	case worst.Odds < brakeOdds(c.opts.Alpha, c.opts.Evaluators):
 		return Mark{}, false
 	}
 	return Mark{
--- a/internal/move/controller_test.go
+++ b/internal/move/controller_test.go
@@ -214,7 +214,7 @@
 	for seed := range runs {
 		rng := rand.New(rand.NewPCG(uint64(seed), 12))
 		test := newTest(failurePrior, failureDifferences)
-		rate, now := 0.01, simStart
+		rate, now, part := 0.01, simStart, stratum{}
 		for range 600 {
 			if rng.IntN(50) == 0 {
 				rate = math.Pow(rng.Float64(), 4)
@@ -229,7 +229,7 @@
 				return a
 			}
 			now = now.Add(3 * time.Second)
-			test.add(now, block(rng.IntN(6)), block(rng.IntN(4)))
+			test.add(now, &part, block(rng.IntN(6)), block(rng.IntN(4)))
 			if test.logE() >= -math.Log(alpha) {
 				crossed++
 				break
--- a/internal/move/finding.go
+++ b/internal/move/finding.go
@@ -9,7 +9,7 @@
 
 // Finding is the comparison of one route by one signal, in numbers.
 type Finding struct {
-	Route  ident.RouteName `json:"route"`
+	Route  ident.RouteName `json:"route,omitempty"` // empty: all routes
 	Signal Signal          `json:"signal"`
 	// Old and New count since the start of the move, OldLately and NewLately over
 	// the last minute or two.
@@ -37,6 +37,10 @@
 	case SignalShort:
 		bound = fmt.Sprintf(" (up to %.0f tokens or bytes)", f.Bound)
 	}
-	return fmt.Sprintf("route %q, %s%s: %d of %d on the new version, %d of %d on the old one",
-		f.Route, f.Signal, bound, fresh.Events, fresh.Trials, old.Events, old.Trials)
+	route := fmt.Sprintf("route %q", f.Route)
+	if f.Route == "" {
+		route = "all routes"
+	}
+	return fmt.Sprintf("%s, %s%s: %d of %d on the new version, %d of %d on the old one",
+		route, f.Signal, bound, fresh.Events, fresh.Trials, old.Events, old.Trials)
 }
--- a/internal/move/routes.go
+++ b/internal/move/routes.go
@@ -10,18 +10,23 @@
 // routeComparison holds the tests of one route.
 type routeComparison struct {
 	name       ident.RouteName
-	main       [3]*Test // in the order of mainSignals
-	slices     [workspaceSlices]*Test
+	main       [3]*Test   // in the order of mainSignals
+	strata     [3]stratum // of main
+	all        stratum    // of the tests over all routes
+	slices     [workspaceSlices]stratum
 	old, fresh Counter // totals at the last call
 	pinned     bool
 	slow       int // answers in buckets above this one are slow
 	short      int // answers in buckets below this one are short
 }
 
-// The main tests and those of the slices each have half of the error rate.
+// The tests by route have half of the error rate, the one over all routes and
+// those of the slices a quarter each.
+const routeShare = 2
+
 var (
-	mainTests  = math.Log(2 * float64(len(mainSignals)))
-	sliceTests = math.Log(2 * workspaceSlices)
+	overallTests = math.Log(4)
+	sliceTests   = math.Log(4 * workspaceSlices)
 )
 
 func newRouteComparison(name ident.RouteName) *routeComparison {
@@ -29,29 +34,24 @@
 	r.main[0] = newTest(failurePrior, failureDifferences)
 	r.main[1] = newTest(quantilePrior, quantileDifferences)
 	r.main[2] = newTest(quantilePrior, quantileDifferences)
-	for i := range r.slices {
-		r.slices[i] = newTest(failurePrior, failureDifferences)
-	}
 	return r
 }
 
 // observe adds what was counted since the last call to the tests.
 func (r *routeComparison) observe(now time.Time, old, fresh *Counter) {
-	failures := func(c *Counter) Arm { return Arm{c.Requests, c.Failures} }
-	r.test(now, r.main[0], old, fresh, failures)
-	for i, t := range r.slices {
-		r.test(now, t, old, fresh, func(c *Counter) Arm { return c.Slices[i] })
-	}
+	r.test(now, r.main[0], &r.strata[0], old, fresh, failuresOf)
 	if r.pinned {
-		r.test(now, r.main[1], old, fresh, func(c *Counter) Arm { return Arm{c.whole(), c.slower(r.slow)} })
-		r.test(now, r.main[2], old, fresh, func(c *Counter) Arm { return Arm{c.whole(), c.smaller(r.short)} })
+		r.test(now, r.main[1], &r.strata[1], old, fresh, func(c *Counter) Arm { return Arm{c.whole(), c.slower(r.slow)} })
+		r.test(now, r.main[2], &r.strata[2], old, fresh, func(c *Counter) Arm { return Arm{c.whole(), c.smaller(r.short)} })
 	}
 	r.old, r.fresh = *old, *fresh
 	r.pin()
 }
 
-func (r *routeComparison) test(now time.Time, t *Test, old, fresh *Counter, arm func(*Counter) Arm) {
-	t.add(now, grown(arm(&r.old), arm(old)), grown(arm(&r.fresh), arm(fresh)))
+func failuresOf(c *Counter) Arm { return Arm{c.Requests, c.Failures} }
+
+func (r *routeComparison) test(now time.Time, t *Test, s *stratum, old, fresh *Counter, arm func(*Counter) Arm) {
+	t.add(now, s, grown(arm(&r.old), arm(old)), grown(arm(&r.fresh), arm(fresh)))
 }
 
 // grown returns the trials since before. Totals never shrink; were they to, the
@@ -80,46 +80,29 @@
 }
 
 // worst returns the finding of the route with the highest odds.
-func (r *routeComparison) worst() Finding {
-	worst := r.finding(0)
+func (r *routeComparison) worst(tests float64) Finding {
+	worst := r.finding(0, tests)
 	for i := 1; i < len(r.main); i++ {
-		if f := r.finding(i); f.Odds > worst.Odds {
+		if f := r.finding(i, tests); f.Odds > worst.Odds {
 			worst = f
 		}
 	}
-	if f := r.worstSlice(); f.Odds > worst.Odds {
-		worst = f
-	}
 	return worst
 }
 
-func (r *routeComparison) worstSlice() Finding {
-	best := 0
-	for i, t := range r.slices {
-		if t.logE() > r.slices[best].logE() {
-			best = i
-		}
-	}
-	t := r.slices[best]
-	return newFinding(r.name, SignalSlice, t, sliceTests)
-}
-
-func (r *routeComparison) findings() []Finding {
+func (r *routeComparison) findings(tests float64) []Finding {
 	var out []Finding
 	for i, t := range r.main {
 		if t.fresh.Trials > 0 {
-			out = append(out, r.finding(i))
+			out = append(out, r.finding(i, tests))
 		}
 	}
-	if f := r.worstSlice(); f.New.Events > 0 {
-		out = append(out, f)
-	}
 	return out
 }
 
 // finding returns that of a main signal.
-func (r *routeComparison) finding(i int) Finding {
-	f := newFinding(r.name, mainSignals[i], r.main[i], mainTests)
+func (r *routeComparison) finding(i int, tests float64) Finding {
+	f := newFinding(r.name, mainSignals[i], r.main[i], tests)
 	switch mainSignals[i] {
 	case SignalSlow:
 		f.Bound = float64(latencyBounds[min(r.slow, len(latencyBounds)-1)]) / float64(time.Millisecond)
--- a/internal/move/sequential.go
+++ b/internal/move/sequential.go
@@ -44,8 +44,7 @@
 	logs        []float64
 	unstarted   float64 // weight of the starts to come
 	nextStart   time.Time
-	old, fresh  Arm // of the closed blocks
-	open        [2]Arm
+	old, fresh  Arm       // of the closed blocks
 	recent      [2][2]Arm // old and new since the last start, and since the one before
 	value       float64   // see logE
 }
@@ -66,17 +65,23 @@
 	return t
 }
 
-// add takes the trials since the last call. A block closes once both arms have
-// trials; this hangs on their number and not on their events.
-func (t *Test) add(now time.Time, old, fresh Arm) {
-	t.open[0].add(old)
-	t.open[1].add(fresh)
-	if t.open[0].Trials == 0 || t.open[1].Trials == 0 {
+// stratum is a part of the trials, such as those of one route, whose rate may
+// differ from the others'. Only trials of one stratum make a block.
+type stratum struct {
+	old  Arm // of the closed blocks
+	open [2]Arm
+}
+
+// add takes the trials of a stratum since the last call. A block closes once both
+// arms have trials; this hangs on their number and not on their events.
+func (t *Test) add(now time.Time, s *stratum, old, fresh Arm) {
+	s.open[0].add(old)
+	s.open[1].add(fresh)
+	if s.open[0].Trials == 0 || s.open[1].Trials == 0 {
 		return
 	}
 	t.start(now)
-	t.close(t.open[0], t.open[1])
-	t.open = [2]Arm{}
+	t.close(s)
 }
 
 // start gives weight to a fault that begins with the next block, once a period.
@@ -96,9 +101,11 @@
 	t.recent[1], t.recent[0] = t.recent[0], [2]Arm{}
 }
 
-func (t *Test) close(a, b Arm) {
+func (t *Test) close(s *stratum) {
+	a, b := s.open[0], s.open[1]
+	s.open = [2]Arm{}
 	// The old arm's rate is estimated from earlier blocks only.
-	pa := (float64(t.old.Events) + float64(t.prior.Events)) / float64(t.old.Trials+t.prior.Trials)
+	pa := (float64(s.old.Events) + float64(t.prior.Events)) / float64(s.old.Trials+t.prior.Trials)
 	na, nb := float64(a.Trials), float64(b.Trials)
 	for i, d := range t.differences {
 		pb := min(pa+d, maxRate)
@@ -106,6 +113,7 @@
 		p0 := (na*low + nb*pb) / (na + nb)
 		t.logs[i] += logLikelihood(a, low) + logLikelihood(b, pb) - logLikelihood(a, p0) - logLikelihood(b, p0)
 	}
+	s.old.add(a)
 	t.old.add(a)
 	t.fresh.add(b)
 	t.recent[0][0].add(a)
