Refuse times that cannot be encoded, and fuzz what peers send

Cause: a time to finish in the year 9999 with a western zone is in the year 10000 in UTC, which JSON cannot encode; the digest of the configuration would panic on every node that accepts it.

--- a/internal/config/accept_test.go
+++ b/internal/config/accept_test.go
@@ -280,6 +280,28 @@
 	}
 }
 
+// FuzzReceive checks that no message of a peer takes a revision back.
+func FuzzReceive(f *testing.F) {
+	rng := rand.New(rand.NewPCG(2, 2))
+	var h Holder
+	for rev := range ident.Revision(3) {
+		h.Offer(randomConfig(rng, rev+1))
+	}
+	for _, since := range []ident.Revision{0, 1} {
+		b, err := h.Message(since)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		to := h
+		if changed, err := to.Receive(b); changed && (err != nil || to.Revision() <= h.Revision()) || to.Revision() < h.Revision() {
+			t.Fatalf("revision is %d, changed %t, error %v", to.Revision(), changed, err)
+		}
+	})
+}
+
 // BenchmarkDelta reports the bytes that one change costs on the wire.
 func BenchmarkDelta(b *testing.B) {
 	for _, n := range []int{5, 100, 1000, 10000} {
--- a/internal/config/fields.go
+++ b/internal/config/fields.go
@@ -37,6 +37,8 @@
 	maxKeyLen        = 256
 	maxKeys          = 32
 	maxPrefixLen     = 1024
+	minYear          = 2000
+	maxYear          = 9000 // JSON has no times past the year 9999
 )
 
 // defaultDeadlines are the deadlines of routes that state none.
@@ -146,8 +148,11 @@
 			return err
 		}
 		t, err := time.Parse(time.RFC3339, s)
+		if err != nil || t.Year() < minYear || t.Year() > maxYear {
+			return errNotAllowed
+		}
 		m.FinishBy = t.UTC()
-		return err
+		return nil
 	}},
 	{"bake", durationAllowed(0, maxBake), false, false, func(m *Move, n ast.Node) error {
 		return duration(n, 0, maxBake, &m.Bake)
--- a/internal/config/merge_test.go
+++ b/internal/config/merge_test.go
@@ -147,6 +147,7 @@
 	for _, file := range readFiles(f, "*") {
 		f.Add(file.Data, []byte("moves: {m: {service: a, from: v1, to: v2, finish_by: 2026-12-04T06:00:00Z}}"))
 	}
+	f.Add([]byte("moves: {m: {service: a, from: v1, to: v2, finish_by: 9999-12-31T23:59:59-01:00}}"), []byte(""))
 	f.Add([]byte("a: &x\n  b: *x\n<<: *x"), []byte("? [a]\n: |-\n  b"))
 	f.Fuzz(func(t *testing.T, a, b []byte) {
 		cfg, diags := Merge([]File{{Name: "b.yaml", Data: b}, {Name: "a.yaml", Data: a}})
@@ -155,6 +156,7 @@
 				t.Fatalf("finding %+v names no file", d)
 			}
 		}
+		_ = cfg.digest() // encodes every object
 		for _, r := range cfg.Routes {
 			if got, ok := cfg.Match("POST", r.Prefix); ok && got.Prefix != r.Prefix && len(r.Methods) == 0 {
 				t.Fatalf("match %q gave %q", r.Prefix, got.Prefix)
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -1,8 +1,3 @@
-// Package config turns an operator's folder of small files into one checked,
-// revisioned configuration.
-//
-// Files are merged in the order of their names, object by object; the last word
-// wins. The package's decision code does no I/O.
 package config
 
 import (
