Let a peer's word keep a node's revision confirmed

Cause: a node that does not watch had no way to know that its revision is still the newest, and would read the store after each quiet spell. Change: Heard takes a peer's revision with the age of its confirmation. Ruled out: taking any peer's revision for confirmation, as the peer may be stale itself. Measured: go test -race ./internal/config/syncer passes; TestStale has a clock of its own.

--- a/internal/config/syncer/syncer.go
+++ b/internal/config/syncer/syncer.go
@@ -158,6 +158,14 @@
 	return nil
 }
 
+// Heard takes a peer's revision in force, which the peer confirmed an age ago. A
+// node that does not watch stays confirmed by it.
+func (s *Syncer) Heard(rev ident.Revision, age time.Duration) {
+	if rev == s.Revision() {
+		s.confirm(s.opts.Clock().Add(-age))
+	}
+}
+
 // StaleFor returns how long ago the revision in force was last confirmed.
 func (s *Syncer) StaleFor() time.Duration {
 	s.mu.Lock()
--- a/internal/config/syncer/syncer_test.go
+++ b/internal/config/syncer/syncer_test.go
@@ -285,6 +285,33 @@
 	}
 }
 
+// TestStale checks, by a clock of its own, what confirms the revision in force.
+func TestStale(t *testing.T) {
+	now := time.Unix(1000, 0)
+	store := memstore.New(memstore.Options{})
+	s := New(Options{Store: store, Clock: func() time.Time { return now }})
+	ctx := context.Background()
+	if _, err := s.Apply(ctx, example(t, "kaptaan")); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		what string
+		do   func()
+		want time.Duration
+	}{
+		{"read of the store", func() { _ = s.CatchUp(ctx) }, 0},
+		{"a pause", func() { now = now.Add(time.Minute) }, time.Minute},
+		{"a peer with an older revision", func() { s.Heard(0, 0) }, time.Minute},
+		{"a peer that confirmed it 5s ago", func() { s.Heard(1, 5*time.Second) }, 5 * time.Second},
+		{"a peer that confirmed it long ago", func() { s.Heard(1, time.Hour) }, 5 * time.Second},
+		{"a store that is down", func() { store.SetFaults(memstore.Faults{Down: true}); _ = s.CatchUp(ctx) }, 5 * time.Second},
+	} {
+		if c.do(); s.StaleFor() != c.want {
+			t.Errorf("after %s stale for %v; want %v", c.what, s.StaleFor(), c.want)
+		}
+	}
+}
+
 // TestOnChangeGrows checks that the rest of the node sees revisions grow, with
 // offers of every kind at once.
 func TestOnChangeGrows(t *testing.T) {
