--- a/internal/move/mover/exchange.go
+++ b/internal/move/mover/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/move"
 )
 
@@ -18,25 +19,36 @@
 	Records []move.Record `json:"records,omitempty"`
 }
 
-// Delta returns the evidence that changed since the last call, and all marks and
-// records. It returns nil where there is nothing to send.
+// Delta returns the evidence that changed since the last call, and the marks and
+// records of the moves that are under way or came to their end since. It returns
+// nil where there is nothing to send. As a message may be lost, nodes send each
+// other Full now and then.
 func (m *Mover) Delta() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.encodeLocked(m.mu.evidence.Changed())
+	return m.encodeLocked(m.mu.evidence.Changed(), func(name ident.MoveName, r move.Record) bool {
+		if r.State.Terminal() && m.mu.sent[name] == r.Sequence {
+			return false
+		}
+		m.mu.sent[name] = r.Sequence
+		return true
+	})
 }
 
 // Full returns all that this node knows.
 func (m *Mover) Full() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.encodeLocked(m.mu.evidence.All())
+	return m.encodeLocked(m.mu.evidence.All(), func(ident.MoveName, move.Record) bool { return true })
 }
 
-func (m *Mover) encodeLocked(entries []move.Entry) ([]byte, error) {
+func (m *Mover) encodeLocked(entries []move.Entry, wanted func(ident.MoveName, move.Record) bool) ([]byte, error) {
 	x := exchange{Entries: entries}
 	for _, name := range slices.Sorted(maps.Keys(m.mu.controllers)) {
 		c := m.mu.controllers[name]
+		if !wanted(name, c.Record()) {
+			continue
+		}
 		if mark, ok := c.Mark(); ok {
 			x.Marks = append(x.Marks, mark)
 		}
--- a/internal/move/mover/mover.go
+++ b/internal/move/mover/mover.go
@@ -79,7 +79,8 @@
 		sync.Mutex
 		evidence    *move.Evidence
 		controllers map[ident.MoveName]*move.Controller
-		loaded      bool // the records in the store were read once
+		sent        map[ident.MoveName]uint64 // sequence of the record sent last
+		loaded      bool                      // the records in the store were read once
 	}
 }
 
@@ -90,6 +91,7 @@
 	m.leases = leases{opts: &m.opts, held: make(map[ident.Service]*candidacy)}
 	m.mu.evidence = move.NewEvidence(move.Source{Node: opts.Self.Node, Incarnation: opts.Self.Incarnation})
 	m.mu.controllers = make(map[ident.MoveName]*move.Controller)
+	m.mu.sent = make(map[ident.MoveName]uint64)
 	m.splits.Store(&map[ident.Service]move.Split{})
 	return m
 }
