--- a/api/gen/operators/oas_client_gen.go
+++ b/api/gen/operators/oas_client_gen.go
@@ -20,6 +20,10 @@
 
 // Invoker invokes operations described by OpenAPI v3 specification.
 type Invoker interface {
+	// GetMoves invokes getMoves operation.
+	//
+	// GET /v1/moves
+	GetMoves(ctx context.Context) (*MoveList, error)
 	// GetStatus invokes getStatus operation.
 	//
 	// GET /v1/status
@@ -65,6 +69,47 @@
 	return u
 }
 
+// GetMoves invokes getMoves operation.
+//
+// GET /v1/moves
+func (c *Client) GetMoves(ctx context.Context) (*MoveList, error) {
+	res, err := c.sendGetMoves(ctx)
+	return res, err
+}
+
+func (c *Client) sendGetMoves(ctx context.Context) (res *MoveList, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/moves"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeGetMovesResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // GetStatus invokes getStatus operation.
 //
 // GET /v1/status
--- a/api/gen/operators/oas_json_gen.go
+++ b/api/gen/operators/oas_json_gen.go
@@ -11,6 +11,1104 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+// Encode implements json.Marshaler.
+func (s *Endpoint) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Endpoint) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("endpoint")
+		e.Str(s.Endpoint)
+	}
+	{
+		e.FieldStart("host")
+		e.Str(s.Host)
+	}
+	{
+		e.FieldStart("data_centre")
+		e.Str(s.DataCentre)
+	}
+	{
+		e.FieldStart("service")
+		e.Str(s.Service)
+	}
+	{
+		e.FieldStart("version")
+		e.Str(s.Version)
+	}
+	{
+		e.FieldStart("state")
+		s.State.Encode(e)
+	}
+	{
+		if s.InFlight.Set {
+			e.FieldStart("in_flight")
+			s.InFlight.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfEndpoint = [7]string{
+	0: "endpoint",
+	1: "host",
+	2: "data_centre",
+	3: "service",
+	4: "version",
+	5: "state",
+	6: "in_flight",
+}
+
+// Decode decodes Endpoint from json.
+func (s *Endpoint) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Endpoint to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "endpoint":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Endpoint = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"endpoint\"")
+			}
+		case "host":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Host = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"host\"")
+			}
+		case "data_centre":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.DataCentre = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"data_centre\"")
+			}
+		case "service":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.Service = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"service\"")
+			}
+		case "version":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Str()
+				s.Version = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"version\"")
+			}
+		case "state":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				if err := s.State.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"state\"")
+			}
+		case "in_flight":
+			if err := func() error {
+				s.InFlight.Reset()
+				if err := s.InFlight.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"in_flight\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Endpoint")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00111111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfEndpoint) {
+					name = jsonFieldsNameOfEndpoint[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Endpoint) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Endpoint) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode encodes EndpointState as json.
+func (s EndpointState) Encode(e *jx.Encoder) {
+	e.Str(string(s))
+}
+
+// Decode decodes EndpointState from json.
+func (s *EndpointState) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode EndpointState to nil")
+	}
+	v, err := d.StrBytes()
+	if err != nil {
+		return err
+	}
+	// Try to use constant string.
+	switch EndpointState(v) {
+	case EndpointStateLive:
+		*s = EndpointStateLive
+	case EndpointStateLeaving:
+		*s = EndpointStateLeaving
+	case EndpointStateEjected:
+		*s = EndpointStateEjected
+	default:
+		*s = EndpointState(v)
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s EndpointState) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *EndpointState) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *Evidence) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Evidence) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("route")
+		e.Str(s.Route)
+	}
+	{
+		e.FieldStart("version")
+		e.Str(s.Version)
+	}
+	{
+		e.FieldStart("requests")
+		e.Int64(s.Requests)
+	}
+	{
+		e.FieldStart("failures")
+		e.Int64(s.Failures)
+	}
+	{
+		e.FieldStart("slow")
+		e.Int64(s.Slow)
+	}
+}
+
+var jsonFieldsNameOfEvidence = [5]string{
+	0: "route",
+	1: "version",
+	2: "requests",
+	3: "failures",
+	4: "slow",
+}
+
+// Decode decodes Evidence from json.
+func (s *Evidence) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Evidence to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "route":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Route = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"route\"")
+			}
+		case "version":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Version = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"version\"")
+			}
+		case "requests":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int64()
+				s.Requests = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"requests\"")
+			}
+		case "failures":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Int64()
+				s.Failures = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"failures\"")
+			}
+		case "slow":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Int64()
+				s.Slow = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"slow\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Evidence")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00011111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfEvidence) {
+					name = jsonFieldsNameOfEvidence[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Evidence) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Evidence) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *FileStatus) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *FileStatus) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("file")
+		e.Str(s.File)
+	}
+	{
+		e.FieldStart("state")
+		e.Str(s.State)
+	}
+	{
+		if s.Revision.Set {
+			e.FieldStart("revision")
+			s.Revision.Encode(e)
+		}
+	}
+	{
+		if s.Reason.Set {
+			e.FieldStart("reason")
+			s.Reason.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfFileStatus = [4]string{
+	0: "file",
+	1: "state",
+	2: "revision",
+	3: "reason",
+}
+
+// Decode decodes FileStatus from json.
+func (s *FileStatus) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode FileStatus to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "file":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.File = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"file\"")
+			}
+		case "state":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.State = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"state\"")
+			}
+		case "revision":
+			if err := func() error {
+				s.Revision.Reset()
+				if err := s.Revision.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"revision\"")
+			}
+		case "reason":
+			if err := func() error {
+				s.Reason.Reset()
+				if err := s.Reason.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"reason\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode FileStatus")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfFileStatus) {
+					name = jsonFieldsNameOfFileStatus[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *FileStatus) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *FileStatus) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *Member) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Member) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("node")
+		e.Str(s.Node)
+	}
+	{
+		e.FieldStart("data_centre")
+		e.Str(s.DataCentre)
+	}
+	{
+		if s.Address.Set {
+			e.FieldStart("address")
+			s.Address.Encode(e)
+		}
+	}
+	{
+		e.FieldStart("state")
+		e.Str(s.State)
+	}
+	{
+		e.FieldStart("revision")
+		e.Int64(s.Revision)
+	}
+}
+
+var jsonFieldsNameOfMember = [5]string{
+	0: "node",
+	1: "data_centre",
+	2: "address",
+	3: "state",
+	4: "revision",
+}
+
+// Decode decodes Member from json.
+func (s *Member) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Member to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "node":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Node = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"node\"")
+			}
+		case "data_centre":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.DataCentre = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"data_centre\"")
+			}
+		case "address":
+			if err := func() error {
+				s.Address.Reset()
+				if err := s.Address.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"address\"")
+			}
+		case "state":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.State = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"state\"")
+			}
+		case "revision":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Int64()
+				s.Revision = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"revision\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Member")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00011011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfMember) {
+					name = jsonFieldsNameOfMember[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Member) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Member) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *Move) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Move) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("name")
+		e.Str(s.Name)
+	}
+	{
+		e.FieldStart("service")
+		e.Str(s.Service)
+	}
+	{
+		e.FieldStart("from")
+		e.Str(s.From)
+	}
+	{
+		e.FieldStart("to")
+		e.Str(s.To)
+	}
+	{
+		e.FieldStart("state")
+		e.Str(s.State)
+	}
+	{
+		e.FieldStart("share")
+		e.Float64(s.Share)
+	}
+	{
+		e.FieldStart("reason")
+		e.Str(s.Reason)
+	}
+	{
+		e.FieldStart("next")
+		e.Str(s.Next)
+	}
+	{
+		if s.Evidence != nil {
+			e.FieldStart("evidence")
+			e.ArrStart()
+			for _, elem := range s.Evidence {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
+		}
+	}
+}
+
+var jsonFieldsNameOfMove = [9]string{
+	0: "name",
+	1: "service",
+	2: "from",
+	3: "to",
+	4: "state",
+	5: "share",
+	6: "reason",
+	7: "next",
+	8: "evidence",
+}
+
+// Decode decodes Move from json.
+func (s *Move) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Move to nil")
+	}
+	var requiredBitSet [2]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "name":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Name = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"name\"")
+			}
+		case "service":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Service = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"service\"")
+			}
+		case "from":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.From = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"from\"")
+			}
+		case "to":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.To = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"to\"")
+			}
+		case "state":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Str()
+				s.State = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"state\"")
+			}
+		case "share":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				v, err := d.Float64()
+				s.Share = float64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"share\"")
+			}
+		case "reason":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				v, err := d.Str()
+				s.Reason = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"reason\"")
+			}
+		case "next":
+			requiredBitSet[0] |= 1 << 7
+			if err := func() error {
+				v, err := d.Str()
+				s.Next = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"next\"")
+			}
+		case "evidence":
+			if err := func() error {
+				s.Evidence = make([]Evidence, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Evidence
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Evidence = append(s.Evidence, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"evidence\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Move")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [2]uint8{
+		0b11111111,
+		0b00000000,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfMove) {
+					name = jsonFieldsNameOfMove[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Move) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Move) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *MoveList) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *MoveList) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("moves")
+		e.ArrStart()
+		for _, elem := range s.Moves {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfMoveList = [1]string{
+	0: "moves",
+}
+
+// Decode decodes MoveList from json.
+func (s *MoveList) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode MoveList to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "moves":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				s.Moves = make([]Move, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Move
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Moves = append(s.Moves, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"moves\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode MoveList")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfMoveList) {
+					name = jsonFieldsNameOfMoveList[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *MoveList) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *MoveList) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode encodes int as json.
+func (o OptInt) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Int(int(o.Value))
+}
+
+// Decode decodes int from json.
+func (o *OptInt) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptInt to nil")
+	}
+	o.Set = true
+	v, err := d.Int()
+	if err != nil {
+		return err
+	}
+	o.Value = int(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptInt) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptInt) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes int64 as json.
 func (o OptInt64) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -315,15 +1413,57 @@
 		e.FieldStart("node")
 		e.Str(s.Node)
 	}
+	{
+		e.FieldStart("data_centre")
+		e.Str(s.DataCentre)
+	}
 	{
 		e.FieldStart("revision")
 		e.Int64(s.Revision)
 	}
+	{
+		e.FieldStart("everywhere")
+		e.Bool(s.Everywhere)
+	}
+	{
+		e.FieldStart("members")
+		e.ArrStart()
+		for _, elem := range s.Members {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("endpoints")
+		e.ArrStart()
+		for _, elem := range s.Endpoints {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("files")
+		e.ArrStart()
+		for _, elem := range s.Files {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("invariant_violations")
+		e.Int64(s.InvariantViolations)
+	}
 }
 
-var jsonFieldsNameOfStatus = [2]string{
+var jsonFieldsNameOfStatus = [8]string{
 	0: "node",
-	1: "revision",
+	1: "data_centre",
+	2: "revision",
+	3: "everywhere",
+	4: "members",
+	5: "endpoints",
+	6: "files",
+	7: "invariant_violations",
 }
 
 // Decode decodes Status from json.
@@ -347,8 +1487,20 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"node\"")
 			}
-		case "revision":
+		case "data_centre":
 			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.DataCentre = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"data_centre\"")
+			}
+		case "revision":
+			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
 				v, err := d.Int64()
 				s.Revision = int64(v)
@@ -359,6 +1511,84 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"revision\"")
 			}
+		case "everywhere":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Bool()
+				s.Everywhere = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"everywhere\"")
+			}
+		case "members":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				s.Members = make([]Member, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Member
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Members = append(s.Members, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"members\"")
+			}
+		case "endpoints":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				s.Endpoints = make([]Endpoint, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Endpoint
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Endpoints = append(s.Endpoints, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"endpoints\"")
+			}
+		case "files":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				s.Files = make([]FileStatus, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem FileStatus
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Files = append(s.Files, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"files\"")
+			}
+		case "invariant_violations":
+			requiredBitSet[0] |= 1 << 7
+			if err := func() error {
+				v, err := d.Int64()
+				s.InvariantViolations = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"invariant_violations\"")
+			}
 		default:
 			return d.Skip()
 		}
@@ -369,7 +1599,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000011,
+		0b11111111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/api/gen/operators/oas_operations_gen.go
+++ b/api/gen/operators/oas_operations_gen.go
@@ -6,5 +6,6 @@
 type OperationName = string
 
 const (
+	GetMovesOperation  OperationName = "GetMoves"
 	GetStatusOperation OperationName = "GetStatus"
 )
--- a/api/gen/operators/oas_response_encoders_gen.go
+++ b/api/gen/operators/oas_response_encoders_gen.go
@@ -10,7 +10,36 @@
 	ht "github.com/ogen-go/ogen/http"
 )
 
+func encodeGetMovesResponse(response *MoveList, w http.ResponseWriter) error {
+	if err := func() error {
+		if err := response.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "validate")
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeGetStatusResponse(response *Status, w http.ResponseWriter) error {
+	if err := func() error {
+		if err := response.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "validate")
+	}
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
 
--- a/api/gen/operators/oas_router_gen.go
+++ b/api/gen/operators/oas_router_gen.go
@@ -48,29 +48,68 @@
 			break
 		}
 		switch elem[0] {
-		case '/': // Prefix: "/v1/status"
+		case '/': // Prefix: "/v1/"
 
-			if l := len("/v1/status"); len(elem) >= l && elem[0:l] == "/v1/status" {
+			if l := len("/v1/"); len(elem) >= l && elem[0:l] == "/v1/" {
 				elem = elem[l:]
 			} else {
 				break
 			}
 
 			if len(elem) == 0 {
-				// Leaf node.
-				switch r.Method {
-				case "GET":
-					s.handleGetStatusRequest([0]string{}, elemIsEscaped, w, r)
-				default:
-					s.notAllowed(w, r, notAllowedParams{
-						allowedMethods: "GET",
-						allowedHeaders: nil,
-						acceptPost:     "",
-						acceptPatch:    "",
-					})
+				break
+			}
+			switch elem[0] {
+			case 'm': // Prefix: "moves"
+
+				if l := len("moves"); len(elem) >= l && elem[0:l] == "moves" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch r.Method {
+					case "GET":
+						s.handleGetMovesRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: nil,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+
+			case 's': // Prefix: "status"
+
+				if l := len("status"); len(elem) >= l && elem[0:l] == "status" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch r.Method {
+					case "GET":
+						s.handleGetStatusRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: nil,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
 				}
 
-				return
 			}
 
 		}
@@ -159,29 +198,68 @@
 			break
 		}
 		switch elem[0] {
-		case '/': // Prefix: "/v1/status"
+		case '/': // Prefix: "/v1/"
 
-			if l := len("/v1/status"); len(elem) >= l && elem[0:l] == "/v1/status" {
+			if l := len("/v1/"); len(elem) >= l && elem[0:l] == "/v1/" {
 				elem = elem[l:]
 			} else {
 				break
 			}
 
 			if len(elem) == 0 {
-				// Leaf node.
-				switch method {
-				case "GET":
-					r.name = GetStatusOperation
-					r.summary = ""
-					r.operationID = "getStatus"
-					r.operationGroup = ""
-					r.pathPattern = "/v1/status"
-					r.args = args
-					r.count = 0
-					return r, true
-				default:
-					return
+				break
+			}
+			switch elem[0] {
+			case 'm': // Prefix: "moves"
+
+				if l := len("moves"); len(elem) >= l && elem[0:l] == "moves" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch method {
+					case "GET":
+						r.name = GetMovesOperation
+						r.summary = ""
+						r.operationID = "getMoves"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/moves"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
 				}
+
+			case 's': // Prefix: "status"
+
+				if l := len("status"); len(elem) >= l && elem[0:l] == "status" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch method {
+					case "GET":
+						r.name = GetStatusOperation
+						r.summary = ""
+						r.operationID = "getStatus"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/status"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+
 			}
 
 		}
--- a/api/gen/operators/oas_schemas_gen.go
+++ b/api/gen/operators/oas_schemas_gen.go
@@ -12,6 +12,466 @@
 	return fmt.Sprintf("code %d: %+v", s.StatusCode, s.Response)
 }
 
+// Ref: #/components/schemas/Endpoint
+type Endpoint struct {
+	Endpoint   string        `json:"endpoint"`
+	Host       string        `json:"host"`
+	DataCentre string        `json:"data_centre"`
+	Service    string        `json:"service"`
+	Version    string        `json:"version"`
+	State      EndpointState `json:"state"`
+	InFlight   OptInt        `json:"in_flight"`
+}
+
+// GetEndpoint returns the value of Endpoint.
+func (s *Endpoint) GetEndpoint() string {
+	return s.Endpoint
+}
+
+// GetHost returns the value of Host.
+func (s *Endpoint) GetHost() string {
+	return s.Host
+}
+
+// GetDataCentre returns the value of DataCentre.
+func (s *Endpoint) GetDataCentre() string {
+	return s.DataCentre
+}
+
+// GetService returns the value of Service.
+func (s *Endpoint) GetService() string {
+	return s.Service
+}
+
+// GetVersion returns the value of Version.
+func (s *Endpoint) GetVersion() string {
+	return s.Version
+}
+
+// GetState returns the value of State.
+func (s *Endpoint) GetState() EndpointState {
+	return s.State
+}
+
+// GetInFlight returns the value of InFlight.
+func (s *Endpoint) GetInFlight() OptInt {
+	return s.InFlight
+}
+
+// SetEndpoint sets the value of Endpoint.
+func (s *Endpoint) SetEndpoint(val string) {
+	s.Endpoint = val
+}
+
+// SetHost sets the value of Host.
+func (s *Endpoint) SetHost(val string) {
+	s.Host = val
+}
+
+// SetDataCentre sets the value of DataCentre.
+func (s *Endpoint) SetDataCentre(val string) {
+	s.DataCentre = val
+}
+
+// SetService sets the value of Service.
+func (s *Endpoint) SetService(val string) {
+	s.Service = val
+}
+
+// SetVersion sets the value of Version.
+func (s *Endpoint) SetVersion(val string) {
+	s.Version = val
+}
+
+// SetState sets the value of State.
+func (s *Endpoint) SetState(val EndpointState) {
+	s.State = val
+}
+
+// SetInFlight sets the value of InFlight.
+func (s *Endpoint) SetInFlight(val OptInt) {
+	s.InFlight = val
+}
+
+type EndpointState string
+
+const (
+	EndpointStateLive    EndpointState = "live"
+	EndpointStateLeaving EndpointState = "leaving"
+	EndpointStateEjected EndpointState = "ejected"
+)
+
+// AllValues returns all EndpointState values.
+func (EndpointState) AllValues() []EndpointState {
+	return []EndpointState{
+		EndpointStateLive,
+		EndpointStateLeaving,
+		EndpointStateEjected,
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s EndpointState) MarshalText() ([]byte, error) {
+	switch s {
+	case EndpointStateLive:
+		return []byte(s), nil
+	case EndpointStateLeaving:
+		return []byte(s), nil
+	case EndpointStateEjected:
+		return []byte(s), nil
+	default:
+		return nil, errors.Errorf("invalid value: %q", s)
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *EndpointState) UnmarshalText(data []byte) error {
+	switch EndpointState(data) {
+	case EndpointStateLive:
+		*s = EndpointStateLive
+		return nil
+	case EndpointStateLeaving:
+		*s = EndpointStateLeaving
+		return nil
+	case EndpointStateEjected:
+		*s = EndpointStateEjected
+		return nil
+	default:
+		return errors.Errorf("invalid value: %q", data)
+	}
+}
+
+// Ref: #/components/schemas/Evidence
+type Evidence struct {
+	Route    string `json:"route"`
+	Version  string `json:"version"`
+	Requests int64  `json:"requests"`
+	Failures int64  `json:"failures"`
+	Slow     int64  `json:"slow"`
+}
+
+// GetRoute returns the value of Route.
+func (s *Evidence) GetRoute() string {
+	return s.Route
+}
+
+// GetVersion returns the value of Version.
+func (s *Evidence) GetVersion() string {
+	return s.Version
+}
+
+// GetRequests returns the value of Requests.
+func (s *Evidence) GetRequests() int64 {
+	return s.Requests
+}
+
+// GetFailures returns the value of Failures.
+func (s *Evidence) GetFailures() int64 {
+	return s.Failures
+}
+
+// GetSlow returns the value of Slow.
+func (s *Evidence) GetSlow() int64 {
+	return s.Slow
+}
+
+// SetRoute sets the value of Route.
+func (s *Evidence) SetRoute(val string) {
+	s.Route = val
+}
+
+// SetVersion sets the value of Version.
+func (s *Evidence) SetVersion(val string) {
+	s.Version = val
+}
+
+// SetRequests sets the value of Requests.
+func (s *Evidence) SetRequests(val int64) {
+	s.Requests = val
+}
+
+// SetFailures sets the value of Failures.
+func (s *Evidence) SetFailures(val int64) {
+	s.Failures = val
+}
+
+// SetSlow sets the value of Slow.
+func (s *Evidence) SetSlow(val int64) {
+	s.Slow = val
+}
+
+// Ref: #/components/schemas/FileStatus
+type FileStatus struct {
+	File     string    `json:"file"`
+	State    string    `json:"state"`
+	Revision OptInt64  `json:"revision"`
+	Reason   OptString `json:"reason"`
+}
+
+// GetFile returns the value of File.
+func (s *FileStatus) GetFile() string {
+	return s.File
+}
+
+// GetState returns the value of State.
+func (s *FileStatus) GetState() string {
+	return s.State
+}
+
+// GetRevision returns the value of Revision.
+func (s *FileStatus) GetRevision() OptInt64 {
+	return s.Revision
+}
+
+// GetReason returns the value of Reason.
+func (s *FileStatus) GetReason() OptString {
+	return s.Reason
+}
+
+// SetFile sets the value of File.
+func (s *FileStatus) SetFile(val string) {
+	s.File = val
+}
+
+// SetState sets the value of State.
+func (s *FileStatus) SetState(val string) {
+	s.State = val
+}
+
+// SetRevision sets the value of Revision.
+func (s *FileStatus) SetRevision(val OptInt64) {
+	s.Revision = val
+}
+
+// SetReason sets the value of Reason.
+func (s *FileStatus) SetReason(val OptString) {
+	s.Reason = val
+}
+
+// Ref: #/components/schemas/Member
+type Member struct {
+	Node       string    `json:"node"`
+	DataCentre string    `json:"data_centre"`
+	Address    OptString `json:"address"`
+	State      string    `json:"state"`
+	Revision   int64     `json:"revision"`
+}
+
+// GetNode returns the value of Node.
+func (s *Member) GetNode() string {
+	return s.Node
+}
+
+// GetDataCentre returns the value of DataCentre.
+func (s *Member) GetDataCentre() string {
+	return s.DataCentre
+}
+
+// GetAddress returns the value of Address.
+func (s *Member) GetAddress() OptString {
+	return s.Address
+}
+
+// GetState returns the value of State.
+func (s *Member) GetState() string {
+	return s.State
+}
+
+// GetRevision returns the value of Revision.
+func (s *Member) GetRevision() int64 {
+	return s.Revision
+}
+
+// SetNode sets the value of Node.
+func (s *Member) SetNode(val string) {
+	s.Node = val
+}
+
+// SetDataCentre sets the value of DataCentre.
+func (s *Member) SetDataCentre(val string) {
+	s.DataCentre = val
+}
+
+// SetAddress sets the value of Address.
+func (s *Member) SetAddress(val OptString) {
+	s.Address = val
+}
+
+// SetState sets the value of State.
+func (s *Member) SetState(val string) {
+	s.State = val
+}
+
+// SetRevision sets the value of Revision.
+func (s *Member) SetRevision(val int64) {
+	s.Revision = val
+}
+
+// Ref: #/components/schemas/Move
+type Move struct {
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	From    string `json:"from"`
+	To      string `json:"to"`
+	State   string `json:"state"`
+	// Share of new requests that the new version gets, 0 to 1.
+	Share    float64    `json:"share"`
+	Reason   string     `json:"reason"`
+	Next     string     `json:"next"`
+	Evidence []Evidence `json:"evidence"`
+}
+
+// GetName returns the value of Name.
+func (s *Move) GetName() string {
+	return s.Name
+}
+
+// GetService returns the value of Service.
+func (s *Move) GetService() string {
+	return s.Service
+}
+
+// GetFrom returns the value of From.
+func (s *Move) GetFrom() string {
+	return s.From
+}
+
+// GetTo returns the value of To.
+func (s *Move) GetTo() string {
+	return s.To
+}
+
+// GetState returns the value of State.
+func (s *Move) GetState() string {
+	return s.State
+}
+
+// GetShare returns the value of Share.
+func (s *Move) GetShare() float64 {
+	return s.Share
+}
+
+// GetReason returns the value of Reason.
+func (s *Move) GetReason() string {
+	return s.Reason
+}
+
+// GetNext returns the value of Next.
+func (s *Move) GetNext() string {
+	return s.Next
+}
+
+// GetEvidence returns the value of Evidence.
+func (s *Move) GetEvidence() []Evidence {
+	return s.Evidence
+}
+
+// SetName sets the value of Name.
+func (s *Move) SetName(val string) {
+	s.Name = val
+}
+
+// SetService sets the value of Service.
+func (s *Move) SetService(val string) {
+	s.Service = val
+}
+
+// SetFrom sets the value of From.
+func (s *Move) SetFrom(val string) {
+	s.From = val
+}
+
+// SetTo sets the value of To.
+func (s *Move) SetTo(val string) {
+	s.To = val
+}
+
+// SetState sets the value of State.
+func (s *Move) SetState(val string) {
+	s.State = val
+}
+
+// SetShare sets the value of Share.
+func (s *Move) SetShare(val float64) {
+	s.Share = val
+}
+
+// SetReason sets the value of Reason.
+func (s *Move) SetReason(val string) {
+	s.Reason = val
+}
+
+// SetNext sets the value of Next.
+func (s *Move) SetNext(val string) {
+	s.Next = val
+}
+
+// SetEvidence sets the value of Evidence.
+func (s *Move) SetEvidence(val []Evidence) {
+	s.Evidence = val
+}
+
+// Ref: #/components/schemas/MoveList
+type MoveList struct {
+	Moves []Move `json:"moves"`
+}
+
+// GetMoves returns the value of Moves.
+func (s *MoveList) GetMoves() []Move {
+	return s.Moves
+}
+
+// SetMoves sets the value of Moves.
+func (s *MoveList) SetMoves(val []Move) {
+	s.Moves = val
+}
+
+// NewOptInt returns new OptInt with value set to v.
+func NewOptInt(v int) OptInt {
+	return OptInt{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptInt is optional int.
+type OptInt struct {
+	Value int
+	Set   bool
+}
+
+// IsSet returns true if OptInt was set.
+func (o OptInt) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptInt) Reset() {
+	var v int
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptInt) SetTo(v int) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptInt) Get() (v int, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptInt) Or(d int) int {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptInt64 returns new OptInt64 with value set to v.
 func NewOptInt64(v int64) OptInt64 {
 	return OptInt64{
@@ -250,8 +710,15 @@
 
 // Ref: #/components/schemas/Status
 type Status struct {
-	Node     string `json:"node"`
-	Revision int64  `json:"revision"`
+	Node       string `json:"node"`
+	DataCentre string `json:"data_centre"`
+	Revision   int64  `json:"revision"`
+	// Whether every live node holds this revision.
+	Everywhere          bool         `json:"everywhere"`
+	Members             []Member     `json:"members"`
+	Endpoints           []Endpoint   `json:"endpoints"`
+	Files               []FileStatus `json:"files"`
+	InvariantViolations int64        `json:"invariant_violations"`
 }
 
 // GetNode returns the value of Node.
@@ -259,17 +726,77 @@
 	return s.Node
 }
 
+// GetDataCentre returns the value of DataCentre.
+func (s *Status) GetDataCentre() string {
+	return s.DataCentre
+}
+
 // GetRevision returns the value of Revision.
 func (s *Status) GetRevision() int64 {
 	return s.Revision
 }
 
+// GetEverywhere returns the value of Everywhere.
+func (s *Status) GetEverywhere() bool {
+	return s.Everywhere
+}
+
+// GetMembers returns the value of Members.
+func (s *Status) GetMembers() []Member {
+	return s.Members
+}
+
+// GetEndpoints returns the value of Endpoints.
+func (s *Status) GetEndpoints() []Endpoint {
+	return s.Endpoints
+}
+
+// GetFiles returns the value of Files.
+func (s *Status) GetFiles() []FileStatus {
+	return s.Files
+}
+
+// GetInvariantViolations returns the value of InvariantViolations.
+func (s *Status) GetInvariantViolations() int64 {
+	return s.InvariantViolations
+}
+
 // SetNode sets the value of Node.
 func (s *Status) SetNode(val string) {
 	s.Node = val
 }
 
+// SetDataCentre sets the value of DataCentre.
+func (s *Status) SetDataCentre(val string) {
+	s.DataCentre = val
+}
+
 // SetRevision sets the value of Revision.
 func (s *Status) SetRevision(val int64) {
 	s.Revision = val
 }
+
+// SetEverywhere sets the value of Everywhere.
+func (s *Status) SetEverywhere(val bool) {
+	s.Everywhere = val
+}
+
+// SetMembers sets the value of Members.
+func (s *Status) SetMembers(val []Member) {
+	s.Members = val
+}
+
+// SetEndpoints sets the value of Endpoints.
+func (s *Status) SetEndpoints(val []Endpoint) {
+	s.Endpoints = val
+}
+
+// SetFiles sets the value of Files.
+func (s *Status) SetFiles(val []FileStatus) {
+	s.Files = val
+}
+
+// SetInvariantViolations sets the value of InvariantViolations.
+func (s *Status) SetInvariantViolations(val int64) {
+	s.InvariantViolations = val
+}
--- a/api/gen/operators/oas_server_gen.go
+++ b/api/gen/operators/oas_server_gen.go
@@ -8,6 +8,10 @@
 
 // Handler handles operations described by OpenAPI v3 specification.
 type Handler interface {
+	// GetMoves implements getMoves operation.
+	//
+	// GET /v1/moves
+	GetMoves(ctx context.Context) (*MoveList, error)
 	// GetStatus implements getStatus operation.
 	//
 	// GET /v1/status
--- a/api/gen/operators/oas_validators_gen.go
+++ b/api/gen/operators/oas_validators_gen.go
@@ -3,10 +3,111 @@
 package operators
 
 import (
+	"fmt"
+
 	"github.com/go-faster/errors"
 	"github.com/ogen-go/ogen/validate"
 )
 
+func (s *Endpoint) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := s.State.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "state",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s EndpointState) Validate() error {
+	switch s {
+	case "live":
+		return nil
+	case "leaving":
+		return nil
+	case "ejected":
+		return nil
+	default:
+		return errors.Errorf("invalid value: %v", s)
+	}
+}
+
+func (s *Move) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := (validate.Float{}).Validate(float64(s.Share)); err != nil {
+			return errors.Wrap(err, "float")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "share",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *MoveList) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Moves == nil {
+			return errors.New("nil is invalid value")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Moves {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "moves",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *Problem) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -65,3 +166,65 @@
 		return errors.Errorf("invalid value: %v", s)
 	}
 }
+
+func (s *Status) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Members == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "members",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.Endpoints == nil {
+			return errors.New("nil is invalid value")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Endpoints {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "endpoints",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.Files == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "files",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -18,6 +18,11 @@
 	ExitOffline = 3 // the platform or a node could not be reached
 )
 
+// env returns the source of a flag's value from its environment variable.
+func env(name string) cli.ValueSourceChain {
+	return cli.EnvVars("JUJUBESHED_" + name)
+}
+
 // usageError marks an error of flags, settings or files.
 type usageError struct{ error }
 
--- /dev/null
+++ b/internal/cli/node.go
@@ -0,0 +1,114 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/node"
+	"github.com/jujubeshed/jujubeshed/internal/peerauth"
+)
+
+// stopTimeout bounds a whole planned stop after the drain.
+const stopTimeout = 2 * time.Minute
+
+func nodeCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "node",
+		Usage: "runs the process of an entry host",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "node-id", Usage: "unique name of this node", Sources: env("NODE_ID")},
+			&cli.StringFlag{Name: "data-centre", Usage: "data centre of this node", Sources: env("DATA_CENTRE")},
+			&cli.StringFlag{Name: "callers", Value: "127.0.0.1:8080", Usage: "IP:port to serve callers at", Sources: env("CALLERS")},
+			&cli.StringFlag{Name: "operators", Value: "127.0.0.1:8081", Usage: "IP:port to serve operators and /metrics at", Sources: env("OPERATORS")},
+			&cli.StringFlag{Name: "peers", Value: "127.0.0.1:8082", Usage: "IP:port to serve other nodes at", Sources: env("PEERS")},
+			&cli.StringFlag{Name: "advertise", Usage: "IP:port at which other nodes reach --peers (default: the same)", Sources: env("ADVERTISE")},
+			&cli.StringSliceFlag{Name: "seed", Usage: "IP:port of another node's --peers; may be repeated", Sources: env("SEEDS")},
+			platformFlag(),
+			keyFlag(),
+			&cli.DurationFlag{Name: "drain-delay", Value: node.DefaultDrainDelay, Usage: "how long to accept after the readiness check fails", Sources: env("DRAIN_DELAY")},
+			&cli.DurationFlag{Name: "drain-timeout", Value: node.DefaultDrainTimeout, Usage: "how long answers may run before they are handed over", Sources: env("DRAIN_TIMEOUT")},
+			logLevelFlag(),
+			logFormatFlag(),
+		},
+		Action: runNode,
+	}
+}
+
+func platformFlag() cli.Flag {
+	return &cli.StringFlag{Name: "platform", Value: "127.0.0.1:9000", Usage: "IP:port of the platform's API", Sources: env("PLATFORM")}
+}
+
+func keyFlag() cli.Flag {
+	return &cli.StringFlag{Name: "key", Usage: "secret shared by all nodes and operators", Sources: env("KEY")}
+}
+
+func logLevelFlag() cli.Flag {
+	return &cli.StringFlag{Name: "log-level", Value: "info", Usage: "debug, info, warn or error", Sources: env("LOG_LEVEL")}
+}
+
+func logFormatFlag() cli.Flag {
+	return &cli.StringFlag{Name: "log-format", Value: "text", Usage: "text or json", Sources: env("LOG_FORMAT")}
+}
+
+func runNode(ctx context.Context, cmd *cli.Command) error {
+	log, err := newLogger(cmd)
+	if err != nil {
+		return err
+	}
+	opts := node.Options{
+		ID:           ident.NodeID(cmd.String("node-id")),
+		DataCentre:   ident.DataCentre(cmd.String("data-centre")),
+		Callers:      cmd.String("callers"),
+		Operators:    cmd.String("operators"),
+		Peers:        cmd.String("peers"),
+		Advertise:    cmd.String("advertise"),
+		Seeds:        cmd.StringSlice("seed"),
+		Platform:     cmd.String("platform"),
+		Key:          peerauth.Key(cmd.String("key")),
+		DrainDelay:   cmd.Duration("drain-delay"),
+		DrainTimeout: cmd.Duration("drain-timeout"),
+	}
+	if err := opts.Check(); err != nil {
+		return usageError{err}
+	}
+	n, err := node.New(opts, log)
+	if err != nil {
+		return err
+	}
+	if err := n.Start(ctx); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	log.Info("node: Stop requested.")
+	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), opts.DrainDelay+opts.DrainTimeout+stopTimeout)
+	defer cancel()
+	return n.Stop(stopCtx)
+}
+
+// newLogger returns the logger that the flags ask for.
+func newLogger(cmd *cli.Command) (*slog.Logger, error) {
+	return buildLogger(cmd.Root().ErrWriter, cmd.String("log-level"), cmd.String("log-format"))
+}
+
+func buildLogger(w io.Writer, level, format string) (*slog.Logger, error) {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(level)); err != nil {
+		return nil, usageError{fmt.Errorf("--log-level=%q: debug, info, warn or error is allowed", level)}
+	}
+	opts := &slog.HandlerOptions{Level: l}
+	switch format {
+	case "text":
+		return slog.New(slog.NewTextHandler(w, opts)), nil
+	case "json":
+		return slog.New(slog.NewJSONHandler(w, opts)), nil
+	default:
+		return nil, usageError{errors.New("--log-format=\"" + format + "\": text or json is allowed")}
+	}
+}
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,153 @@
+// Package discovery follows the platform's list of hosts.
+//
+// The list lags, so a host that it calls live may be leaving already; what other
+// sources say of leaving goes before it. While the platform is down the last
+// list stays in use.
+package discovery
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+)
+
+// DefaultInterval is the time between two reads of the host list.
+const DefaultInterval = time.Second
+
+// Options are the settings of a Watcher.
+type Options struct {
+	// Interval between two reads. Default: 1 s.
+	Interval time.Duration
+	// Cloud gives reclaim notices; nil for none.
+	Cloud platform.Cloud
+}
+
+// Watcher polls the host list and the reclaim notices.
+type Watcher struct {
+	opts  Options
+	log   *slog.Logger
+	hosts platform.Hosts
+
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	mu struct {
+		sync.Mutex
+		list     []platform.HostInfo
+		onHosts  []func([]platform.HostInfo)
+		onNotice []func(platform.Notice)
+		down     bool
+	}
+}
+
+// New returns a watcher of the list.
+func New(opts Options, log *slog.Logger, hosts platform.Hosts) *Watcher {
+	if opts.Interval == 0 {
+		opts.Interval = DefaultInterval
+	}
+	return &Watcher{opts: opts, log: log, hosts: hosts, done: make(chan struct{})}
+}
+
+// OnHosts calls f with each list read. It must be called before Start.
+func (w *Watcher) OnHosts(f func([]platform.HostInfo)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mu.onHosts = append(w.mu.onHosts, f)
+}
+
+// OnNotice calls f with every notice in force, each time it is read. It must be
+// called before Start.
+func (w *Watcher) OnNotice(f func(platform.Notice)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mu.onNotice = append(w.mu.onNotice, f)
+}
+
+// Hosts returns the last list.
+func (w *Watcher) Hosts() []platform.HostInfo {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.mu.list
+}
+
+// Start reads the list once and goes on in the background.
+func (w *Watcher) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	w.cancel = cancel
+	w.poll(ctx)
+	go w.run(ctx)
+	return nil
+}
+
+// Stop ends the watcher.
+func (w *Watcher) Stop(context.Context) error {
+	w.cancel()
+	<-w.done
+	return nil
+}
+
+func (w *Watcher) run(ctx context.Context) {
+	defer close(w.done)
+	tick := time.NewTicker(w.opts.Interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			w.poll(ctx)
+		}
+	}
+}
+
+func (w *Watcher) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, w.opts.Interval)
+	defer cancel()
+	if w.opts.Cloud != nil {
+		w.pollNotices(ctx)
+	}
+	list, err := w.hosts.ListHosts(ctx)
+	w.noteState(err)
+	if err != nil {
+		return
+	}
+	w.mu.Lock()
+	w.mu.list = list
+	callbacks := w.mu.onHosts
+	w.mu.Unlock()
+	for _, f := range callbacks {
+		f(list)
+	}
+}
+
+func (w *Watcher) pollNotices(ctx context.Context) {
+	notices, err := w.opts.Cloud.Notices(ctx)
+	if err != nil {
+		return
+	}
+	w.mu.Lock()
+	callbacks := w.mu.onNotice
+	w.mu.Unlock()
+	for _, n := range notices {
+		for _, f := range callbacks {
+			f(n)
+		}
+	}
+}
+
+// noteState logs when the list becomes unreachable and reachable again.
+func (w *Watcher) noteState(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	down := err != nil
+	if down && !w.mu.down {
+		w.log.Warn("discovery: Host list unreachable, last one stays in use.", "error", err)
+	}
+	if !down && w.mu.down {
+		w.log.Info("discovery: Host list reachable again.")
+	}
+	w.mu.down = down
+}
--- /dev/null
+++ b/internal/endpoint/client.go
@@ -0,0 +1,137 @@
+package endpoint
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
+)
+
+// Limits of the client.
+const (
+	dialTimeout         = 500 * time.Millisecond
+	maxIdleConnsPerHost = 256
+	idleConnTimeout     = 90 * time.Second
+	maxErrorBody        = 4 << 10 // bytes of a refusal's body that are kept
+	maxRetryAfter       = time.Minute
+)
+
+// Client sends attempts to endpoints over HTTP.
+type Client struct {
+	transport *http.Transport
+}
+
+// NewClient returns a client with connections of its own.
+func NewClient() *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: maxIdleConnsPerHost,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}}
+}
+
+// Close ends the idle connections.
+func (c *Client) Close() {
+	c.transport.CloseIdleConnections()
+}
+
+// Meta identifies one attempt to its endpoint.
+type Meta struct {
+	Request   ident.RequestID
+	Attempt   ident.AttemptID
+	Workspace ident.Workspace
+	Class     ident.Class
+	Route     ident.RouteName
+	// Deadline of the request; zero for none.
+	Deadline time.Time
+}
+
+// Apply sets the headers of an attempt.
+func (m Meta) Apply(h http.Header, now time.Time) {
+	h.Set(HeaderRequestID, string(m.Request))
+	h.Set(HeaderAttemptID, string(m.Attempt))
+	h.Set(HeaderWorkspace, string(m.Workspace))
+	h.Set(HeaderPriority, m.Class.String())
+	h.Set(HeaderRoute, string(m.Route))
+	if !m.Deadline.IsZero() {
+		h.Set(HeaderDeadlineMS, strconv.FormatInt(m.Deadline.Sub(now).Milliseconds(), 10))
+	}
+}
+
+// onceBody makes a request impossible to replay. net/http sends a request a
+// second time over a new connection where it holds it to be idempotent: an
+// Idempotency-Key header is enough for that, if the body is absent or can be
+// read again. A body of this type can't.
+type onceBody struct{ io.ReadCloser }
+
+// Do sends one attempt and returns the response's head. The body is not yet
+// read. The error is a *verdict.Error: NotRun only where no connection was made.
+// The request is never sent twice. A response that refuses with an explicit
+// not-run header is returned as an error too.
+func (c *Client) Do(ctx context.Context, req *http.Request, m Meta) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
+	req.GetBody = nil
+	if req.Body == nil || req.Body == http.NoBody {
+		if req.Method != http.MethodGet && req.Method != http.MethodHead {
+			req.Body = onceBody{http.NoBody}
+		}
+	} else {
+		req.Body = onceBody{req.Body}
+	}
+	resp, err := c.transport.RoundTrip(req)
+	if err != nil {
+		v := verdict.MayHaveRun
+		if !connected.Load() {
+			v = verdict.NotRun
+		}
+		return nil, verdict.Wrap(v, verdict.CodeUpstream, errors.Wrapf(err, "attempt %s at %s", m.Attempt, req.URL.Host))
+	}
+	if err := c.refusal(resp, m); err != nil {
+		return nil, err
+	}
+	return resp, nil
+}
+
+// refusal returns an error where the response is an explicit not-run refusal or
+// belongs to another attempt.
+func (c *Client) refusal(resp *http.Response, m Meta) error {
+	if verdict.Parse(resp.Header.Get(verdict.Header)) == verdict.NotRun && resp.StatusCode >= http.StatusBadRequest {
+		defer closeBody(resp.Body)
+		body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "endpoint %s refused with status %d: %s",
+			resp.Request.URL.Host, resp.StatusCode, body).After(RetryAfter(resp.Header))
+	}
+	if echo := resp.Header.Get(HeaderAttemptID); echo != "" && echo != string(m.Attempt) {
+		closeBody(resp.Body)
+		return verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "endpoint %s answered attempt %s instead of %s",
+			resp.Request.URL.Host, echo, m.Attempt)
+	}
+	return nil
+}
+
+// RetryAfter returns the delay of a Retry-After header in seconds, bounded; zero
+// where there is none.
+func RetryAfter(h http.Header) time.Duration {
+	s, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || s < 0 {
+		return 0
+	}
+	return min(time.Duration(s)*time.Second, maxRetryAfter)
+}
+
+func closeBody(b io.Closer) {
+	_ = b.Close()
+}
--- /dev/null
+++ b/internal/entry/chat.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/jujubeshed/jujubeshed/api/gen/callers"
+	"github.com/jujubeshed/jujubeshed/internal/answer"
+	"github.com/jujubeshed/jujubeshed/internal/endpoint"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
+)
+
+// ChatJob is an accepted chat completion and the answer it grows.
+type ChatJob struct {
+	Request *Request
+	Body    endpoint.ChatRequest
+	Answer  *answer.Answer
+}
+
+// serveChat handles a chat completion: decode, admit, start, and follow the answer.
+func (s *Server) serveChat(w http.ResponseWriter, r *http.Request, req *Request, body []byte) {
+	job, err := s.newJob(req, body)
+	if err != nil {
+		s.problem(w, req, err)
+		return
+	}
+	release, err := s.gate.Acquire(r.Context(), req)
+	if err != nil {
+		s.problem(w, req, err)
+		return
+	}
+	s.start(job, release)
+	s.follow(w, r, job.Answer, 0, job.Body.Stream)
+}
+
+// start runs a job in the background; the caller's connection has no hold on it.
+func (s *Server) start(job *ChatJob, release func()) {
+	s.answers.Add(job.Answer)
+	ctx, cancel := context.WithDeadline(context.Background(), job.Request.Deadline)
+	s.jobs.add(job, cancel)
+	s.metrics.accepted(job.Request)
+	go func() {
+		defer cancel()
+		defer release()
+		defer s.jobs.remove(job.Request.ID)
+		s.sender.Chat(ctx, job)
+		s.metrics.finished(job.Request, job.Answer.End().Err)
+	}()
+}
+
+// newJob decodes a chat completion.
+func (s *Server) newJob(req *Request, body []byte) (*ChatJob, error) {
+	var in callers.ChatCompletionRequest
+	if err := in.UnmarshalJSON(body); err != nil {
+		return nil, verdict.Wrap(verdict.NotRun, verdict.CodeBadRequest, errors.Wrap(err, "decode the chat completion"))
+	}
+	if err := in.Validate(); err != nil {
+		return nil, verdict.Wrap(verdict.NotRun, verdict.CodeBadRequest, errors.Wrap(err, "check the chat completion"))
+	}
+	out := endpoint.ChatRequest{
+		Model:     in.Model.Or(string(req.Service.Name)),
+		MaxTokens: in.MaxTokens.Or(0),
+		Stream:    in.Stream.Or(false),
+		Seed:      uint64(in.Seed.Or(int64(seedOf(req.ID)))),
+	}
+	for _, m := range in.Messages {
+		out.Messages = append(out.Messages, endpoint.Message{Role: string(m.Role), Content: m.Content})
+	}
+	a := answer.New(req.ID, req.Workspace, out.Model, out.Stream)
+	return &ChatJob{Request: req, Body: out, Answer: a}, nil
+}
+
+// seedOf derives the sampling seed of a request that names none, so that any
+// node can go on with its stream. The top bit stays clear: the API's seed is signed.
+func seedOf(id ident.RequestID) uint64 {
+	return xxhash.Sum64String(string(id)) >> 1
+}
+
+// follow writes an answer from an offset on, in the caller's form.
+func (s *Server) follow(w http.ResponseWriter, r *http.Request, a *answer.Answer, offset int, stream bool) {
+	reader := a.Follow(offset)
+	defer func() { reader.Close(time.Now()) }()
+	if stream {
+		s.writeStream(w, r, a, reader)
+		return
+	}
+	s.writeWhole(w, r, a, reader)
+}
--- /dev/null
+++ b/internal/entry/id.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+)
+
+const idBase = 36
+
+// newRequestID returns an ID that names this node and life, "NODE.LIFE.SERIAL".
+func (s *Server) newRequestID() ident.RequestID {
+	life := strconv.FormatUint(uint64(s.opts.Incarnation), idBase)
+	serial := strconv.FormatUint(s.serial.Add(1), idBase)
+	return ident.RequestID(string(s.opts.Node) + "." + life + "." + serial)
+}
+
+// Origin returns the node that gave a request its ID, and false where the ID
+// has another form.
+func Origin(id ident.RequestID) (ident.NodeID, bool) {
+	serial := strings.LastIndexByte(string(id), '.')
+	if serial < 0 {
+		return "", false
+	}
+	life := strings.LastIndexByte(string(id[:serial]), '.')
+	if life <= 0 {
+		return "", false
+	}
+	return ident.NodeID(id[:life]), true
+}
+
+// appendEventID appends the ID of a server-sent event: the request and the
+// number of tokens delivered with it.
+func appendEventID(b []byte, id ident.RequestID, offset int) []byte {
+	b = append(b, id...)
+	b = append(b, '/')
+	return strconv.AppendInt(b, int64(offset), 10)
+}
+
+// parseEventID splits the ID of a server-sent event.
+func parseEventID(s string) (ident.RequestID, int, bool) {
+	id, offset, ok := strings.Cut(s, "/")
+	if !ok {
+		return "", 0, false
+	}
+	n, err := strconv.Atoi(offset)
+	if err != nil || n < 0 {
+		return "", 0, false
+	}
+	return ident.RequestID(id), n, true
+}
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
+)
+
+// Metrics counts and times callers' requests.
+type Metrics struct {
+	accepts  *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	ends     *prometheus.CounterVec
+	seconds  *prometheus.HistogramVec
+	first    *prometheus.HistogramVec
+}
+
+var durationBuckets = []float64{.005, .01, .025, .05, .1, .2, .35, .53, .75, 1, 2, 5, 10, 30, 60, 300, 600}
+
+// NewMetrics registers the entry's metrics.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		accepts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "entry_requests_accepted_total", Help: "Requests accepted.",
+		}, []string{"workspace", "class"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "entry_requests_refused_total", Help: "Requests refused before they were accepted.",
+		}, []string{"workspace", "class", "code"}),
+		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "entry_requests_finished_total", Help: "Accepted requests by how they ended.",
+		}, []string{"workspace", "class", "end"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "entry_request_duration_seconds", Help: "Time from arrival to the end.", Buckets: durationBuckets,
+		}, []string{"workspace", "class"}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "entry_first_token_seconds", Help: "Time from arrival to the first token.", Buckets: durationBuckets,
+		}, []string{"workspace", "class"}),
+	}
+	reg.MustRegister(m.accepts, m.refusals, m.ends, m.seconds, m.first)
+	return m
+}
+
+func (m *Metrics) accepted(r *Request) {
+	m.accepts.WithLabelValues(string(r.Workspace), r.Route.Class.String()).Inc()
+}
+
+func (m *Metrics) refused(r *Request, e *verdict.Error) {
+	m.refusals.WithLabelValues(string(r.Workspace), r.Route.Class.String(), string(e.Code)).Inc()
+}
+
+func (m *Metrics) finished(r *Request, e *verdict.Error) {
+	end := "whole"
+	if e != nil {
+		end = string(e.Code)
+	}
+	class := r.Route.Class.String()
+	m.ends.WithLabelValues(string(r.Workspace), class, end).Inc()
+	m.seconds.WithLabelValues(string(r.Workspace), class).Observe(time.Since(r.Arrived).Seconds())
+}
+
+// FirstToken records that the first token of a request is there.
+func (m *Metrics) FirstToken(r *Request) {
+	m.first.WithLabelValues(string(r.Workspace), r.Route.Class.String()).Observe(time.Since(r.Arrived).Seconds())
+}
--- /dev/null
+++ b/internal/entry/plain.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
+)
+
+// maxRecordedBytes bounds an answer that the ledger records.
+const maxRecordedBytes = 4 << 20
+
+// Recorded is the answer to a non-idempotent request as the ledger keeps it.
+type Recorded struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// servePlain handles a request to a plain service.
+func (s *Server) servePlain(w http.ResponseWriter, r *http.Request, req *Request, body []byte) {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), req.Deadline)
+	defer cancel()
+	release, err := s.gate.Acquire(ctx, req)
+	if err != nil {
+		s.problem(w, req, err)
+		return
+	}
+	defer release()
+	s.metrics.accepted(req)
+	if req.Route.Idempotent {
+		err = s.forward(ctx, w, r, req, body)
+	} else {
+		err = s.order(ctx, w, r, req, body)
+	}
+	s.metrics.finished(req, asVerdict(err))
+}
+
+func asVerdict(err error) *verdict.Error {
+	if err == nil {
+		return nil
+	}
+	return verdict.From(err)
+}
+
+// forward streams the endpoint's response to the caller.
+func (s *Server) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, req *Request, body []byte) error {
+	resp, err := s.sender.Forward(ctx, req, r, body)
+	if err != nil {
+		writeProblem(w, verdict.From(err))
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	copyHeader(w.Header(), resp.Header)
+	w.WriteHeader(resp.StatusCode)
+	if _, err := io.Copy(w, resp.Body); err != nil {
+		// The head is out: only a broken connection tells the caller of the cut.
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+// order runs a non-idempotent request at most once and returns its recorded answer.
+func (s *Server) order(ctx context.Context, w http.ResponseWriter, r *http.Request, req *Request, body []byte) error {
+	run := func(ctx context.Context) (*Recorded, error) { return s.record(ctx, r, req, body) }
+	var rec *Recorded
+	var err error
+	if req.Key == "" {
+		rec, err = run(ctx)
+	} else {
+		rec, err = s.ledger.Do(ctx, req, r, body, run)
+	}
+	if err != nil {
+		writeProblem(w, verdict.From(err))
+		return err
+	}
+	copyHeader(w.Header(), rec.Header)
+	w.WriteHeader(rec.Status)
+	_, _ = w.Write(rec.Body)
+	return nil
+}
+
+// record sends a request once and reads the whole response.
+func (s *Server) record(ctx context.Context, r *http.Request, req *Request, body []byte) (*Recorded, error) {
+	resp, err := s.sender.Forward(ctx, req, r, body)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxRecordedBytes+1))
+	if err != nil {
+		return nil, verdict.Wrap(verdict.MayHaveRun, verdict.CodeUnconfirmed, errors.Wrap(err, "the endpoint's answer was cut"))
+	}
+	if len(raw) > maxRecordedBytes {
+		return nil, verdict.New(verdict.Ran, verdict.CodeUpstream, "the endpoint's answer exceeds %d bytes", maxRecordedBytes)
+	}
+	rec := &Recorded{Status: resp.StatusCode, Header: make(http.Header), Body: raw}
+	copyHeader(rec.Header, resp.Header)
+	return rec, nil
+}
+
+// hopByHop lists the headers that end at each hop (RFC 9110 section 7.6.1).
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Proxy-Authenticate", "Proxy-Authorization",
+}
+
+// copyHeader copies the end-to-end headers of src to dst.
+func copyHeader(dst, src http.Header) {
+	drop := make(map[string]bool, len(hopByHop))
+	for _, name := range hopByHop {
+		drop[name] = true
+	}
+	for _, value := range src["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			drop[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	for name, values := range src {
+		if !drop[name] {
+			dst[name] = append([]string(nil), values...)
+		}
+	}
+}
+
+// OutgoingHeader returns the headers of a caller's request that go on to an endpoint.
+func OutgoingHeader(in http.Header) http.Header {
+	out := make(http.Header, len(in))
+	copyHeader(out, in)
+	out.Del("Authorization")
+	out.Del("X-Api-Key")
+	return out
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,198 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/answer"
+	"github.com/jujubeshed/jujubeshed/internal/config"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
+)
+
+// Limits of a request, in bytes.
+const (
+	DefaultMaxBodyBytes   = 8 << 20
+	DefaultMaxHeaderBytes = 64 << 10
+)
+
+// abandonGrace is how long an answer goes on without a reader.
+const abandonGrace = time.Minute
+
+// Options are the settings of a Server.
+type Options struct {
+	Node        ident.NodeID
+	Incarnation ident.Incarnation
+	// MaxBodyBytes bounds a request's body. Default: 8 MiB.
+	MaxBodyBytes int64
+}
+
+// ConfigSource gives the configuration in force; nil before the first one.
+type ConfigSource interface {
+	Current() *config.Config
+}
+
+// Request is an accepted request on its way to an endpoint.
+type Request struct {
+	ID        ident.RequestID
+	Workspace ident.Workspace
+	Route     config.Route
+	Service   config.Service
+	Arrived   time.Time
+	Deadline  time.Time
+	// Key is the caller's Idempotency-Key; empty where there is none.
+	Key string
+}
+
+// Gate admits requests. The error is a *verdict.Error with verdict NotRun.
+type Gate interface {
+	Acquire(ctx context.Context, r *Request) (release func(), err error)
+}
+
+// Sender runs accepted requests on endpoints.
+type Sender interface {
+	// Chat produces the job's answer, from its present length on, and closes it.
+	Chat(ctx context.Context, job *ChatJob)
+	// Forward sends a plain request and returns the response. The error is a
+	// *verdict.Error.
+	Forward(ctx context.Context, r *Request, in *http.Request, body []byte) (*http.Response, error)
+}
+
+// Ledger runs a non-idempotent request at most once for its key.
+type Ledger interface {
+	Do(ctx context.Context, r *Request, in *http.Request, body []byte, run func(context.Context) (*Recorded, error)) (*Recorded, error)
+}
+
+// Server handles callers' requests.
+type Server struct {
+	opts    Options
+	log     *slog.Logger
+	config  ConfigSource
+	gate    Gate
+	sender  Sender
+	ledger  Ledger
+	answers *answer.Table
+	remote  Remote
+	metrics *Metrics
+	jobs    *jobTable
+
+	serial  atomic.Uint64
+	unready atomic.Bool
+}
+
+// Parts are the services that a Server works with.
+type Parts struct {
+	Log     *slog.Logger
+	Config  ConfigSource
+	Gate    Gate
+	Sender  Sender
+	Ledger  Ledger
+	Answers *answer.Table
+	Remote  Remote
+	Metrics *Metrics
+}
+
+// New returns a server.
+func New(opts Options, p Parts) *Server {
+	if opts.MaxBodyBytes == 0 {
+		opts.MaxBodyBytes = DefaultMaxBodyBytes
+	}
+	return &Server{
+		opts: opts, log: p.Log, config: p.Config, gate: p.Gate, sender: p.Sender,
+		ledger: p.Ledger, answers: p.Answers, remote: p.Remote, metrics: p.Metrics,
+		jobs: newJobTable(),
+	}
+}
+
+// Paths of the callers' listener that are not routes.
+const (
+	PathAnswers = "/v1/answers/"
+	PathReady   = "/readyz"
+	PathHealth  = "/healthz"
+)
+
+// ServeHTTP handles one request of a caller.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == PathHealth:
+		w.WriteHeader(http.StatusNoContent)
+	case r.URL.Path == PathReady:
+		s.serveReady(w)
+	case strings.HasPrefix(r.URL.Path, PathAnswers):
+		s.serveAnswer(w, r)
+	default:
+		s.serveRoute(w, r)
+	}
+}
+
+// Unready makes the readiness check fail, so that the balancer moves on.
+func (s *Server) Unready() {
+	s.unready.Store(true)
+}
+
+func (s *Server) serveReady(w http.ResponseWriter) {
+	if s.unready.Load() || s.config.Current() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) serveRoute(w http.ResponseWriter, r *http.Request) {
+	req, err := s.identify(r)
+	if err != nil {
+		s.problem(w, req, err)
+		return
+	}
+	w.Header().Set("X-Request-Id", string(req.ID))
+	body, err := s.readBody(w, r)
+	if err != nil {
+		s.problem(w, req, err)
+		return
+	}
+	if req.Service.Kind == platform.KindEngine {
+		s.serveChat(w, r, req, body)
+		return
+	}
+	s.servePlain(w, r, req, body)
+}
+
+// identify matches a request to its workspace, route and service. The request
+// is valid as far as it was identified, also with an error.
+func (s *Server) identify(r *http.Request) (*Request, error) {
+	now := time.Now()
+	req := &Request{ID: s.newRequestID(), Arrived: now, Key: r.Header.Get("Idempotency-Key")}
+	cfg := s.config.Current()
+	if cfg == nil {
+		return req, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no configuration is in force yet").After(time.Second)
+	}
+	w, ok := cfg.WorkspaceByKey(bearer(r))
+	if !ok {
+		return req, verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "the workspace key is unknown")
+	}
+	req.Workspace = w.Name
+	route, ok := cfg.Match(r.Method, r.URL.Path)
+	if !ok {
+		return req, verdict.New(verdict.NotRun, verdict.CodeNotFound, "no route takes %s %q", r.Method, r.URL.Path)
+	}
+	req.Route = route
+	req.Service = cfg.Services[route.Service]
+	req.Deadline = now.Add(route.Deadline)
+	if route.RequireKey && req.Key == "" {
+		return req, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "route %q requires the Idempotency-Key header", route.Name)
+	}
+	return req, nil
+}
+
+// bearer returns the workspace key of a request.
+func bearer(r *http.Request) string {
+	if key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer "); ok {
+		return key
+	}
+	return r.Header.Get("X-Api-Key")
+}
--- /dev/null
+++ b/internal/entry/stream.go
@@ -0,0 +1,190 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-faster/jx"
+
+	"github.com/jujubeshed/jujubeshed/api/gen/callers"
+	"github.com/jujubeshed/jujubeshed/internal/answer"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
+)
+
+// reconnectMS is how soon a caller of a moved stream may come back, in milliseconds.
+const reconnectMS = "10"
+
+// eventWriter writes an answer as server-sent events, in one buffer that it
+// keeps, so that a token costs no allocation here.
+type eventWriter struct {
+	w   http.ResponseWriter
+	rc  *http.ResponseController
+	a   *answer.Answer
+	buf []byte
+	enc jx.Writer
+}
+
+// writeStream follows an answer as server-sent events.
+func (s *Server) writeStream(w http.ResponseWriter, r *http.Request, a *answer.Answer, reader *answer.Reader) {
+	h := w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	h.Set("X-Accel-Buffering", "no")
+	ew := &eventWriter{w: w, rc: http.NewResponseController(w), a: a}
+	started := false
+	for {
+		part := reader.Next()
+		if !started && part.End.Err != nil && part.To == part.From {
+			// Nothing was sent yet: the failure is the whole response.
+			writeProblem(w, part.End.Err)
+			return
+		}
+		if part.To > part.From {
+			started = true
+		}
+		if err := ew.part(part); err != nil || part.End.Done {
+			return
+		}
+		select {
+		case <-reader.Wake():
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// part writes one part of an answer, and its end where it has one.
+func (ew *eventWriter) part(p answer.Part) error {
+	ew.buf = ew.buf[:0]
+	if p.To > p.From {
+		ew.chunk(p.To, p.Text, "", nil)
+	}
+	if p.End.Done {
+		ew.end(p)
+	}
+	if len(ew.buf) == 0 {
+		return nil
+	}
+	if _, err := ew.w.Write(ew.buf); err != nil {
+		return err
+	}
+	return ew.rc.Flush()
+}
+
+func (ew *eventWriter) end(p answer.Part) {
+	switch {
+	case p.End.Moved:
+		ew.buf = append(ew.buf, "retry: "+reconnectMS+"\nevent: moved\ndata: {}\n\n"...)
+	case p.End.Err != nil:
+		ew.failure(p.End.Err)
+	default:
+		ew.chunk(p.To, nil, p.End.Reason, &p.End.Usage)
+		ew.buf = append(ew.buf, "data: [DONE]\n\n"...)
+	}
+}
+
+func (ew *eventWriter) failure(e *verdict.Error) {
+	raw, err := problemOf(e).MarshalJSON()
+	if err != nil {
+		raw = []byte("{}")
+	}
+	ew.buf = append(ew.buf, "event: error\ndata: "...)
+	ew.buf = append(ew.buf, raw...)
+	ew.buf = append(ew.buf, "\n\n"...)
+}
+
+// chunk appends one chat.completion.chunk event.
+func (ew *eventWriter) chunk(offset int, text []byte, reason string, u *answer.Usage) {
+	ew.buf = append(ew.buf, "id: "...)
+	ew.buf = appendEventID(ew.buf, ew.a.ID, offset)
+	ew.buf = append(ew.buf, "\ndata: "...)
+	e := &ew.enc
+	e.Buf = ew.buf
+	e.RawStr(`{"id":`)
+	e.Str(string(ew.a.ID))
+	e.RawStr(`,"object":"chat.completion.chunk","model":`)
+	e.Str(ew.a.Model)
+	e.RawStr(`,"choices":[{"index":0,"delta":{"content":`)
+	e.ByteStr(text)
+	e.RawStr(`},"finish_reason":`)
+	if reason == "" {
+		e.Null()
+	} else {
+		e.Str(reason)
+	}
+	e.RawStr(`}]`)
+	if u != nil {
+		appendUsage(e, u)
+	}
+	e.RawStr("}\n\n")
+	ew.buf = e.Buf
+}
+
+func appendUsage(e *jx.Writer, u *answer.Usage) {
+	e.RawStr(`,"usage":{"prompt_tokens":`)
+	e.Int(u.PromptTokens)
+	e.RawStr(`,"completion_tokens":`)
+	e.Int(u.CompletionTokens)
+	e.RawStr(`,"cached_tokens":`)
+	e.Int(u.CachedTokens)
+	e.RawStr(`}`)
+}
+
+// writeWhole waits for the end of an answer and writes it as one document. A
+// caller of an answer that moved is sent to its URL, at whatever entry host.
+func (s *Server) writeWhole(w http.ResponseWriter, r *http.Request, a *answer.Answer, reader *answer.Reader) {
+	for {
+		end := a.End()
+		switch {
+		case end.Moved:
+			w.Header().Set("Location", PathAnswers+string(a.ID))
+			w.Header().Set("X-Request-Id", string(a.ID))
+			w.WriteHeader(http.StatusSeeOther)
+			return
+		case end.Err != nil:
+			writeProblem(w, end.Err)
+			return
+		case end.Done:
+			writeCompletion(w, a, end)
+			return
+		}
+		select {
+		case <-reader.Wake():
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func writeCompletion(w http.ResponseWriter, a *answer.Answer, end answer.End) {
+	doc := callers.ChatCompletion{
+		ID:     string(a.ID),
+		Object: "chat.completion",
+		Model:  a.Model,
+		Choices: []callers.Choice{{
+			Message:      callers.Message{Role: callers.MessageRoleAssistant, Content: a.Text()},
+			FinishReason: end.Reason,
+		}},
+	}
+	doc.Usage.SetTo(callers.Usage{
+		PromptTokens:     end.Usage.PromptTokens,
+		CompletionTokens: end.Usage.CompletionTokens,
+		CachedTokens:     callers.NewOptInt(end.Usage.CachedTokens),
+	})
+	raw, err := doc.MarshalJSON()
+	if err != nil {
+		writeProblem(w, verdict.Wrap(verdict.Ran, verdict.CodeUpstream, err))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(raw)
+}
+
+// ExpireAnswers forgets old answers and cancels those that nobody has read for
+// abandonGrace. A long answer is never cancelled: its caller may come back for it.
+func (s *Server) ExpireAnswers(now time.Time) {
+	s.answers.Expire(now)
+	for _, j := range s.jobs.abandoned(now) {
+		j.cancel()
+	}
+}
--- /dev/null
+++ b/internal/handover/convert.go
@@ -0,0 +1,110 @@
+package handover
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	handoverv1 "github.com/jujubeshed/jujubeshed/api/gen/handover/v1"
+	"github.com/jujubeshed/jujubeshed/internal/answer"
+	"github.com/jujubeshed/jujubeshed/internal/config"
+	"github.com/jujubeshed/jujubeshed/internal/entry"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
+)
+
+func jobToProto(job *entry.ChatJob, text []byte, ends []int32) (*handoverv1.HandOverRequest, error) {
+	body, err := json.Marshal(job.Body)
+	if err != nil {
+		return nil, errors.Wrapf(err, "encode the body of %s", job.Request.ID)
+	}
+	r := job.Request
+	return &handoverv1.HandOverRequest{
+		RequestId:      string(r.ID),
+		Workspace:      string(r.Workspace),
+		Route:          string(r.Route.Name),
+		Service:        string(r.Service.Name),
+		ArrivedUnixMs:  r.Arrived.UnixMilli(),
+		DeadlineUnixMs: r.Deadline.UnixMilli(),
+		Body:           body,
+		Text:           text,
+		TokenEnds:      ends,
+	}, nil
+}
+
+// jobFromProto rebuilds a job. The route and service are those of this node's
+// configuration; where it has none of that name, only the class is lost.
+func jobFromProto(in *handoverv1.HandOverRequest, cfg *config.Config) (*entry.ChatJob, error) {
+	if cfg == nil {
+		return nil, errors.New("no configuration is in force yet")
+	}
+	service, ok := cfg.Services[ident.Service(in.GetService())]
+	if !ok {
+		return nil, errors.Newf("service %q is not in the configuration", in.GetService())
+	}
+	job := &entry.ChatJob{Request: &entry.Request{
+		ID:        ident.RequestID(in.GetRequestId()),
+		Workspace: ident.Workspace(in.GetWorkspace()),
+		Route:     cfg.Routes[ident.RouteName(in.GetRoute())],
+		Service:   service,
+		Arrived:   time.UnixMilli(in.GetArrivedUnixMs()),
+		Deadline:  time.UnixMilli(in.GetDeadlineUnixMs()),
+	}}
+	if err := json.Unmarshal(in.GetBody(), &job.Body); err != nil {
+		return nil, errors.Wrapf(err, "decode the body of %s", in.GetRequestId())
+	}
+	job.Answer = answer.New(job.Request.ID, job.Request.Workspace, job.Body.Model, job.Body.Stream)
+	return job, appendTokens(job.Answer, 0, in.GetText(), in.GetTokenEnds())
+}
+
+// appendTokens appends the tokens of text, which end at ends, to an answer.
+func appendTokens(a *answer.Answer, offset int, text []byte, ends []int32) error {
+	start := int32(0)
+	for i, end := range ends {
+		if end < start || int(end) > len(text) {
+			return errors.Newf("token %d ends at byte %d of %d", offset+i, end, len(text))
+		}
+		a.Append(offset+i, text[start:end])
+		start = end
+	}
+	return nil
+}
+
+func endToProto(e answer.End) *handoverv1.End {
+	out := &handoverv1.End{
+		FinishReason:     e.Reason,
+		PromptTokens:     int32(e.Usage.PromptTokens),
+		CompletionTokens: int32(e.Usage.CompletionTokens),
+		CachedTokens:     int32(e.Usage.CachedTokens),
+		Moved:            e.Moved,
+	}
+	if e.Err != nil {
+		out.Code = string(e.Err.Code)
+		out.Verdict = e.Err.Verdict.String()
+		out.Detail = e.Err.Error()
+		out.RetryAfterMs = e.Err.RetryAfter.Milliseconds()
+	}
+	return out
+}
+
+func endFromProto(in *handoverv1.End) answer.End {
+	e := answer.End{
+		Reason: in.GetFinishReason(),
+		Moved:  in.GetMoved(),
+		Usage: answer.Usage{
+			PromptTokens:     int(in.GetPromptTokens()),
+			CompletionTokens: int(in.GetCompletionTokens()),
+			CachedTokens:     int(in.GetCachedTokens()),
+		},
+	}
+	if in.GetCode() != "" {
+		e.Err = &verdict.Error{
+			Verdict:    verdict.Parse(in.GetVerdict()),
+			Code:       verdict.Code(in.GetCode()),
+			RetryAfter: time.Duration(in.GetRetryAfterMs()) * time.Millisecond,
+			Cause:      errors.New(in.GetDetail()),
+		}
+	}
+	return e
+}
--- /dev/null
+++ b/internal/handover/server.go
@@ -0,0 +1,92 @@
+// Package handover moves running answers between entry nodes and lets any node
+// follow an answer that another one holds.
+package handover
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	handoverv1 "github.com/jujubeshed/jujubeshed/api/gen/handover/v1"
+	"github.com/jujubeshed/jujubeshed/api/gen/handover/v1/handoverv1connect"
+	"github.com/jujubeshed/jujubeshed/internal/answer"
+	"github.com/jujubeshed/jujubeshed/internal/entry"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+)
+
+// Adopter goes on with a job of another node.
+type Adopter interface {
+	// Adopt starts the job. It returns an error where this node can't take it.
+	Adopt(job *entry.ChatJob) error
+}
+
+// Server answers other nodes' calls.
+type Server struct {
+	log     *slog.Logger
+	config  entry.ConfigSource
+	answers *answer.Table
+	adopter Adopter
+}
+
+var _ handoverv1connect.AnswerServiceHandler = (*Server)(nil)
+
+// NewServer returns a server over the node's answers.
+func NewServer(log *slog.Logger, config entry.ConfigSource, answers *answer.Table, adopter Adopter) *Server {
+	return &Server{log: log, config: config, answers: answers, adopter: adopter}
+}
+
+// Handler returns the path and handler to mount on the peers' listener.
+func (s *Server) Handler() (string, http.Handler) {
+	return handoverv1connect.NewAnswerServiceHandler(s)
+}
+
+// HandOver takes over a job.
+func (s *Server) HandOver(_ context.Context, req *connect.Request[handoverv1.HandOverRequest]) (*connect.Response[handoverv1.HandOverResponse], error) {
+	job, err := jobFromProto(req.Msg, s.config.Current())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	if err := s.adopter.Adopt(job); err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	s.log.Info("handover: Took over an answer.", "request", string(job.Request.ID), "tokens", job.Answer.Len())
+	return connect.NewResponse(&handoverv1.HandOverResponse{}), nil
+}
+
+// Follow streams an answer of this node.
+func (s *Server) Follow(ctx context.Context, req *connect.Request[handoverv1.FollowRequest], out *connect.ServerStream[handoverv1.FollowResponse]) error {
+	a := s.answers.Get(ident.RequestID(req.Msg.GetRequestId()))
+	if a == nil || a.End().Moved {
+		return connect.NewError(connect.CodeNotFound, errors.Newf("answer %q is not here", req.Msg.GetRequestId()))
+	}
+	head := &handoverv1.Head{Workspace: string(a.Workspace), Model: a.Model, Stream: a.Stream}
+	if err := out.Send(&handoverv1.FollowResponse{Head: head}); err != nil {
+		return err
+	}
+	reader := a.Follow(0)
+	defer reader.Close(now())
+	for {
+		part := reader.Next()
+		if part.To > part.From || part.End.Done {
+			if err := out.Send(partToProto(part)); err != nil || part.End.Done {
+				return err
+			}
+		}
+		select {
+		case <-reader.Wake():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func partToProto(p answer.Part) *handoverv1.FollowResponse {
+	msg := &handoverv1.FollowResponse{Text: p.Text, TokenEnds: p.Ends}
+	if p.End.Done {
+		msg.End = endToProto(p.End)
+	}
+	return msg
+}
--- /dev/null
+++ b/internal/node/callers.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/entry"
+	"github.com/jujubeshed/jujubeshed/internal/kernel"
+)
+
+const (
+	// handOverBudget is the time for handing all running answers to other nodes.
+	handOverBudget = 5 * time.Second
+	// shutdownBudget is the time for the last responses to be written.
+	shutdownBudget = 5 * time.Second
+	expireInterval = 5 * time.Second
+)
+
+// callers is the callers' listener with its drain.
+type callers struct {
+	*listener
+	opts  *Options
+	log   *slog.Logger
+	entry *entry.Server
+
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+var (
+	_ kernel.Starter = (*callers)(nil)
+	_ kernel.Drainer = (*callers)(nil)
+	_ kernel.Stopper = (*callers)(nil)
+)
+
+func newCallers(opts *Options, s *entry.Server, log *slog.Logger) *callers {
+	return &callers{
+		listener: newListener("callers", opts.Callers, s, log),
+		opts:     opts, log: log, entry: s, done: make(chan struct{}),
+	}
+}
+
+// Start serves callers and forgets old answers now and then.
+func (c *callers) Start(ctx context.Context) error {
+	if err := c.listener.Start(ctx); err != nil {
+		return err
+	}
+	ctx, c.cancel = context.WithCancel(context.Background())
+	go c.expire(ctx)
+	return nil
+}
+
+func (c *callers) expire(ctx context.Context) {
+	defer close(c.done)
+	tick := time.NewTicker(expireInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case t := <-tick.C:
+			c.entry.ExpireAnswers(t)
+		}
+	}
+}
+
+// Drain makes the balancer move on, then ends or hands over what runs.
+func (c *callers) Drain(ctx context.Context) error {
+	c.entry.Unready()
+	sleep(ctx, c.opts.DrainDelay)
+	running, cancel := context.WithTimeout(ctx, c.opts.DrainTimeout)
+	moved, lost := c.entry.FinishOrHandOver(running, handOverBudget)
+	cancel()
+	c.log.Info("node: Drained.", "handed_over", moved, "lost", lost)
+	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownBudget)
+	defer cancel()
+	return c.server.Shutdown(closing)
+}
+
+// Stop ends the listener.
+func (c *callers) Stop(ctx context.Context) error {
+	c.cancel()
+	<-c.done
+	return c.listener.Stop(ctx)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/node/listener.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jujubeshed/jujubeshed/internal/entry"
+)
+
+const readHeaderTimeout = 10 * time.Second
+
+// listener is an HTTP server as a service.
+type listener struct {
+	name   string
+	addr   string
+	log    *slog.Logger
+	server *http.Server
+	ln     net.Listener
+}
+
+func newListener(name, addr string, h http.Handler, log *slog.Logger) *listener {
+	return &listener{
+		name: name, addr: addr, log: log,
+		server: &http.Server{
+			Handler:           h,
+			ReadHeaderTimeout: readHeaderTimeout,
+			MaxHeaderBytes:    entry.DefaultMaxHeaderBytes,
+			ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		},
+	}
+}
+
+// Start listens and serves.
+func (l *listener) Start(context.Context) error {
+	ln, err := net.Listen("tcp", l.addr)
+	if err != nil {
+		return errors.Wrapf(err, "listen for %s at %q", l.name, l.addr)
+	}
+	l.ln = ln
+	go func() {
+		if err := l.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			l.log.Error("node: Listener failed.", "listener", l.name, "error", err)
+		}
+	}()
+	l.log.Info("node: Listening.", "listener", l.name, "address", ln.Addr().String())
+	return nil
+}
+
+// Stop closes the listener and all of its connections.
+func (l *listener) Stop(context.Context) error {
+	return l.server.Close()
+}
--- /dev/null
+++ b/internal/node/options.go
@@ -0,0 +1,100 @@
+// Package node wires the services of one entry host's process.
+package node
+
+import (
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/peerauth"
+)
+
+// Defaults of the options.
+const (
+	DefaultDrainDelay   = 5 * time.Second
+	DefaultDrainTimeout = 20 * time.Second
+)
+
+// Options are the settings of a node. Addresses are IP and port.
+type Options struct {
+	ID         ident.NodeID
+	DataCentre ident.DataCentre
+	// Callers, Operators and Peers are the addresses to listen at.
+	Callers   string
+	Operators string
+	Peers     string
+	// Advertise is the address at which other nodes reach Peers. Default: Peers.
+	Advertise string
+	// Seeds are the peers' addresses of other nodes.
+	Seeds []string
+	// Platform is the address of the platform's API.
+	Platform string
+	// Key is shared by all nodes and the operators.
+	Key peerauth.Key
+	// DrainDelay is how long the node still accepts after its readiness check
+	// fails. Default: 5 s.
+	DrainDelay time.Duration
+	// DrainTimeout is how long running answers may go on before they are handed
+	// to other nodes. Default: 20 s.
+	DrainTimeout time.Duration
+}
+
+// SettingError names a setting that does not do.
+type SettingError struct {
+	Flag    string
+	Value   string
+	Allowed string
+}
+
+// Error names the flag, its value and what is allowed.
+func (e *SettingError) Error() string {
+	return fmt.Sprintf("--%s=%q: %s is allowed", e.Flag, e.Value, e.Allowed)
+}
+
+// Check returns a *SettingError for the first setting that does not do.
+func (o *Options) Check() error {
+	required := []struct{ flag, value, allowed string }{
+		{"node-id", string(o.ID), "a name without spaces, unique in the fleet,"},
+		{"data-centre", string(o.DataCentre), "the name of the node's data centre"},
+		{"key", string(o.Key), "a secret of any length that all nodes share"},
+	}
+	for _, r := range required {
+		if r.value == "" {
+			return &SettingError{r.flag, r.value, r.allowed}
+		}
+	}
+	addresses := []struct{ flag, value string }{
+		{"callers", o.Callers}, {"operators", o.Operators}, {"peers", o.Peers}, {"platform", o.Platform},
+	}
+	if o.Advertise != "" {
+		addresses = append(addresses, struct{ flag, value string }{"advertise", o.Advertise})
+	}
+	for _, s := range o.Seeds {
+		addresses = append(addresses, struct{ flag, value string }{"seed", s})
+	}
+	for _, a := range addresses {
+		if err := checkAddress(a.flag, a.value); err != nil {
+			return err
+		}
+	}
+	return o.checkDurations()
+}
+
+func (o *Options) checkDurations() error {
+	if o.DrainDelay < 0 {
+		return &SettingError{"drain-delay", o.DrainDelay.String(), "a duration of zero or more"}
+	}
+	if o.DrainTimeout < 0 {
+		return &SettingError{"drain-timeout", o.DrainTimeout.String(), "a duration of zero or more"}
+	}
+	return nil
+}
+
+func checkAddress(flag, value string) error {
+	host, port, err := net.SplitHostPort(value)
+	if err != nil || port == "" || net.ParseIP(host) == nil {
+		return &SettingError{flag, value, "an IP number and a port, such as 10.0.0.1:8080,"}
+	}
+	return nil
+}
