Add the at-most-once ledger and its committer

An order must run at most once whatever fails, and hosts keep nothing, so each claim has to stand in the store before the request is dispatched.

Weighed: one object a key (two writes an order), and keys gathered in bucket objects so that one conditional update carries many. The second is built: a state machine for each bucket with one call under way, where changes that arrive meanwhile go into the next write. Changes are applied again to whatever state was read, and find by the attempt ID whether they stand already; so a lost answer, a conflict and a second owner are one case.

Ruled out while writing: refusing with "not run" after a write of unknown outcome without more. That write may land later and leave a claim that nobody holds; a release that writes a later version fences it off. Also ruled out: negative answers from memory, which may be older than the claim.

Checked by scripts in testdata: two owners, lost answers, late writes, a paused holder, kills at each point, proved "not run", a full bucket, the end of the retention, a store that is down or slow, large bodies.

--- /dev/null
+++ b/internal/once/bucket.go
@@ -0,0 +1,224 @@
+package once
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/once/oncepb"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+)
+
+// bucketFormat is the format of bucket objects that this code reads and writes.
+const bucketFormat = 1
+
+// entryOverhead bounds the bytes of an entry's framing within a bucket.
+const entryOverhead = 8
+
+// maxHeaderBytes bounds the recorded headers of an answer; those beyond it are
+// not recorded.
+const maxHeaderBytes = 1 << 10
+
+// endOverhead bounds what an outcome adds to an entry besides headers and body.
+const endOverhead = 128
+
+type entry = oncepb.Entry
+
+const (
+	claimed     = oncepb.State_STATE_CLAIMED
+	finished    = oncepb.State_STATE_FINISHED
+	unconfirmed = oncepb.State_STATE_UNCONFIRMED
+)
+
+// bucket is the state of one bucket object at one version. Entries are immutable.
+type bucket struct {
+	version platform.Version
+	order   []Key // in the order of the claims
+	entries map[Key]*entry
+	bytes   int // encoded size, rounded up
+	open    int // entries without outcome
+}
+
+func newBucket() *bucket { return &bucket{entries: make(map[Key]*entry)} }
+
+func entryKey(e *entry) Key {
+	return Key{Workspace: ident.Workspace(e.Workspace), Name: e.Key}
+}
+
+func entrySize(e *entry) int { return proto.Size(e) + entryOverhead }
+
+// decodeBucket reads a bucket object.
+func decodeBucket(o platform.Object) (*bucket, error) {
+	var m oncepb.Bucket
+	if err := proto.Unmarshal(o.Value, &m); err != nil {
+		return nil, fmt.Errorf("bucket %q: %w", o.Key, err)
+	}
+	if m.Format != bucketFormat {
+		return nil, fmt.Errorf("bucket %q has format %d, not %d", o.Key, m.Format, bucketFormat)
+	}
+	b := newBucket()
+	b.version = o.Version
+	for _, e := range m.Entries {
+		b.set(entryKey(e), e)
+	}
+	return b, nil
+}
+
+// set adds or replaces an entry; nil removes it.
+func (b *bucket) set(k Key, e *entry) {
+	if old := b.entries[k]; old != nil {
+		b.bytes -= entrySize(old)
+		b.open -= openCount(old)
+	} else if e != nil {
+		b.order = append(b.order, k)
+	}
+	if e == nil {
+		delete(b.entries, k)
+		return
+	}
+	b.entries[k] = e
+	b.bytes += entrySize(e)
+	b.open += openCount(e)
+}
+
+func openCount(e *entry) int {
+	if e.State == finished {
+		return 0
+	}
+	return 1
+}
+
+// compact drops removed keys from the order. A key that was removed and claimed
+// again stands once, at its first place.
+func (b *bucket) compact() {
+	kept := b.order[:0]
+	seen := make(map[Key]struct{}, len(b.entries))
+	for _, k := range b.order {
+		if _, twice := seen[k]; twice || b.entries[k] == nil {
+			continue
+		}
+		seen[k] = struct{}{}
+		kept = append(kept, k)
+	}
+	b.order = kept
+}
+
+// encode returns the value of the bucket object.
+func (b *bucket) encode() ([]byte, error) {
+	b.compact()
+	m := oncepb.Bucket{Format: bucketFormat, Entries: make([]*entry, 0, len(b.order))}
+	for _, k := range b.order {
+		m.Entries = append(m.Entries, b.entries[k])
+	}
+	return proto.MarshalOptions{Deterministic: true}.Marshal(&m)
+}
+
+// clone returns a copy that shares the entries.
+func (b *bucket) clone() *bucket {
+	c := *b
+	c.order = append(make([]Key, 0, len(b.order)+1), b.order...)
+	c.entries = make(map[Key]*entry, len(b.entries)+1)
+	for k, e := range b.entries {
+		c.entries[k] = e
+	}
+	return &c
+}
+
+// retainedUntil is when the entry may be forgotten.
+func retainedUntil(e *entry, o *Options) time.Time {
+	last := max(e.ClaimedAt, e.ExpiresAt, e.EndedAt)
+	return time.Unix(0, last).Add(o.Retention + o.ClockSkew)
+}
+
+// get returns the entry of a key that is still retained.
+func (b *bucket) get(k Key, now time.Time, o *Options) *entry {
+	e := b.entries[k]
+	if e == nil || now.After(retainedUntil(e, o)) {
+		return nil
+	}
+	return e
+}
+
+// expire removes the entries whose retention has ended and returns them.
+func (b *bucket) expire(now time.Time, o *Options) []*entry {
+	var gone []*entry
+	for _, k := range b.order {
+		if e := b.entries[k]; e != nil && now.After(retainedUntil(e, o)) {
+			gone = append(gone, e)
+			b.set(k, nil)
+		}
+	}
+	return gone
+}
+
+// fits tells whether a claim fits beside the outcomes of all open claims.
+func (b *bucket) fits(e *entry, o *Options) bool {
+	reserve := (b.open + 1) * (o.MaxInlineBody + maxHeaderBytes + endOverhead)
+	return b.bytes+entrySize(e)+reserve <= o.MaxBucketBytes
+}
+
+// nextFree returns when the first entry may be forgotten.
+func (b *bucket) nextFree(o *Options) time.Time {
+	var first time.Time
+	for _, e := range b.entries {
+		if t := retainedUntil(e, o); first.IsZero() || t.Before(first) {
+			first = t
+		}
+	}
+	return first
+}
+
+func newEntry(c Claim, now time.Time, o *Options) *entry {
+	return &entry{
+		Workspace: string(c.Key.Workspace), Key: c.Key.Name, BodyDigest: c.Body[:],
+		Attempt: string(c.Attempt), Node: string(o.Node), Incarnation: uint64(o.Incarnation),
+		State: claimed, ClaimedAt: now.UnixNano(), ExpiresAt: c.Deadline.Add(o.LostAfter).UnixNano(),
+	}
+}
+
+// withState returns a copy of the entry in another state.
+func withState(e *entry, s oncepb.State, a *oncepb.Answer, now time.Time) *entry {
+	return &entry{
+		Workspace: e.Workspace, Key: e.Key, BodyDigest: e.BodyDigest, Attempt: e.Attempt,
+		Node: e.Node, Incarnation: e.Incarnation, State: s,
+		ClaimedAt: e.ClaimedAt, ExpiresAt: e.ExpiresAt, EndedAt: now.UnixNano(), Answer: a,
+	}
+}
+
+func sameBody(e *entry, d Digest) bool { return bytes.Equal(e.BodyDigest, d[:]) }
+
+// storedAnswer returns the stored form of an answer. Where the body is larger than
+// limit it stands in an object of its own.
+func storedAnswer(a Answer, limit int) *oncepb.Answer {
+	m := &oncepb.Answer{Status: int32(a.Status), Size: int64(len(a.Body)), Omitted: a.Omitted}
+	room := maxHeaderBytes
+	for _, h := range a.Headers {
+		if room -= len(h.Name) + len(h.Value) + entryOverhead; room < 0 {
+			break
+		}
+		m.Headers = append(m.Headers, &oncepb.HeaderField{Name: h.Name, Value: h.Value})
+	}
+	d := DigestOf(a.Body)
+	m.Digest = d[:]
+	if len(a.Body) <= limit {
+		m.Body = a.Body
+	}
+	return m
+}
+
+// external tells whether the body stands in an object of its own.
+func external(m *oncepb.Answer) bool {
+	return m != nil && !m.Omitted && m.Size > int64(len(m.Body))
+}
+
+// givenAnswer returns the answer as it was given.
+func givenAnswer(m *oncepb.Answer, body []byte) Answer {
+	a := Answer{Status: int(m.Status), Body: body, Omitted: m.Omitted}
+	for _, h := range m.Headers {
+		a.Headers = append(a.Headers, HeaderField{Name: h.Name, Value: h.Value})
+	}
+	return a
+}
--- /dev/null
+++ b/internal/once/committer/drive.go
@@ -0,0 +1,115 @@
+package committer
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jujubeshed/jujubeshed/internal/once"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+)
+
+// idleTick is the time between ticks where the ledger asks for none.
+const idleTick = 10 * time.Second
+
+// step feeds an event to the ledger and carries out its actions.
+func (c *Committer) step(ev once.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.mu.stopped {
+		c.stepLocked(ev)
+	}
+}
+
+func (c *Committer) stepLocked(ev once.Event) {
+	for _, a := range c.mu.ledger.Step(time.Now(), ev) {
+		c.doLocked(a)
+	}
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Committer) doLocked(a once.Action) {
+	switch a := a.(type) {
+	case once.Reply:
+		if ch, ok := c.mu.replies[a.Attempt]; ok {
+			delete(c.mu.replies, a.Attempt)
+			ch <- a
+		}
+	case once.Recorded:
+		if ch, ok := c.mu.ends[a.Attempt]; ok {
+			delete(c.mu.ends, a.Attempt)
+			ch <- a
+		}
+	case once.StoreGet:
+		c.call("get", a.Call, func(ctx context.Context) (platform.Object, error) {
+			return c.store.Get(ctx, a.Object)
+		})
+	case once.StorePut:
+		c.call("put", a.Call, func(ctx context.Context) (platform.Object, error) {
+			v, err := c.store.Put(ctx, a.Object, a.Value, a.Expect)
+			return platform.Object{Version: v}, err
+		})
+	case once.StoreDelete:
+		c.call("delete", 0, func(ctx context.Context) (platform.Object, error) {
+			return c.delete(ctx, a.Object)
+		})
+	}
+}
+
+func (c *Committer) delete(ctx context.Context, key platform.Key) (platform.Object, error) {
+	o, err := c.store.Get(ctx, key)
+	if err != nil {
+		return platform.Object{}, err
+	}
+	return platform.Object{}, c.store.Delete(ctx, key, o.Version)
+}
+
+// call makes a store call in a goroutine of its own and feeds its result back.
+func (c *Committer) call(op string, id once.CallID, f func(context.Context) (platform.Object, error)) {
+	c.wg.Add(1)
+	go func() {
+		defer c.wg.Done()
+		ctx, cancel := context.WithTimeout(c.ctx, c.opts.CallTimeout)
+		defer cancel()
+		start := time.Now()
+		o, err := f(ctx)
+		c.opts.Metrics.observe(op, err, time.Since(start))
+		if err != nil && !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrNotFound) {
+			c.opts.Log.Warn("once: Store call failed.", "call", op, "error", err)
+		}
+		if id != 0 {
+			c.step(once.StoreResult{Call: id, Object: o, Err: err})
+		}
+	}()
+}
+
+// tickLoop ticks the ledger when it asks for it.
+func (c *Committer) tickLoop() {
+	defer c.wg.Done()
+	t := time.NewTimer(idleTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-c.wake:
+		case <-t.C:
+			c.step(once.Tick{})
+		}
+		t.Reset(c.untilNext())
+	}
+}
+
+func (c *Committer) untilNext() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := c.mu.ledger.Next()
+	if next.IsZero() {
+		return idleTick
+	}
+	return min(max(time.Until(next), time.Millisecond), idleTick)
+}
--- /dev/null
+++ b/internal/once/script_test.go
@@ -0,0 +1,190 @@
+package once_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/invariant"
+	"github.com/jujubeshed/jujubeshed/internal/once"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
+)
+
+// objects is a store that takes calls one at a time.
+type objects map[platform.Key]platform.Object
+
+func (o objects) do(a once.Action) once.StoreResult {
+	switch a := a.(type) {
+	case once.StoreGet:
+		obj, ok := o[a.Object]
+		if !ok {
+			return once.StoreResult{Call: a.Call, Err: platform.ErrNotFound}
+		}
+		return once.StoreResult{Call: a.Call, Object: obj}
+	case once.StorePut:
+		if o[a.Object].Version != a.Expect {
+			return once.StoreResult{Call: a.Call, Err: platform.ErrConflict}
+		}
+		obj := platform.Object{Key: a.Object, Version: a.Expect + 1, Value: a.Value}
+		o[a.Object] = obj
+		return once.StoreResult{Call: a.Call, Object: platform.Object{Version: obj.Version}}
+	}
+	panic(fmt.Sprintf("%T is no store call", a))
+}
+
+// script runs ledgers whose store calls land when and how the script says.
+type script struct {
+	now   time.Time
+	store objects
+	nodes map[string]*once.Ledger
+	calls map[string][]once.Action // under way, by node
+	late  []once.Action            // writes that take effect later
+	out   strings.Builder
+}
+
+func (s *script) step(node string, ev once.Event) {
+	for _, a := range s.nodes[node].Step(s.now, ev) {
+		s.took(node, a)
+	}
+}
+
+func (s *script) took(node string, a once.Action) {
+	switch a := a.(type) {
+	case once.StoreGet:
+		s.calls[node] = append(s.calls[node], a)
+		fmt.Fprintf(&s.out, "%s: get %s\n", node, a.Object)
+	case once.StorePut:
+		s.calls[node] = append(s.calls[node], a)
+		fmt.Fprintf(&s.out, "%s: put %s if version %d\n", node, a.Object, a.Expect)
+	case once.StoreDelete:
+		fmt.Fprintf(&s.out, "%s: delete %s\n", node, a.Object)
+		delete(s.store, a.Object)
+	case once.Reply:
+		fmt.Fprintf(&s.out, "%s: %s %s", node, a.Attempt, a.Kind)
+		if a.Err != nil {
+			fmt.Fprintf(&s.out, " [%s %s after %s]", a.Err.Verdict, a.Err.Code, a.Err.RetryAfter)
+		}
+		if a.Kind == once.Replayed {
+			fmt.Fprintf(&s.out, " %d %v %s", a.Answer.Status, a.Answer.Headers, brief(a.Answer.Body))
+		}
+		fmt.Fprintln(&s.out)
+	case once.Recorded:
+		fmt.Fprintf(&s.out, "%s: %s recorded stale=%t\n", node, a.Attempt, a.Stale)
+	}
+}
+
+func brief(b []byte) string {
+	if len(b) > 40 {
+		return fmt.Sprintf("%d bytes of %q", len(b), b[0])
+	}
+	return string(b)
+}
+
+// land lets the oldest call of a node reach the store.
+func (s *script) land(node, as string) {
+	c := s.calls[node][0]
+	s.calls[node] = s.calls[node][1:]
+	fail := func(err error) {
+		r := s.landed(c)
+		r.Object, r.Err = platform.Object{}, err
+		s.step(node, r)
+	}
+	switch as {
+	case "ok":
+		s.step(node, s.store.do(c))
+	case "lost-after":
+		s.store.do(c)
+		fail(platform.ErrUnknown)
+	case "lost-before":
+		fail(platform.ErrUnknown)
+	case "late":
+		s.late = append(s.late, c)
+		fail(errors.New("timeout"))
+	case "down":
+		fail(platform.ErrUnavailable)
+	}
+}
+
+func (s *script) landed(a once.Action) once.StoreResult {
+	if g, ok := a.(once.StoreGet); ok {
+		return once.StoreResult{Call: g.Call}
+	}
+	return once.StoreResult{Call: a.(once.StorePut).Call}
+}
+
+func (s *script) run(t *testing.T, d *datadriven.TestData) string {
+	arg := func(name, def string) string {
+		if d.HasArg(name) {
+			d.ScanArgs(t, name, &def)
+		}
+		return def
+	}
+	dur := func(name, def string) time.Duration {
+		v, err := time.ParseDuration(arg(name, def))
+		if err != nil {
+			d.Fatalf(t, "%v", err)
+		}
+		return v
+	}
+	node := arg("node", "a")
+	key := once.Key{Workspace: "w", Name: arg("key", "k")}
+	attempt := ident.AttemptID(arg("attempt", ""))
+	body := strings.Repeat(arg("body", "1"), int(dur("size", "1ns")))
+	s.out.Reset()
+	switch d.Cmd {
+	case "node":
+		var inc, maxBytes int
+		d.MaybeScanArgs(t, "inc", &inc)
+		d.MaybeScanArgs(t, "max", &maxBytes)
+		s.nodes[node] = once.New(once.Options{
+			Node: ident.NodeID(node), Incarnation: ident.Incarnation(inc), Buckets: 1, MaxBucketBytes: maxBytes,
+		})
+		s.calls[node] = nil
+	case "claim":
+		s.step(node, once.Claim{Key: key, Attempt: attempt, Body: once.DigestOf([]byte(body)), Deadline: s.now.Add(dur("deadline", "30s"))})
+	case "outcome":
+		s.step(node, once.Outcome{Key: key, Attempt: attempt, Verdict: verdict.Parse(arg("verdict", "ran")), Answer: once.Answer{
+			Status: 201, Headers: []once.HeaderField{{Name: "Content-Type", Value: "text/plain"}}, Body: []byte(body),
+		}})
+	case "withdraw":
+		s.step(node, once.Withdraw{Key: key, Attempt: attempt})
+	case "gone":
+		s.step(node, once.NodeGone{Node: ident.NodeID(arg("who", "")), Incarnation: 2})
+	case "land":
+		s.land(node, arg("as", "ok"))
+	case "settle":
+		for len(s.calls[node]) > 0 {
+			s.land(node, "ok")
+		}
+	case "late-effect":
+		for _, c := range s.late {
+			fmt.Fprintf(&s.out, "late write: %v\n", s.store.do(c).Err)
+		}
+		s.late = nil
+	case "tick":
+		s.now = s.now.Add(dur("d", "0s"))
+		s.step(node, once.Tick{})
+	case "next":
+		fmt.Fprintf(&s.out, "%s\n", s.nodes[node].Next().Sub(s.now))
+	default:
+		d.Fatalf(t, "unknown command %q", d.Cmd)
+	}
+	return s.out.String()
+}
+
+func TestScripts(t *testing.T) {
+	defer invariant.SetFatal(invariant.SetFatal(true))
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &script{
+			now: time.Unix(1_700_000_000, 0), store: make(objects),
+			nodes: make(map[string]*once.Ledger), calls: make(map[string][]once.Action),
+		}
+		datadriven.RunTest(t, path, s.run)
+	})
+}
