Choose endpoints by estimated time to first token

A load report lags and all nodes read the same one, so that the endpoint it calls idle is overrun by every node at once. The table corrects the report by its age, by this node's dispatches since, and by those that the other nodes have likely made since.

Candidates are two endpoints drawn at random, the rendezvous-hash homes of the prompt's prefix and the holders of its longest cached prefix; the last two only under a bounded load. Scanning the whole pool was ruled out: its minimum is the same endpoint on every node.

State is kept for at most 64 endpoints of each service and version, so that the holders of a block are the bits of one word.

--- /dev/null
+++ b/internal/route/eject.go
@@ -0,0 +1,137 @@
+package route
+
+import (
+	"time"
+)
+
+// health is an endpoint's record of faults.
+type health struct {
+	faults   int // in a row
+	until    time.Time
+	inARow   int // ejections without a success between
+	requests window
+}
+
+// window counts outcomes over the current and the last interval.
+type window struct {
+	start      time.Time
+	now, last  tally
+	hadOutcome bool
+}
+
+type tally struct {
+	requests int
+	faults   int
+}
+
+// Outliers by rate are judged over windows of this length, with at least that many
+// requests, and where the rate of faults passes the pool's by that much.
+const (
+	outcomeWindow   = 10 * time.Second
+	outlierRequests = 10
+	outlierExcess   = 0.3
+)
+
+func (w *window) add(now time.Time, fault bool) {
+	if d := now.Sub(w.start); !w.hadOutcome || d >= outcomeWindow {
+		w.last = tally{}
+		if w.hadOutcome && d < 2*outcomeWindow {
+			w.last = w.now
+		}
+		w.now, w.start, w.hadOutcome = tally{}, now, true
+	}
+	w.now.requests++
+	if fault {
+		w.now.faults++
+	}
+}
+
+func (w *window) sum() tally {
+	return tally{w.now.requests + w.last.requests, w.now.faults + w.last.faults}
+}
+
+func (h *health) ejected(now time.Time) bool {
+	return now.Before(h.until)
+}
+
+// outcome records how an attempt ended and ejects the endpoint where it is an
+// outlier and the floor allows it.
+func (t *Table) outcome(now time.Time, m *member, o Outcome) {
+	h := &m.health
+	switch o {
+	case OutcomeOK:
+		h.faults = 0
+		if !h.ejected(now) && h.requests.sum().faults == 0 {
+			h.inARow = 0
+		}
+	case OutcomeFault:
+		h.faults++
+	default:
+		return
+	}
+	h.requests.add(now, o == OutcomeFault)
+	if o == OutcomeFault && !h.ejected(now) && t.outlier(m) {
+		t.eject(now, m)
+	}
+}
+
+// outlier tells whether a member fails in a row, or much more often than the rest
+// of its pool.
+func (t *Table) outlier(m *member) bool {
+	if m.health.faults >= t.opts.FaultsInRow {
+		return true
+	}
+	own := m.health.requests.sum()
+	if own.requests < outlierRequests {
+		return false
+	}
+	var rest tally
+	for _, o := range t.poolOf(m).subset {
+		if o != nil && o != m {
+			s := o.health.requests.sum()
+			rest.requests += s.requests
+			rest.faults += s.faults
+		}
+	}
+	return own.rate() > rest.rate()+outlierExcess
+}
+
+func (a tally) rate() float64 {
+	if a.requests == 0 {
+		return 0
+	}
+	return float64(a.faults) / float64(a.requests)
+}
+
+// eject takes a member out of use for a time, unless too many of its pool are out
+// already. Leaving endpoints count neither as usable nor as ejected.
+func (t *Table) eject(now time.Time, m *member) {
+	usable, out := 0, 0
+	for _, o := range t.poolOf(m).subset {
+		if o == nil || !o.usable() {
+			continue
+		}
+		usable++
+		if o.health.ejected(now) {
+			out++
+		}
+	}
+	if out+1 > int(t.opts.MaxEjected*float64(usable)) {
+		t.stats.EjectSpared++
+		return
+	}
+	d := min(t.opts.EjectTime<<min(m.health.inARow, 16), t.opts.MaxEjectTime)
+	m.health.until = now.Add(d)
+	m.health.inARow++
+	m.health.faults = 0
+	m.health.requests = window{}
+	m.warmAt = m.health.until.Add(t.opts.SlowStart)
+	t.stats.Ejections++
+}
+
+func (t *Table) poolOf(m *member) *pool {
+	if p := t.pools[poolKey{m.service, m.version}]; p != nil {
+		return p
+	}
+	return &pool{}
+}
--- /dev/null
+++ b/internal/route/options.go
@@ -0,0 +1,102 @@
+package route
+
+import (
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+)
+
+// MaxCandidates is the largest candidate subset: prefix holders are kept as bits
+// of one word.
+const MaxCandidates = 64
+
+// Options are the settings of a Table. Zero fields take their defaults.
+type Options struct {
+	// Node and DataCentre of this process.
+	Node       ident.NodeID
+	DataCentre ident.DataCentre
+	// Candidates bounds the subset of endpoints for each service and version.
+	// Default and maximum: MaxCandidates.
+	Candidates int
+	// LocalShare is the part of the subset kept for this DataCentre while it has
+	// endpoints enough. Default: 0.75.
+	LocalShare float64
+	// RemoteRoundTrip is added for endpoints in other data centres. Default: 2ms.
+	RemoteRoundTrip time.Duration
+	// PrefillPerSec is the prefill speed of an endpoint that reports none, in
+	// tokens. Default: 8000.
+	PrefillPerSec float64
+	// Concurrency is the number of slots of an endpoint that reports none. Default: 16.
+	Concurrency int
+	// ServiceTime is the assumed time of a request until some have finished. Default: 1s.
+	ServiceTime time.Duration
+	// Homes is the number of rendezvous-hash homes of a prefix. Default: 2.
+	Homes int
+	// HomeBlocks is the number of leading blocks that name a prefix's homes. Default: 16.
+	HomeBlocks int
+	// LoadBound limits the load of homes and holders, as a multiple of the pool's
+	// mean load. Default: 1.5.
+	LoadBound float64
+	// HerdCorrelation is how far other nodes are assumed to choose as this one
+	// does; the rest of their work is spread evenly. Default: 0.5.
+	HerdCorrelation float64
+	// PrefixBlocks bounds the prefix index of each service and version. Default: 131072.
+	PrefixBlocks int
+	// PrefixDecay drops a prefix entry that was not used for one to two times this
+	// long. Default: 5m.
+	PrefixDecay time.Duration
+	// SlowStart is the time in which a new endpoint comes up to its full share. Default: 30s.
+	SlowStart time.Duration
+	// FaultsInRow ejects an endpoint after that many faults without a success. Default: 5.
+	FaultsInRow int
+	// EjectTime is the length of the first ejection; it grows with each one in
+	// succession up to MaxEjectTime. Defaults: 10s, 5m.
+	EjectTime    time.Duration
+	MaxEjectTime time.Duration
+	// MaxEjected is the largest part of a pool's usable endpoints that may be
+	// ejected at once. Default: 0.3.
+	MaxEjected float64
+	// FaultPenalty is added to the estimate for each fault in a row, so that an
+	// endpoint that fails fast does not look idle. Default: 250ms.
+	FaultPenalty time.Duration
+	// TieWindow is the difference of two estimates within which the price decides.
+	// Default: 2ms.
+	TieWindow time.Duration
+	// MarkRetention keeps the leaving marks of hosts that are no longer listed. Default: 1h.
+	MarkRetention time.Duration
+	// RetryAfter is told to callers where a service has no usable endpoint. Default: 1s.
+	RetryAfter time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	o.Candidates = min(orDefault(o.Candidates, MaxCandidates), MaxCandidates)
+	o.LocalShare = orDefault(o.LocalShare, 0.75)
+	o.RemoteRoundTrip = orDefault(o.RemoteRoundTrip, 2*time.Millisecond)
+	o.PrefillPerSec = orDefault(o.PrefillPerSec, 8000)
+	o.Concurrency = orDefault(o.Concurrency, 16)
+	o.ServiceTime = orDefault(o.ServiceTime, time.Second)
+	o.Homes = orDefault(o.Homes, 2)
+	o.HomeBlocks = orDefault(o.HomeBlocks, 16)
+	o.LoadBound = orDefault(o.LoadBound, 1.5)
+	o.HerdCorrelation = orDefault(o.HerdCorrelation, 0.5)
+	o.PrefixBlocks = orDefault(o.PrefixBlocks, 1<<17)
+	o.PrefixDecay = orDefault(o.PrefixDecay, 5*time.Minute)
+	o.SlowStart = orDefault(o.SlowStart, 30*time.Second)
+	o.FaultsInRow = orDefault(o.FaultsInRow, 5)
+	o.EjectTime = orDefault(o.EjectTime, 10*time.Second)
+	o.MaxEjectTime = orDefault(o.MaxEjectTime, 5*time.Minute)
+	o.MaxEjected = orDefault(o.MaxEjected, 0.3)
+	o.FaultPenalty = orDefault(o.FaultPenalty, 250*time.Millisecond)
+	o.TieWindow = orDefault(o.TieWindow, 2*time.Millisecond)
+	o.MarkRetention = orDefault(o.MarkRetention, time.Hour)
+	o.RetryAfter = orDefault(o.RetryAfter, time.Second)
+	return o
+}
+
+func orDefault[T comparable](v, def T) T {
+	var zero T
+	if v == zero {
+		return def
+	}
+	return v
+}
--- /dev/null
+++ b/internal/route/pick.go
@@ -0,0 +1,246 @@
+package route
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
+)
+
+const (
+	// randomChoices is the number of endpoints drawn at random for each request.
+	randomChoices = 2
+	// maxHolders is the number of holders of the longest prefix that are compared.
+	maxHolders = 2
+	// minSlowStart is the part of draws that an endpoint takes at its very start.
+	minSlowStart = 0.1
+	// slotCost is the time that a full batch adds to the first token.
+	slotCost = 5 * time.Millisecond
+	// meanLoadAge is how long the mean load of a pool is used.
+	meanLoadAge = 20 * time.Millisecond
+)
+
+// scratch is reused between picks.
+type scratch struct {
+	shares []Share
+}
+
+// candidate is an endpoint compared for one request.
+type candidate struct {
+	m        *member
+	estimate Estimate
+}
+
+// Pick returns the endpoint with the least estimated time to first token among a
+// few candidates. The error's verdict is NotRun: CodeUnavailable where no endpoint
+// may be used, CodeDeadline where the estimate passes the deadline.
+func (t *Table) Pick(now time.Time, rng *rand.Rand, r Request) (Choice, *verdict.Error) {
+	t.stats.Picks++
+	p, eligible := t.pickVersion(now, rng, r)
+	if p == nil {
+		t.stats.Refused++
+		return Choice{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable,
+			"service %q has no usable endpoint of an allowed version", r.Service).After(t.opts.RetryAfter)
+	}
+	p.index.rotate(now)
+	best := t.best(now, p, r, t.candidates(now, rng, p, r, eligible))
+	if late := t.late(now, r, best.estimate); late > 0 {
+		t.stats.Refused++
+		return Choice{}, verdict.New(verdict.NotRun, verdict.CodeDeadline,
+			"service %q: estimated first token after %s passes the deadline", r.Service, best.estimate.Total()).After(late)
+	}
+	m := best.m
+	return Choice{
+		Endpoint:    m.id,
+		Address:     m.address,
+		Version:     m.version,
+		DataCentre:  m.dc,
+		Incarnation: m.incarnation,
+		Estimate:    best.estimate,
+	}, nil
+}
+
+// late returns by how much an estimate passes the request's deadline.
+func (t *Table) late(now time.Time, r Request, e Estimate) time.Duration {
+	if r.Deadline.IsZero() {
+		return 0
+	}
+	return now.Add(e.Total()).Sub(r.Deadline)
+}
+
+// pickVersion draws a version by its share and returns its pool and the slots of
+// its eligible endpoints. A version without any passes the request to a fallback.
+func (t *Table) pickVersion(now time.Time, rng *rand.Rand, r Request) (*pool, uint64) {
+	shares := t.scratch.shares[:0]
+	for _, s := range r.Shares {
+		if s.Weight > 0 {
+			shares = append(shares, s)
+		}
+	}
+	t.scratch.shares = shares
+	for len(shares) > 0 {
+		i := draw(rng, shares)
+		if p, eligible := t.eligible(now, r, shares[i]); eligible != 0 {
+			return p, eligible
+		}
+		shares = slices.DeleteFunc(slices.Delete(shares, i, i+1), func(s Share) bool { return !s.Fallback })
+	}
+	return nil, 0
+}
+
+// draw returns the index of a share drawn by weight.
+func draw(rng *rand.Rand, shares []Share) int {
+	if len(shares) == 1 {
+		return 0
+	}
+	sum := 0.0
+	for _, s := range shares {
+		sum += s.Weight
+	}
+	x := rng.Float64() * sum
+	for i, s := range shares {
+		if x -= s.Weight; x < 0 {
+			return i
+		}
+	}
+	return len(shares) - 1
+}
+
+// eligible returns the pool of a version and the slots of the endpoints that may
+// be picked for r.
+func (t *Table) eligible(now time.Time, r Request, s Share) (*pool, uint64) {
+	p := t.pools[poolKey{r.Service, s.Version}]
+	if p == nil {
+		return nil, 0
+	}
+	t.refresh(now, p)
+	var mask uint64
+	for i, m := range p.subset {
+		if m != nil && m.usable() && !m.health.ejected(now) && !slices.Contains(r.Exclude, m.id) {
+			mask |= 1 << i
+		}
+	}
+	return p, mask
+}
+
+// candidates returns the slots to compare: random ones, and those homes and
+// holders of the prompt's prefix whose load is bounded.
+func (t *Table) candidates(now time.Time, rng *rand.Rand, p *pool, r Request, eligible uint64) uint64 {
+	if bits.OnesCount64(eligible) <= randomChoices {
+		return eligible
+	}
+	chosen := t.drawSlots(now, rng, p, eligible)
+	if len(r.Chain) == 0 {
+		return chosen
+	}
+	near := t.homes(p, r.Chain, eligible)
+	_, holders := p.index.match(r.Chain, eligible)
+	near |= sample(rng, holders, maxHolders)
+	bound := t.opts.LoadBound*t.mean(now, p) + t.loadSlack()
+	for s := near &^ chosen; s != 0; s &= s - 1 {
+		i := bits.TrailingZeros64(s)
+		if t.loadOf(now, p, p.subset[i]) <= bound {
+			chosen |= 1 << i
+		}
+	}
+	return chosen
+}
+
+// loadSlack is the share of slots that a home may have in use whatever the mean.
+func (t *Table) loadSlack() float64 {
+	return 1 / float64(t.opts.Concurrency)
+}
+
+// drawSlots draws endpoints at random. One in its slow start is passed over with a
+// chance that falls as it warms.
+func (t *Table) drawSlots(now time.Time, rng *rand.Rand, p *pool, eligible uint64) uint64 {
+	var chosen uint64
+	for n, tries := 0, 0; n < randomChoices && tries < 4*randomChoices; tries++ {
+		left := eligible &^ chosen
+		i := nthBit(left, rng.IntN(bits.OnesCount64(left)))
+		if rng.Float64() < t.warmth(now, p.subset[i]) {
+			chosen |= 1 << i
+			n++
+		}
+	}
+	if chosen == 0 {
+		chosen = 1 << nthBit(eligible, rng.IntN(bits.OnesCount64(eligible)))
+	}
+	return chosen
+}
+
+// warmth returns the part of its draws that an endpoint takes.
+func (t *Table) warmth(now time.Time, m *member) float64 {
+	left := m.warmAt.Sub(now)
+	if left <= 0 {
+		return 1
+	}
+	return max(minSlowStart, 1-left.Seconds()/t.opts.SlowStart.Seconds())
+}
+
+// homes returns the slots with the highest rendezvous scores for the prefix.
+func (t *Table) homes(p *pool, chain []uint64, eligible uint64) uint64 {
+	key := chain[min(len(chain), t.opts.HomeBlocks)-1]
+	var chosen uint64
+	for range t.opts.Homes {
+		best, top := -1, uint64(0)
+		for s := eligible &^ chosen; s != 0; s &= s - 1 {
+			i := bits.TrailingZeros64(s)
+			if score := mix(key ^ p.subset[i].hash); best < 0 || score > top {
+				best, top = i, score
+			}
+		}
+		if best >= 0 {
+			chosen |= 1 << best
+		}
+	}
+	return chosen
+}
+
+// best compares candidates by their estimates; within the tie window the cheaper
+// one wins.
+func (t *Table) best(now time.Time, p *pool, r Request, slots uint64) candidate {
+	var best candidate
+	for s := slots; s != 0; s &= s - 1 {
+		m := p.subset[bits.TrailingZeros64(s)]
+		c := candidate{m: m, estimate: t.estimate(now, p, m, r)}
+		if best.m == nil || t.better(c, best) {
+			best = c
+		}
+	}
+	return best
+}
+
+func (t *Table) better(a, b candidate) bool {
+	d := a.estimate.Total() - b.estimate.Total()
+	if d.Abs() <= t.opts.TieWindow && a.m.price != b.m.price {
+		return a.m.price < b.m.price
+	}
+	if d != 0 {
+		return d < 0
+	}
+	return a.m.id < b.m.id
+}
+
+// sample returns n random bits of set, or all of them where they are fewer.
+func sample(rng *rand.Rand, set uint64, n int) uint64 {
+	if bits.OnesCount64(set) <= n {
+		return set
+	}
+	var out uint64
+	for range n {
+		left := set &^ out
+		out |= 1 << nthBit(left, rng.IntN(bits.OnesCount64(left)))
+	}
+	return out
+}
+
+// nthBit returns the position of the n-th set bit of x, from zero.
+func nthBit(x uint64, n int) int {
+	for range n {
+		x &= x - 1
+	}
+	return bits.TrailingZeros64(x)
+}
