--- /dev/null
+++ b/internal/dispatch/orders.go
@@ -0,0 +1,97 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/entry"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/once"
+	"github.com/jujubeshed/jujubeshed/internal/once/committer"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
+)
+
+// recordTimeout is how long an order's answer waits for its record. An order
+// that ran is answered also where the record is late: the committer goes on.
+const recordTimeout = 2 * time.Second
+
+// Orders runs non-idempotent requests at most once, through the ledger.
+type Orders struct {
+	ledger *committer.Committer
+}
+
+var _ entry.Ledger = (*Orders)(nil)
+
+// NewOrders returns the entry's ledger.
+func NewOrders(ledger *committer.Committer) *Orders {
+	return &Orders{ledger: ledger}
+}
+
+// Do claims the request's key, runs it where the claim is granted, and records
+// how it ended. A repeat gets the recorded answer.
+func (o *Orders) Do(ctx context.Context, r *entry.Request, in *http.Request, body []byte, run func(context.Context) (*entry.Recorded, error)) (*entry.Recorded, error) {
+	if len(r.Key) > once.MaxKeyBytes {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the idempotency key exceeds %d bytes", once.MaxKeyBytes)
+	}
+	g, err := o.ledger.Claim(ctx, once.Claim{
+		Key:      once.Key{Workspace: r.Workspace, Name: r.Key},
+		Body:     digest(in, body),
+		Attempt:  ident.AttemptID(r.ID),
+		Deadline: r.Deadline,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if g.Replay != nil {
+		return replay(g.Replay), nil
+	}
+	if !g.MayDispatch(time.Now()) {
+		o.finish(ctx, g, once.Outcome{Verdict: verdict.NotRun})
+		return nil, verdict.New(verdict.NotRun, verdict.CodeStore, "the order was recorded too late to be sent").After(time.Second)
+	}
+	rec, err := run(ctx)
+	o.finish(ctx, g, outcome(rec, err))
+	return rec, err
+}
+
+// digest covers all that makes two requests with one key the same request.
+func digest(in *http.Request, body []byte) once.Digest {
+	head := in.Method + " " + in.URL.RequestURI() + "\n"
+	return once.DigestOf(append([]byte(head), body...))
+}
+
+func outcome(rec *entry.Recorded, err error) once.Outcome {
+	if err != nil {
+		return once.Outcome{Verdict: verdict.Of(err)}
+	}
+	a := once.Answer{Status: rec.Status, Body: rec.Body}
+	for name, values := range rec.Header {
+		for _, v := range values {
+			a.Headers = append(a.Headers, once.HeaderField{Name: name, Value: v})
+		}
+	}
+	sort.SliceStable(a.Headers, func(i, j int) bool { return a.Headers[i].Name < a.Headers[j].Name })
+	return once.Outcome{Verdict: verdict.Ran, Answer: a}
+}
+
+func (o *Orders) finish(ctx context.Context, g committer.Grant, out once.Outcome) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
+	// A record that is late or stale is the committer's to log; the caller's
+	// answer does not depend on it.
+	_ = o.ledger.Finish(ctx, g, out)
+}
+
+// ReplayHeader marks an answer that was recorded earlier.
+const ReplayHeader = "Idempotency-Replayed"
+
+func replay(a *once.Answer) *entry.Recorded {
+	rec := &entry.Recorded{Status: a.Status, Header: make(http.Header), Body: a.Body}
+	for _, h := range a.Headers {
+		rec.Header.Add(h.Name, h.Value)
+	}
+	rec.Header.Set(ReplayHeader, "true")
+	return rec
+}
--- a/internal/dispatch/sender.go
+++ b/internal/dispatch/sender.go
@@ -16,21 +16,19 @@
 	"github.com/jujubeshed/jujubeshed/internal/endpoint"
 	"github.com/jujubeshed/jujubeshed/internal/entry"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/route"
 	"github.com/jujubeshed/jujubeshed/internal/verdict"
 )
 
-// Target is a chosen endpoint.
-type Target struct {
-	Endpoint ident.EndpointID
-	Address  string
-	Version  ident.Version
+// Balancer chooses endpoints and learns how attempts end.
+type Balancer interface {
+	Dispatch(attempt ident.AttemptID, r route.Request) (route.Choice, error)
+	Finish(attempt ident.AttemptID, o route.Outcome)
 }
 
-// Picker chooses endpoints.
-type Picker interface {
-	// Pick chooses an endpoint for the request that is not in tried. The error is
-	// a *verdict.Error with verdict NotRun.
-	Pick(r *entry.Request, tried map[ident.EndpointID]bool) (Target, error)
+// Shares tells which versions of a service may get new work.
+type Shares interface {
+	Shares(service ident.Service) []route.Share
 }
 
 // maxAttempts bounds the attempts of one request.
@@ -38,30 +36,47 @@
 
 // Sender is the entry's sender.
 type Sender struct {
-	client *endpoint.Client
-	picker Picker
+	client   *endpoint.Client
+	balancer Balancer
+	shares   Shares
 }
 
 var _ entry.Sender = (*Sender)(nil)
 
 // New returns a sender.
-func New(client *endpoint.Client, picker Picker) *Sender {
-	return &Sender{client: client, picker: picker}
+func New(client *endpoint.Client, balancer Balancer, shares Shares) *Sender {
+	return &Sender{client: client, balancer: balancer, shares: shares}
+}
+
+func (s *Sender) routeRequest(r *entry.Request, tried []ident.EndpointID) route.Request {
+	return route.Request{
+		Service:  r.Service.Name,
+		Class:    r.Route.Class,
+		Shares:   s.shares.Shares(r.Service.Name),
+		Exclude:  tried,
+		Deadline: r.Deadline,
+	}
 }
 
 // Chat produces an answer token by token; a stream that breaks is resumed at the
 // next offset on another endpoint.
 func (s *Sender) Chat(ctx context.Context, job *entry.ChatJob) {
-	tried := make(map[ident.EndpointID]bool)
+	var tried []ident.EndpointID
 	var last *verdict.Error
+	text := endpoint.PromptText(job.Body.Messages)
+	chain := endpoint.BlockChain(text)
 	for n := range maxAttempts {
-		t, err := s.picker.Pick(job.Request, tried)
+		rr := s.routeRequest(job.Request, tried)
+		rr.Chain = chain
+		rr.PromptTokens = endpoint.PromptTokens(text)
+		c, err := s.balancer.Dispatch(attemptID(job.Request, n), rr)
 		if err != nil {
 			last = verdict.From(err)
 			break
 		}
-		tried[t.Endpoint] = true
-		err = s.attempt(ctx, job, t, n)
+		tried = append(tried, c.Endpoint)
+		err = s.attempt(ctx, job, c, n)
+		s.balancer.Finish(attemptID(job.Request, n), outcomeOf(ctx, err))
 		if err == nil {
 			return
 		}
@@ -73,13 +88,25 @@
 	job.Answer.Close(time.Now(), answer.End{Err: last})
 }
 
+// outcomeOf tells what an attempt's error says about its endpoint.
+func outcomeOf(ctx context.Context, err error) route.Outcome {
+	switch {
+	case err == nil:
+		return route.OutcomeOK
+	case ctx.Err() != nil:
+		return route.OutcomeNeutral
+	default:
+		return route.OutcomeFault
+	}
+}
+
 // attempt runs one attempt of a job; nil means that the answer has ended.
-func (s *Sender) attempt(ctx context.Context, job *entry.ChatJob, t Target, n int) error {
+func (s *Sender) attempt(ctx context.Context, job *entry.ChatJob, c route.Choice, n int) error {
 	body := job.Body
 	body.Stream = true
 	body.ResumeOffset = job.Answer.Len()
 	body.PrefixText = job.Answer.Text()
-	stream, err := s.client.Chat(ctx, t.Address, meta(job.Request, n), &body)
+	stream, err := s.client.Chat(ctx, c.Address, meta(job.Request, n), &body)
 	if err != nil {
 		return err
 	}
@@ -87,7 +114,7 @@
 	var ch endpoint.Chunk
 	for {
 		if err := stream.Next(&ch); err != nil {
-			return verdict.Wrap(verdict.MayHaveRun, verdict.CodeUpstream, errors.Wrapf(err, "stream of %s", t.Endpoint))
+			return verdict.Wrap(verdict.MayHaveRun, verdict.CodeUpstream, errors.Wrapf(err, "stream of %s", c.Endpoint))
 		}
 		switch {
 		case ch.Done:
@@ -101,10 +128,14 @@
 	}
 }
 
+func attemptID(r *entry.Request, n int) ident.AttemptID {
+	return ident.AttemptID(string(r.ID) + "-" + strconv.Itoa(n))
+}
+
 func meta(r *entry.Request, n int) endpoint.Meta {
 	return endpoint.Meta{
 		Request:   r.ID,
-		Attempt:   ident.AttemptID(string(r.ID) + "-" + strconv.Itoa(n)),
+		Attempt:   attemptID(r, n),
 		Workspace: r.Workspace,
 		Class:     r.Route.Class,
 		Route:     r.Route.Name,
@@ -115,18 +146,19 @@
 // Forward sends a plain request; it is sent again only where the verdict is
 // NotRun or the route idempotent.
 func (s *Sender) Forward(ctx context.Context, r *entry.Request, in *http.Request, body []byte) (*http.Response, error) {
-	tried := make(map[ident.EndpointID]bool)
+	var tried []ident.EndpointID
 	var last error
 	for n := range maxAttempts {
-		t, err := s.picker.Pick(r, tried)
+		c, err := s.balancer.Dispatch(attemptID(r, n), s.routeRequest(r, tried))
 		if err != nil {
 			if last == nil {
 				last = err
 			}
 			return nil, last
 		}
-		tried[t.Endpoint] = true
-		resp, err := s.send(ctx, r, t, n, in, body)
+		tried = append(tried, c.Endpoint)
+		resp, err := s.send(ctx, r, c, n, in, body)
+		s.balancer.Finish(attemptID(r, n), outcomeOf(ctx, err))
 		if err == nil {
 			return resp, nil
 		}
@@ -139,8 +171,8 @@
 	return nil, last
 }
 
-func (s *Sender) send(ctx context.Context, r *entry.Request, t Target, n int, in *http.Request, body []byte) (*http.Response, error) {
-	url := "http://" + t.Address + in.URL.RequestURI()
+func (s *Sender) send(ctx context.Context, r *entry.Request, c route.Choice, n int, in *http.Request, body []byte) (*http.Response, error) {
+	url := "http://" + c.Address + in.URL.RequestURI()
 	req, err := http.NewRequestWithContext(ctx, in.Method, url, io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
 		return nil, verdict.Wrap(verdict.NotRun, verdict.CodeBadRequest, err)
--- a/internal/node/interim.go
+++ b/internal/node/interim.go
@@ -4,20 +4,17 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/jujubeshed/jujubeshed/api/gen/operators"
 	"github.com/jujubeshed/jujubeshed/internal/config"
 	"github.com/jujubeshed/jujubeshed/internal/discovery"
-	"github.com/jujubeshed/jujubeshed/internal/dispatch"
 	"github.com/jujubeshed/jujubeshed/internal/entry"
 	"github.com/jujubeshed/jujubeshed/internal/handover"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
-	"github.com/jujubeshed/jujubeshed/internal/verdict"
+	"github.com/jujubeshed/jujubeshed/internal/route"
 )
 
 // The parts below are the naive versions of the thin path.
@@ -76,40 +73,16 @@
 	}
 }
 
-// roundRobin picks endpoints in turn.
-type roundRobin struct {
-	config entry.ConfigSource
-	next   atomic.Uint64
-	mu     struct {
-		sync.Mutex
-		hosts []platform.HostInfo
-	}
-}
-
-func newRoundRobin(c entry.ConfigSource) *roundRobin { return &roundRobin{config: c} }
+// shares gives all work to the configured version.
+type shares struct{ config entry.ConfigSource }
 
-func (p *roundRobin) update(hosts []platform.HostInfo) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.mu.hosts = hosts
-}
-
-// Pick returns the next live endpoint of the service.
-func (p *roundRobin) Pick(r *entry.Request, tried map[ident.EndpointID]bool) (dispatch.Target, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var all []dispatch.Target
-	for _, h := range p.mu.hosts {
-		for _, e := range h.Endpoints {
-			if h.State == platform.HostLive && e.Service == r.Service.Name && !tried[e.ID] {
-				all = append(all, dispatch.Target{Endpoint: e.ID, Address: e.Address, Version: e.Version})
-			}
-		}
-	}
-	if len(all) == 0 {
-		return dispatch.Target{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "service %q has no live endpoint", r.Service.Name).After(time.Second)
+// Shares returns the one version of the service.
+func (s shares) Shares(service ident.Service) []route.Share {
+	cfg := s.config.Current()
+	if cfg == nil {
+		return nil
 	}
-	return all[p.next.Add(1)%uint64(len(all))], nil
+	return []route.Share{{Version: cfg.Services[service].Version, Weight: 1}}
 }
 
 type openGate struct{}
@@ -117,13 +90,6 @@
 // Acquire admits every request.
 func (openGate) Acquire(context.Context, *entry.Request) (func(), error) { return func() {}, nil }
 
-type noLedger struct{}
-
-// Do runs the request without a record.
-func (noLedger) Do(ctx context.Context, _ *entry.Request, _ *http.Request, _ []byte, run func(context.Context) (*entry.Recorded, error)) (*entry.Recorded, error) {
-	return run(ctx)
-}
-
 type staticMembers []string
 
 // Live returns the seeds.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,8 +18,12 @@
 	"github.com/jujubeshed/jujubeshed/internal/handover"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/kernel"
+	"github.com/jujubeshed/jujubeshed/internal/once"
+	"github.com/jujubeshed/jujubeshed/internal/once/committer"
 	"github.com/jujubeshed/jujubeshed/internal/operator"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
+	"github.com/jujubeshed/jujubeshed/internal/route"
+	"github.com/jujubeshed/jujubeshed/internal/route/balancer"
 )
 
 // Names of a node's services.
@@ -76,15 +80,22 @@
 	hosts := discovery.New(discovery.Options{Cloud: store}, n.log, store)
 	config := newConfigSource(store, n.log)
 	client := endpoint.NewClient()
-	picker := newRoundRobin(config)
-	hosts.OnHosts(picker.update)
+	incarnation := ident.Incarnation(time.Now().UnixNano())
+	endpoints := balancer.New(route.Options{Node: n.opts.ID, DataCentre: n.opts.DataCentre}, uint64(incarnation))
+	hosts.OnHosts(endpoints.SetHosts)
+	hosts.OnNotice(endpoints.MarkHost)
+	ledger := committer.New(store, committer.Options{
+		Ledger:  once.Options{Node: n.opts.ID, Incarnation: incarnation},
+		Log:     n.log,
+		Metrics: committer.NewMetrics(reg),
+	})
 	answers := answer.NewTable()
 	metrics := entry.NewMetrics(reg)
 	peerClient := &http.Client{Transport: n.opts.Key.Transport(http.DefaultTransport)}
 	remote := handover.NewRemote(n.log, staticMembers(n.opts.Seeds), peerClient)
 
-	server := entry.New(entry.Options{Node: n.opts.ID, Incarnation: ident.Incarnation(time.Now().UnixNano())}, entry.Parts{
-		Log: n.log, Config: config, Gate: openGate{}, Sender: dispatch.New(client, picker), Ledger: noLedger{},
+	server := entry.New(entry.Options{Node: n.opts.ID, Incarnation: incarnation}, entry.Parts{
+		Log: n.log, Config: config, Gate: openGate{}, Sender: dispatch.New(client, endpoints, shares{config}), Ledger: dispatch.NewOrders(ledger),
 		Answers: answers, Remote: remote, Metrics: metrics,
 	})
 	return n.register(reg, hosts, config, server, answers)
