--- a/api/gen/platform/oas_json_gen.go
+++ b/api/gen/platform/oas_json_gen.go
@@ -683,7 +683,7 @@
 	{
 		if s.Deadline.Set {
 			e.FieldStart("deadline")
-			s.Deadline.Encode(e, json.EncodeDateTime)
+			s.Deadline.Encode(e, json.EncodeUnixMilli)
 		}
 	}
 	{
@@ -786,7 +786,7 @@
 		case "deadline":
 			if err := func() error {
 				s.Deadline.Reset()
-				if err := s.Deadline.Decode(d, json.DecodeDateTime); err != nil {
+				if err := s.Deadline.Decode(d, json.DecodeUnixMilli); err != nil {
 					return err
 				}
 				return nil
@@ -1062,7 +1062,7 @@
 	}
 	{
 		e.FieldStart("deadline")
-		json.EncodeDateTime(e, s.Deadline)
+		json.EncodeUnixMilli(e, s.Deadline)
 	}
 }
 
@@ -1108,7 +1108,7 @@
 		case "deadline":
 			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeUnixMilli(d)
 				s.Deadline = v
 				if err != nil {
 					return err
@@ -1550,109 +1550,109 @@
 	return s.Decode(d)
 }
 
-// Encode encodes time.Time as json.
-func (o OptDateTime) Encode(e *jx.Encoder, format func(*jx.Encoder, time.Time)) {
+// Encode encodes float64 as json.
+func (o OptFloat64) Encode(e *jx.Encoder) {
 	if !o.Set {
 		return
 	}
-	format(e, o.Value)
+	e.Float64(float64(o.Value))
 }
 
-// Decode decodes time.Time from json.
-func (o *OptDateTime) Decode(d *jx.Decoder, format func(*jx.Decoder) (time.Time, error)) error {
+// Decode decodes float64 from json.
+func (o *OptFloat64) Decode(d *jx.Decoder) error {
 	if o == nil {
-		return errors.New("invalid: unable to decode OptDateTime to nil")
+		return errors.New("invalid: unable to decode OptFloat64 to nil")
 	}
 	o.Set = true
-	v, err := format(d)
+	v, err := d.Float64()
 	if err != nil {
 		return err
 	}
-	o.Value = v
+	o.Value = float64(v)
 	return nil
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s OptDateTime) MarshalJSON() ([]byte, error) {
+func (s OptFloat64) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
-	s.Encode(&e, json.EncodeDateTime)
+	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *OptDateTime) UnmarshalJSON(data []byte) error {
+func (s *OptFloat64) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
-	return s.Decode(d, json.DecodeDateTime)
+	return s.Decode(d)
 }
 
-// Encode encodes float64 as json.
-func (o OptFloat64) Encode(e *jx.Encoder) {
+// Encode encodes string as json.
+func (o OptString) Encode(e *jx.Encoder) {
 	if !o.Set {
 		return
 	}
-	e.Float64(float64(o.Value))
+	e.Str(string(o.Value))
 }
 
-// Decode decodes float64 from json.
-func (o *OptFloat64) Decode(d *jx.Decoder) error {
+// Decode decodes string from json.
+func (o *OptString) Decode(d *jx.Decoder) error {
 	if o == nil {
-		return errors.New("invalid: unable to decode OptFloat64 to nil")
+		return errors.New("invalid: unable to decode OptString to nil")
 	}
 	o.Set = true
-	v, err := d.Float64()
+	v, err := d.Str()
 	if err != nil {
 		return err
 	}
-	o.Value = float64(v)
+	o.Value = string(v)
 	return nil
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s OptFloat64) MarshalJSON() ([]byte, error) {
+func (s OptString) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *OptFloat64) UnmarshalJSON(data []byte) error {
+func (s *OptString) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
 
-// Encode encodes string as json.
-func (o OptString) Encode(e *jx.Encoder) {
+// Encode encodes time.Time as json.
+func (o OptUnixMilli) Encode(e *jx.Encoder, format func(*jx.Encoder, time.Time)) {
 	if !o.Set {
 		return
 	}
-	e.Str(string(o.Value))
+	format(e, o.Value)
 }
 
-// Decode decodes string from json.
-func (o *OptString) Decode(d *jx.Decoder) error {
+// Decode decodes time.Time from json.
+func (o *OptUnixMilli) Decode(d *jx.Decoder, format func(*jx.Decoder) (time.Time, error)) error {
 	if o == nil {
-		return errors.New("invalid: unable to decode OptString to nil")
+		return errors.New("invalid: unable to decode OptUnixMilli to nil")
 	}
 	o.Set = true
-	v, err := d.Str()
+	v, err := format(d)
 	if err != nil {
 		return err
 	}
-	o.Value = string(v)
+	o.Value = v
 	return nil
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s OptString) MarshalJSON() ([]byte, error) {
+func (s OptUnixMilli) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
-	s.Encode(&e)
+	s.Encode(&e, json.EncodeUnixMilli)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *OptString) UnmarshalJSON(data []byte) error {
+func (s *OptUnixMilli) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
-	return s.Decode(d)
+	return s.Decode(d, json.DecodeUnixMilli)
 }
 
 // Encode implements json.Marshaler.
--- a/api/gen/platform/oas_schemas_gen.go
+++ b/api/gen/platform/oas_schemas_gen.go
@@ -338,15 +338,15 @@
 
 // Ref: #/components/schemas/Host
 type Host struct {
-	Host         string      `json:"host"`
-	DataCentre   string      `json:"data_centre"`
-	Incarnation  uint64      `json:"incarnation"`
-	State        HostState   `json:"state"`
-	Deadline     OptDateTime `json:"deadline"`
-	Reclaimable  OptBool     `json:"reclaimable"`
-	PricePerHour OptFloat64  `json:"price_per_hour"`
-	Class        OptString   `json:"class"`
-	Endpoints    []Endpoint  `json:"endpoints"`
+	Host         string       `json:"host"`
+	DataCentre   string       `json:"data_centre"`
+	Incarnation  uint64       `json:"incarnation"`
+	State        HostState    `json:"state"`
+	Deadline     OptUnixMilli `json:"deadline"`
+	Reclaimable  OptBool      `json:"reclaimable"`
+	PricePerHour OptFloat64   `json:"price_per_hour"`
+	Class        OptString    `json:"class"`
+	Endpoints    []Endpoint   `json:"endpoints"`
 }
 
 // GetHost returns the value of Host.
@@ -370,7 +370,7 @@
 }
 
 // GetDeadline returns the value of Deadline.
-func (s *Host) GetDeadline() OptDateTime {
+func (s *Host) GetDeadline() OptUnixMilli {
 	return s.Deadline
 }
 
@@ -415,7 +415,7 @@
 }
 
 // SetDeadline sets the value of Deadline.
-func (s *Host) SetDeadline(val OptDateTime) {
+func (s *Host) SetDeadline(val OptUnixMilli) {
 	s.Deadline = val
 }
 
@@ -645,38 +645,38 @@
 	return d
 }
 
-// NewOptDateTime returns new OptDateTime with value set to v.
-func NewOptDateTime(v time.Time) OptDateTime {
-	return OptDateTime{
+// NewOptFloat64 returns new OptFloat64 with value set to v.
+func NewOptFloat64(v float64) OptFloat64 {
+	return OptFloat64{
 		Value: v,
 		Set:   true,
 	}
 }
 
-// OptDateTime is optional time.Time.
-type OptDateTime struct {
-	Value time.Time
+// OptFloat64 is optional float64.
+type OptFloat64 struct {
+	Value float64
 	Set   bool
 }
 
-// IsSet returns true if OptDateTime was set.
-func (o OptDateTime) IsSet() bool { return o.Set }
+// IsSet returns true if OptFloat64 was set.
+func (o OptFloat64) IsSet() bool { return o.Set }
 
 // Reset unsets value.
-func (o *OptDateTime) Reset() {
-	var v time.Time
+func (o *OptFloat64) Reset() {
+	var v float64
 	o.Value = v
 	o.Set = false
 }
 
 // SetTo sets value to v.
-func (o *OptDateTime) SetTo(v time.Time) {
+func (o *OptFloat64) SetTo(v float64) {
 	o.Set = true
 	o.Value = v
 }
 
 // Get returns value and boolean that denotes whether value was set.
-func (o OptDateTime) Get() (v time.Time, ok bool) {
+func (o OptFloat64) Get() (v float64, ok bool) {
 	if !o.Set {
 		return v, false
 	}
@@ -684,45 +684,45 @@
 }
 
 // Or returns value if set, or given parameter if does not.
-func (o OptDateTime) Or(d time.Time) time.Time {
+func (o OptFloat64) Or(d float64) float64 {
 	if v, ok := o.Get(); ok {
 		return v
 	}
 	return d
 }
 
-// NewOptFloat64 returns new OptFloat64 with value set to v.
-func NewOptFloat64(v float64) OptFloat64 {
-	return OptFloat64{
+// NewOptString returns new OptString with value set to v.
+func NewOptString(v string) OptString {
+	return OptString{
 		Value: v,
 		Set:   true,
 	}
 }
 
-// OptFloat64 is optional float64.
-type OptFloat64 struct {
-	Value float64
+// OptString is optional string.
+type OptString struct {
+	Value string
 	Set   bool
 }
 
-// IsSet returns true if OptFloat64 was set.
-func (o OptFloat64) IsSet() bool { return o.Set }
+// IsSet returns true if OptString was set.
+func (o OptString) IsSet() bool { return o.Set }
 
 // Reset unsets value.
-func (o *OptFloat64) Reset() {
-	var v float64
+func (o *OptString) Reset() {
+	var v string
 	o.Value = v
 	o.Set = false
 }
 
 // SetTo sets value to v.
-func (o *OptFloat64) SetTo(v float64) {
+func (o *OptString) SetTo(v string) {
 	o.Set = true
 	o.Value = v
 }
 
 // Get returns value and boolean that denotes whether value was set.
-func (o OptFloat64) Get() (v float64, ok bool) {
+func (o OptString) Get() (v string, ok bool) {
 	if !o.Set {
 		return v, false
 	}
@@ -730,45 +730,45 @@
 }
 
 // Or returns value if set, or given parameter if does not.
-func (o OptFloat64) Or(d float64) float64 {
+func (o OptString) Or(d string) string {
 	if v, ok := o.Get(); ok {
 		return v
 	}
 	return d
 }
 
-// NewOptString returns new OptString with value set to v.
-func NewOptString(v string) OptString {
-	return OptString{
+// NewOptUnixMilli returns new OptUnixMilli with value set to v.
+func NewOptUnixMilli(v time.Time) OptUnixMilli {
+	return OptUnixMilli{
 		Value: v,
 		Set:   true,
 	}
 }
 
-// OptString is optional string.
-type OptString struct {
-	Value string
+// OptUnixMilli is optional time.Time.
+type OptUnixMilli struct {
+	Value time.Time
 	Set   bool
 }
 
-// IsSet returns true if OptString was set.
-func (o OptString) IsSet() bool { return o.Set }
+// IsSet returns true if OptUnixMilli was set.
+func (o OptUnixMilli) IsSet() bool { return o.Set }
 
 // Reset unsets value.
-func (o *OptString) Reset() {
-	var v string
+func (o *OptUnixMilli) Reset() {
+	var v time.Time
 	o.Value = v
 	o.Set = false
 }
 
 // SetTo sets value to v.
-func (o *OptString) SetTo(v string) {
+func (o *OptUnixMilli) SetTo(v time.Time) {
 	o.Set = true
 	o.Value = v
 }
 
 // Get returns value and boolean that denotes whether value was set.
-func (o OptString) Get() (v string, ok bool) {
+func (o OptUnixMilli) Get() (v time.Time, ok bool) {
 	if !o.Set {
 		return v, false
 	}
@@ -776,7 +776,7 @@
 }
 
 // Or returns value if set, or given parameter if does not.
-func (o OptString) Or(d string) string {
+func (o OptUnixMilli) Or(d time.Time) time.Time {
 	if v, ok := o.Get(); ok {
 		return v
 	}
--- a/internal/platform/convert.go
+++ b/internal/platform/convert.go
@@ -17,7 +17,7 @@
 		Class:        api.NewOptString(h.Class),
 	}
 	if !h.Deadline.IsZero() {
-		out.Deadline = api.NewOptDateTime(h.Deadline)
+		out.Deadline = api.NewOptUnixMilli(h.Deadline)
 	}
 	for _, e := range h.Endpoints {
 		out.Endpoints = append(out.Endpoints, api.Endpoint{
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -17,7 +17,7 @@
 // pair returns a stand-in with a clock that the test moves, and a client of it.
 func pair(t *testing.T) (*Server, *platform.Client, *time.Time, string) {
 	t.Helper()
-	now := time.Unix(1000, 0)
+	now := time.UnixMilli(1_000_500)
 	s := New(Options{Seed: 1, Now: func() time.Time { return now }})
 	srv := httptest.NewServer(s.Handler())
 	t.Cleanup(srv.Close)
@@ -141,6 +141,9 @@
 		*now = now.Add(d)
 		n, err := c.Notices(ctx)
 		want(t, "notices", err, nil)
+		if notices > 0 && !n[0].Deadline.Equal(time.UnixMilli(1_015_500)) {
+			t.Errorf("deadline = %v", n[0].Deadline)
+		}
 		if got := states(); got != list || len(n) != notices {
 			t.Errorf("after %v: list %q, %d notices, want %q, %d", d, got, len(n), list, notices)
 		}
