--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -54,5 +54,6 @@
 	return []*cli.Command{
 		nodeCommand(),
 		checkCommand(),
+		standinCommand(),
 	}
 }
