--- a/internal/e2e/processes_test.go
+++ b/internal/e2e/processes_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -120,7 +121,8 @@
 	code := 0
 	if err != nil {
 		code = -1
-		if exit, ok := err.(*exec.ExitError); ok {
+		var exit *exec.ExitError
+		if errors.As(err, &exit) {
 			code = exit.ExitCode()
 		}
 	}
--- /dev/null
+++ b/internal/endpoint/client_test.go
@@ -0,0 +1,208 @@
+package endpoint
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
+)
+
+// TestDoNeverSendsTwice answers one request over a connection and cuts the next
+// one after it was read. net/http would send that one again, as it carries an
+// Idempotency-Key.
+func TestDoNeverSendsTwice(t *testing.T) {
+	for _, body := range []string{"", "order"} {
+		t.Run("body "+body, func(t *testing.T) {
+			var received atomic.Int32
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = ln.Close() }()
+			go serveThenCut(ln, &received)
+			c := NewClient()
+			defer c.Close()
+			var last error
+			for range 2 {
+				req, err := http.NewRequest(http.MethodPost, "http://"+ln.Addr().String()+"/orders", strings.NewReader(body))
+				if err != nil {
+					t.Fatal(err)
+				}
+				req.Header.Set(HeaderIdemKey, "key-1")
+				resp, err := c.Do(context.Background(), req, Meta{Attempt: "a"})
+				if err == nil {
+					_, _ = io.Copy(io.Discard, resp.Body)
+					_ = resp.Body.Close()
+				}
+				last = err
+			}
+			if n := received.Load(); n != 2 {
+				t.Errorf("the endpoint received %d requests, want 2", n)
+			}
+			if verdict.Of(last) != verdict.MayHaveRun {
+				t.Errorf("verdict of the cut request = %v, want may-have-run", last)
+			}
+		})
+	}
+}
+
+// serveThenCut answers the first request of each connection and cuts at the second.
+func serveThenCut(ln net.Listener, received *atomic.Int32) {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = conn.Close() }()
+			r := bufio.NewReader(conn)
+			for n := 0; ; n++ {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, req.Body)
+				received.Add(1)
+				if n > 0 {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+		}()
+	}
+}
+
+func TestDoVerdicts(t *testing.T) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/refuse", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(verdict.Header, "not-run")
+		w.Header().Set("Retry-After", "3")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	mux.HandleFunc("/fail", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	mux.HandleFunc("/cut", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	mux.HandleFunc("/crossed", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(HeaderAttemptID, "another") })
+	mux.HandleFunc("/lie", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(verdict.Header, "not-run") })
+	srv := httptest.NewServer(mux)
+	defer srv.Close()
+	addr := strings.TrimPrefix(srv.URL, "http://")
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := ln.Addr().String()
+	_ = ln.Close()
+
+	tests := []struct {
+		addr, path string
+		want       verdict.Verdict
+		status     int
+		after      time.Duration
+	}{
+		{closed, "/", verdict.NotRun, 0, 0},
+		{addr, "/refuse", verdict.NotRun, 0, 3 * time.Second},
+		{addr, "/cut", verdict.MayHaveRun, 0, 0},
+		{addr, "/crossed", verdict.MayHaveRun, 0, 0},
+		{addr, "/fail", verdict.MayHaveRun, http.StatusInternalServerError, 0},
+		{addr, "/lie", verdict.MayHaveRun, http.StatusOK, 0}, // a success can't be a refusal
+	}
+	for _, tt := range tests {
+		t.Run(tt.path, func(t *testing.T) {
+			c := NewClient()
+			defer c.Close()
+			req, err := http.NewRequest(http.MethodPost, "http://"+tt.addr+tt.path, strings.NewReader("x"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp, err := c.Do(context.Background(), req, Meta{Attempt: "mine"})
+			if tt.status != 0 {
+				if err != nil || resp.StatusCode != tt.status {
+					t.Fatalf("response %v, error %v, want status %d", resp, err, tt.status)
+				}
+				_ = resp.Body.Close()
+				return
+			}
+			e := verdict.From(err)
+			if err == nil || e.Verdict != tt.want || e.RetryAfter != tt.after {
+				t.Errorf("error %v after %s, want verdict %s after %s", err, e.RetryAfter, tt.want, tt.after)
+			}
+		})
+	}
+}
+
+func TestChatStream(t *testing.T) {
+	chunk := `data: {"id":"r","attempt":"a","offset":%d,"choices":[{"index":0,"delta":{"content":%q},"finish_reason":null}]}` + "\n\n"
+	whole := fmt.Sprintf(chunk, 4, "né ") + ": comment\n\n" + fmt.Sprintf(chunk, 5, "x") +
+		`data: {"id":"r","attempt":"a","offset":6,"choices":[{"delta":{"content":""},"finish_reason":"stop"}],"usage":{"prompt_tokens":9}}` + "\n\ndata: [DONE]\n\n"
+	tests := []struct {
+		name, body, want string
+	}{
+		{"whole", whole, "r/a/4:né  r/a/5:x stop9 done"},
+		{"truncated", fmt.Sprintf(chunk, 4, "a"), "r/a/4:a error unexpected EOF"},
+		{"crossed", strings.Replace(fmt.Sprintf(chunk, 4, "a"), `"r"`, `"other"`, 1), "other/a/4:a error unexpected EOF"},
+		{"garbled", "data: {\"id\":\n\n", "error engine's event"},
+		{"no offset", `data: {"id":"r"}` + "\n\n", "error engine's event has no offset"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, tt.body) }))
+			defer srv.Close()
+			c := NewClient()
+			defer c.Close()
+			s, err := c.Chat(context.Background(), strings.TrimPrefix(srv.URL, "http://"), Meta{Request: "r", Attempt: "a"}, &ChatRequest{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s.Close()
+			if got := describe(s); !strings.HasPrefix(got, tt.want) {
+				t.Errorf("stream = %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+func describe(s *ChatStream) string {
+	var parts []string
+	var ch Chunk
+	for {
+		switch err := s.Next(&ch); {
+		case err != nil:
+			return strings.Join(append(parts, "error "+err.Error()), " ")
+		case ch.Done:
+			return strings.Join(append(parts, "done"), " ")
+		case ch.FinishReason != "":
+			parts = append(parts, fmt.Sprintf("%s%d", ch.FinishReason, ch.Usage.PromptTokens))
+		default:
+			parts = append(parts, fmt.Sprintf("%s/%s/%d:%s", ch.Request, ch.Attempt, ch.Offset, ch.Content))
+		}
+	}
+}
+
+// TestNextAllocates holds the decoding of a token to no allocation.
+func TestNextAllocates(t *testing.T) {
+	const tokens = 1000
+	var b strings.Builder
+	for i := range tokens {
+		fmt.Fprintf(&b, `data: {"id":"r","attempt":"a","offset":%d,"choices":[{"index":0,"delta":{"content":"abc "},"finish_reason":null}]}`+"\n\n", i)
+	}
+	scan := bufio.NewScanner(strings.NewReader(b.String()))
+	s := &ChatStream{scan: scan, m: Meta{Request: "r", Attempt: "a"}}
+	var ch Chunk
+	allocs := testing.AllocsPerRun(tokens/2, func() {
+		if err := s.Next(&ch); err != nil {
+			t.Fatal(err)
+		}
+	})
+	if allocs != 0 {
+		t.Errorf("a token costs %v allocations, want 0", allocs)
+	}
+}
