Start a whole deployment in one process

Cause: the demo and measurements need a deployment without processes. Change: a site of stand-ins and nodes on loopback, and the example folders embedded.

--- /dev/null
+++ b/internal/demo/site.go
@@ -0,0 +1,275 @@
+// Package demo runs a whole deployment in one process: stand-ins of the platform,
+// engines and plain services, and nodes, all on loopback.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jujubeshed/jujubeshed/examples"
+	"github.com/jujubeshed/jujubeshed/internal/config"
+	"github.com/jujubeshed/jujubeshed/internal/endpoint"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/node"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+	"github.com/jujubeshed/jujubeshed/internal/standin/engine"
+	standinplatform "github.com/jujubeshed/jujubeshed/internal/standin/platform"
+	"github.com/jujubeshed/jujubeshed/internal/standin/process"
+	"github.com/jujubeshed/jujubeshed/internal/standin/service"
+)
+
+// readyTimeout bounds the start of a site.
+const readyTimeout = 20 * time.Second
+
+// siteKey is the shared key of a site's nodes.
+const siteKey = "demo-key"
+
+// SiteOptions are the settings of a Site.
+type SiteOptions struct {
+	Shape Shape
+	// Speed divides the engines' simulated times. Default: 1.
+	Speed float64
+	Log   *slog.Logger
+}
+
+// Site is a running deployment.
+type Site struct {
+	opts     SiteOptions
+	Platform *standinplatform.Server
+	Engines  []*engine.Engine
+	Desks    []*service.Service
+	Nodes    []*node.Node
+	// Callers and Operators are the nodes' addresses; Controls those of the endpoints.
+	Callers   []string
+	Operators []string
+	Controls  []string
+
+	platformAddr string
+	cancel       context.CancelFunc
+	wg           sync.WaitGroup
+}
+
+// StartSite starts a deployment and waits until every node can serve.
+func StartSite(ctx context.Context, opts SiteOptions) (*Site, error) {
+	if opts.Speed == 0 {
+		opts.Speed = 1
+	}
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	s := &Site{opts: opts, cancel: cancel}
+	if err := s.start(run); err != nil {
+		return nil, errors.CombineErrors(err, s.Stop(ctx))
+	}
+	return s, nil
+}
+
+func (s *Site) start(ctx context.Context) error {
+	if err := s.startPlatform(ctx); err != nil {
+		return err
+	}
+	for i := range s.opts.Shape.Engines {
+		if err := s.startEngine(ctx, i); err != nil {
+			return err
+		}
+	}
+	for i := range s.opts.Shape.Desks {
+		if err := s.startDesk(ctx, i); err != nil {
+			return err
+		}
+	}
+	if err := s.startNodes(ctx); err != nil {
+		return err
+	}
+	if err := s.apply(ctx); err != nil {
+		return err
+	}
+	return s.waitReady(ctx)
+}
+
+func listen() (net.Listener, error) {
+	return net.Listen("tcp", "127.0.0.1:0")
+}
+
+// freeAddress returns an address that was free a moment ago.
+func freeAddress() (string, error) {
+	ln, err := listen()
+	if err != nil {
+		return "", err
+	}
+	return ln.Addr().String(), ln.Close()
+}
+
+func (s *Site) startPlatform(ctx context.Context) error {
+	ln, err := listen()
+	if err != nil {
+		return err
+	}
+	s.platformAddr = ln.Addr().String()
+	s.Platform = standinplatform.New(standinplatform.Options{Seed: 1})
+	s.run(ctx, process.Options{Listener: ln, Handler: s.Platform.Handler(), Log: s.opts.Log})
+	return nil
+}
+
+// run serves a stand-in until the site stops.
+func (s *Site) run(ctx context.Context, opts process.Options) {
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		if err := process.Run(ctx, opts); err != nil && !errors.Is(err, process.ErrReclaimed) {
+			s.opts.Log.Error("demo: Stand-in failed.", "error", err)
+		}
+	}()
+}
+
+func (s *Site) dataCentre(i int) ident.DataCentre {
+	dcs := s.opts.Shape.DataCentres
+	return dcs[i%len(dcs)]
+}
+
+func (s *Site) startEngine(ctx context.Context, i int) error {
+	name := fmt.Sprintf("gpu-%d", i)
+	e := engine.New(engine.Options{ID: ident.EndpointID(name), Version: "v1", Speed: s.opts.Speed, Seed: uint64(i), ChecksFence: true})
+	s.Engines = append(s.Engines, e)
+	return s.startEndpoint(ctx, i, name, platform.KindEngine, s.opts.Shape.Engine, e.Handler(), e.SetLeaving)
+}
+
+func (s *Site) startDesk(ctx context.Context, i int) error {
+	name := fmt.Sprintf("desk-%d", i)
+	d := service.New(service.Options{ID: ident.EndpointID(name), Version: "v1", Seed: uint64(i)})
+	s.Desks = append(s.Desks, d)
+	return s.startEndpoint(ctx, i, name, platform.KindPlain, s.opts.Shape.Plain, d.Handler(), d.SetLeaving)
+}
+
+func (s *Site) startEndpoint(ctx context.Context, i int, name string, kind platform.EndpointKind, svc ident.Service, h http.Handler, leaving func(endpoint.LeavingState)) error {
+	ln, err := listen()
+	if err != nil {
+		return err
+	}
+	s.Controls = append(s.Controls, ln.Addr().String())
+	s.run(ctx, process.Options{
+		Listener: ln, Handler: h, Platform: s.platformAddr, SetLeaving: leaving, Log: s.opts.Log,
+		Host: platform.HostInfo{
+			Host: ident.Host(name), DataCentre: s.dataCentre(i), Incarnation: 1, State: platform.HostLive,
+			Reclaimable: true, PricePerHour: 1, Class: "standard",
+		},
+		Endpoint: platform.EndpointInfo{ID: ident.EndpointID(name), Kind: kind, Service: svc, Version: "v1"},
+	})
+	return nil
+}
+
+func (s *Site) startNodes(ctx context.Context) error {
+	var peers []string
+	for range s.opts.Shape.Nodes {
+		var addrs [3]string
+		for i := range addrs {
+			a, err := freeAddress()
+			if err != nil {
+				return err
+			}
+			addrs[i] = a
+		}
+		s.Callers = append(s.Callers, addrs[0])
+		s.Operators = append(s.Operators, addrs[1])
+		peers = append(peers, addrs[2])
+	}
+	for i := range s.opts.Shape.Nodes {
+		n, err := node.New(node.Options{
+			ID: ident.NodeID(fmt.Sprintf("entry-%d", i)), DataCentre: s.dataCentre(i),
+			Callers: s.Callers[i], Operators: s.Operators[i], Peers: peers[i], Seeds: others(peers, i),
+			Platform: s.platformAddr, Key: siteKey, DrainTimeout: time.Second,
+		}, s.opts.Log)
+		if err != nil {
+			return err
+		}
+		if err := n.Start(ctx); err != nil {
+			return err
+		}
+		s.Nodes = append(s.Nodes, n)
+	}
+	return nil
+}
+
+func others(all []string, i int) []string {
+	out := append([]string(nil), all[:i]...)
+	return append(out, all[i+1:]...)
+}
+
+// files returns the example configuration of the shape.
+func (s *Site) files() ([]config.File, error) {
+	var files []config.File
+	names, err := fs.Glob(examples.Files, s.opts.Shape.Name+"/*.yaml")
+	if err != nil {
+		return nil, err
+	}
+	for _, name := range names {
+		data, err := examples.Files.ReadFile(name)
+		if err != nil {
+			return nil, err
+		}
+		files = append(files, config.File{Name: name[len(s.opts.Shape.Name)+1:], Data: data})
+	}
+	return files, nil
+}
+
+// waitReady waits until every node has a configuration in force.
+func (s *Site) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, addr := range s.Callers {
+		for !ready(ctx, addr) {
+			if ctx.Err() != nil {
+				return errors.Newf("node at %s is not ready after %s", addr, readyTimeout)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, addr string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusNoContent
+}
+
+// Stop stops the nodes, then the stand-ins.
+func (s *Site) Stop(ctx context.Context) error {
+	var all error
+	for _, n := range s.Nodes {
+		all = errors.CombineErrors(all, n.Stop(ctx))
+	}
+	s.cancel()
+	s.wg.Wait()
+	return all
+}
+
+// apply puts the example configuration of the shape in force.
+func (s *Site) apply(ctx context.Context) error {
+	files, err := s.files()
+	if err != nil {
+		return err
+	}
+	cfg, _ := config.Merge(files)
+	cfg.Revision = 1
+	raw, err := json.Marshal(cfg)
+	if err != nil {
+		return err
+	}
+	_, err = s.Platform.Store().Put(ctx, "config/accepted", raw, 0)
+	return err
+}
