--- a/internal/route/doc.go
+++ b/internal/route/doc.go
@@ -9,7 +9,7 @@
 // Load reports lag, and every node reads the same ones. The queue wait is
 // therefore the reported backlog, less what the endpoint has worked off since,
 // plus this node's dispatches since, plus those that the other nodes have likely
-// made in the same time. Only a few endpoints are compared for each request: two
+// made in the same time. Only a few endpoints are compared for each request: some
 // drawn at random, the rendezvous-hash homes of the prompt's prefix, and the
 // holders of its longest cached prefix. The last two must keep a bounded load.
 //
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -11,7 +11,8 @@
 
 const (
 	// randomChoices is the number of endpoints drawn at random for each request.
-	randomChoices = 2
+	// At two the estimate had too little to choose from: see docs/design/route.md.
+	randomChoices = 4
 	// maxHolders is the number of holders of the longest prefix that are compared.
 	maxHolders = 2
 	// minSlowStart is the part of draws that an endpoint takes at its very start.
