Keep the last slots for workspaces below an even share

A small workspace beside one that offered twice the capacity had 3 to 5 of 100 requests refused: fair queueing put it first, but each of its requests still waited for a slot to come free, and several small ones for each other.

A twentieth of a service's slots is now kept for orders and for workspaces with less than an even share in flight, while more than one is active.

--- a/internal/admit/controller.go
+++ b/internal/admit/controller.go
@@ -180,6 +180,9 @@
 	c.events = slices.DeleteFunc(c.events, func(e Event) bool { return e.Ticket == t.id })
 	l := t.svc.lanes[t.req.Class]
 	t.svc.inflight--
+	if t.svc.use[t.ws]--; t.svc.use[t.ws] == 0 {
+		delete(t.svc.use, t.ws)
+	}
 	l.inflight--
 	if t.aged {
 		l.aged--
@@ -214,6 +217,7 @@
 	s.take(t)
 	l.virtual = max(l.virtual, t.start)
 	s.inflight++
+	s.use[t.ws]++
 	l.inflight++
 	t.ws.inflight++
 	t.ws.byClass[class]++
--- a/internal/admit/doc.go
+++ b/internal/admit/doc.go
@@ -11,6 +11,9 @@
 // recent peak, so that all nodes together admit at most MaxOvershoot times the
 // limit however they are cut off, plus what rounding up to one request a node adds.
 //
+// Slots. The last few slots of a service are kept for orders and for workspaces
+// with less than an even share in flight, so that a small one seldom queues.
+//
 // Order. Classes go by priority: order, quick, lookup, long. Within a class the
 // workspaces share by start-time fair queueing (Goyal, Vin, Cheng 1996), so that a
 // large one delays only itself. Work of a lower class that has waited long enough
--- a/internal/admit/estimate.go
+++ b/internal/admit/estimate.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/ident"
@@ -18,7 +19,7 @@
 	l := s.lanes[class]
 	wait := 0.0
 	ahead := s.ahead(l, w)
-	if ahead > 0 || s.inflight >= s.capacity || !c.laneHasRoom(s, l) {
+	if ahead > 0 || !c.hasSlot(s, w, class) || !c.laneHasRoom(s, l) {
 		wait = (ahead + 1) / c.freeRate(s, class)
 	}
 	if own := float64(len(l.flow(w).queue)); own > 0 || !c.hasRoom(w, class) {
@@ -31,18 +32,26 @@
 }
 
 // ahead counts the queued requests that go before one more of workspace w: those
-// of higher classes, and of the own class as fair queueing will order them.
+// of higher classes, and those of the own class with an earlier start tag.
 func (s *service) ahead(l *lane, w *workspace) float64 {
-	n := float64(s.queuedAbove(rank(l.class)))
-	own := float64(len(l.flow(w).queue))
+	n := s.queuedAbove(rank(l.class))
+	own := l.flow(w)
+	tag := max(l.virtual, own.finish)
 	for _, f := range l.active {
-		if f.ws == w {
-			n += own
+		if f == own {
+			n += len(f.queue)
 			continue
 		}
-		n += min(float64(len(f.queue)), math.Ceil((own+1)*f.ws.weight/w.weight))
+		first := compareFlows(f, own) < 0
+		i, _ := slices.BinarySearchFunc(f.queue, tag, func(t *ticket, tag float64) int {
+			if t.start < tag || t.start == tag && first {
+				return -1
+			}
+			return 1
+		})
+		n += i
 	}
-	return n
+	return float64(n)
 }
 
 // freeRate estimates how many slots a second come free for a class: those of its
--- /dev/null
+++ b/internal/admit/model_test.go
@@ -0,0 +1,147 @@
+package admit
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// stream is a Poisson stream of requests.
+type stream struct {
+	ws       ident.Workspace
+	class    ident.Class
+	perSec   float64
+	service  time.Duration
+	deadline time.Duration
+}
+
+// outcome of a stream.
+type outcome struct {
+	offered, refused, done, late int
+	waits                        []time.Duration // of those granted
+	toAnswer                     time.Duration   // the longest time from offer to refusal
+}
+
+func (o *outcome) p95() time.Duration {
+	if len(o.waits) == 0 {
+		return 0
+	}
+	slices.Sort(o.waits)
+	return o.waits[len(o.waits)*95/100]
+}
+
+type timed struct {
+	at  time.Time
+	seq int
+	f   func()
+}
+
+type agenda []timed
+
+func (e agenda) Len() int { return len(e) }
+func (e agenda) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
+}
+func (e agenda) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *agenda) Push(x any)   { *e = append(*e, x.(timed)) }
+func (e *agenda) Pop() any     { o := *e; x := o[len(o)-1]; *e = o[:len(o)-1]; return x }
+
+// world drives one controller in virtual time; service times are exponential.
+type world struct {
+	c       *Controller
+	rng     *rand.Rand
+	now     time.Time
+	todo    agenda
+	seq     int
+	streams []stream
+	out     []*outcome
+	queued  map[Ticket]func(Event)
+	busy    time.Duration // sum of service times ended
+}
+
+func newWorld(c *Controller, seed uint64, streams ...stream) *world {
+	w := &world{c: c, rng: rand.New(rand.NewPCG(seed, 5)), now: epoch, streams: streams, queued: map[Ticket]func(Event){}}
+	for i := range streams {
+		w.out = append(w.out, &outcome{})
+		w.arrive(i)
+	}
+	return w
+}
+
+func (w *world) after(d time.Duration, f func()) {
+	w.seq++
+	heap.Push(&w.todo, timed{w.now.Add(d), w.seq, f})
+}
+
+func (w *world) exp(mean time.Duration) time.Duration {
+	return time.Duration(w.rng.ExpFloat64() * float64(mean))
+}
+
+func (w *world) arrive(i int) {
+	s := w.streams[i]
+	w.after(w.exp(time.Duration(float64(time.Second)/s.perSec)), func() {
+		w.offer(s, w.out[i])
+		w.arrive(i)
+	})
+}
+
+func (w *world) offer(s stream, o *outcome) {
+	o.offered++
+	at := w.now
+	d := w.c.Offer(w.now, Request{Workspace: s.ws, Class: s.class, Service: "s", Deadline: at.Add(s.deadline)})
+	switch d.Kind {
+	case Refused:
+		o.refused++
+	case Admitted:
+		w.serve(s, o, at, d.Ticket)
+	case Queued:
+		w.queued[d.Ticket] = func(e Event) {
+			if e.Err == nil {
+				w.serve(s, o, at, e.Ticket)
+				return
+			}
+			o.refused++
+			o.toAnswer = max(o.toAnswer, w.now.Sub(at))
+		}
+	}
+	w.tick()
+}
+
+func (w *world) serve(s stream, o *outcome, at time.Time, t Ticket) {
+	o.waits = append(o.waits, w.now.Sub(at))
+	d := w.exp(s.service)
+	w.after(d, func() {
+		w.busy += d
+		o.done++
+		if w.now.Sub(at) > s.deadline {
+			o.late++
+		}
+		w.c.Done(w.now, t, d)
+		w.tick()
+	})
+}
+
+func (w *world) tick() {
+	for _, e := range w.c.Tick(w.now) {
+		f := w.queued[e.Ticket]
+		delete(w.queued, e.Ticket)
+		f(e)
+	}
+	if at, ok := w.c.Wake(w.now); ok && (len(w.todo) == 0 || at.Before(w.todo[0].at)) {
+		w.after(at.Sub(w.now), w.tick)
+	}
+}
+
+func (w *world) run(d time.Duration) *world {
+	for end := epoch.Add(d); w.now.Before(end); {
+		e := heap.Pop(&w.todo).(timed)
+		w.now = e.at
+		e.f()
+	}
+	return w
+}
--- a/internal/admit/options.go
+++ b/internal/admit/options.go
@@ -39,6 +39,9 @@
 	// AgedShare is the part of a service's capacity for aged requests, one slot at
 	// least. Default: 0.2.
 	AgedShare float64
+	// ReserveShare is the part of a service's capacity that is kept for orders and
+	// for workspaces with less than an even share in flight. Default: 0.05.
+	ReserveShare float64
 	// Capacity of a service until SetCapacity was called for it. Default: 64.
 	Capacity int
 	// MaxQueued bounds the queue of each service. Default: 1024.
@@ -81,6 +84,7 @@
 		}
 	}
 	o.AgedShare = orDefault(o.AgedShare, 0.2)
+	o.ReserveShare = orDefault(o.ReserveShare, 0.05)
 	o.Capacity = orDefault(o.Capacity, 64)
 	o.MaxQueued = orDefault(o.MaxQueued, 1024)
 	o.BurstTime = orDefault(o.BurstTime, 2*time.Second)
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -48,10 +48,11 @@
 	inflight int
 	queued   int
 	lanes    [numClasses]*lane
+	use      map[*workspace]int // requests in flight; no zero entries
 }
 
 func (c *Controller) newService(name ident.Service) *service {
-	s := &service{name: name, capacity: c.opts.Capacity}
+	s := &service{name: name, capacity: c.opts.Capacity, use: make(map[*workspace]int)}
 	for _, class := range ident.Classes {
 		s.lanes[class] = &lane{
 			class: class,
@@ -127,12 +128,28 @@
 	return strings.Compare(string(a.ws.name), string(b.ws.name))
 }
 
+// hasSlot tells whether a slot of the service is free for the workspace. The last
+// ones are kept for orders and for workspaces with less than an even share in
+// flight, unless one workspace is alone.
+func (c *Controller) hasSlot(s *service, w *workspace, class ident.Class) bool {
+	free := s.capacity - s.inflight
+	if free <= 0 || class == ident.ClassOrder || free > int(c.opts.ReserveShare*float64(s.capacity)) {
+		return free > 0
+	}
+	active := len(s.use)
+	if s.use[w] == 0 {
+		active++
+	}
+	return active == 1 || s.use[w]*active < s.capacity
+}
+
 // head returns the queued ticket of the lane with the least start tag whose
 // workspace has room, or nil.
-func (c *Controller) head(l *lane) *ticket {
+func (c *Controller) head(s *service, l *lane) *ticket {
 	var best *ticket
 	for _, f := range l.active {
-		if t := f.queue[0]; (best == nil || t.start < best.start) && c.hasRoom(f.ws, l.class) {
+		if t := f.queue[0]; (best == nil || t.start < best.start) &&
+			c.hasRoom(f.ws, l.class) && c.hasSlot(s, f.ws, l.class) {
 			best = t
 		}
 	}
@@ -153,7 +170,7 @@
 		if l.queued == 0 || !c.laneHasRoom(s, l) {
 			continue
 		}
-		if t := c.head(l); t != nil {
+		if t := c.head(s, l); t != nil {
 			return t
 		}
 	}
@@ -169,7 +186,7 @@
 		if after == 0 || l.queued == 0 || l.aged >= c.agedSlots(s) || s.queuedAbove(i) == 0 {
 			continue
 		}
-		if t := c.head(l); t != nil && now.Sub(t.at) >= after && c.laneHasRoom(s, l) {
+		if t := c.head(s, l); t != nil && now.Sub(t.at) >= after && c.laneHasRoom(s, l) {
 			return t
 		}
 	}
