Add the load command

What callers see has to be counted by a caller: the load tool sends a seeded open-loop mix, continues cut streams at another entry by Last-Event-ID, and compares answers, order confirmations and refusals with what the stand-ins did.

Times run from the planned arrival. Requests with an Idempotency-Key can't be rewound by net/http, which would resend them unseen. An order without an answer is sent again with its key, and the audit counts effects by key.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -48,5 +48,6 @@
 func commands() []*cli.Command {
 	return []*cli.Command{
 		standinCommand(),
+		loadCommand(),
 	}
 }
--- /dev/null
+++ b/internal/load/html.go
@@ -0,0 +1,144 @@
+package load
+
+import (
+	"bytes"
+	"html/template"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+)
+
+// Size of a plot.
+const (
+	plotWidth  = 7 * vg.Inch
+	plotHeight = 3.5 * vg.Inch
+)
+
+var page = template.Must(template.New("report").Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>load report</title>
+<style>body{font-family:sans-serif;margin:2em}pre{overflow-x:auto}svg{max-width:100%;height:auto}</style></head>
+<body><h1>Load report</h1><pre>{{.Table}}</pre>
+{{range .Plots}}<h2>{{.Title}}</h2>{{.SVG}}{{end}}
+</body></html>
+`))
+
+// figure is one plot of the page.
+type figure struct {
+	Title string
+	SVG   template.HTML
+}
+
+// WriteHTML writes the report as one self-contained page with plots.
+func (r *Report) WriteHTML(w io.Writer) error {
+	var table bytes.Buffer
+	if err := r.WriteTable(&table); err != nil {
+		return err
+	}
+	data := struct {
+		Table string
+		Plots []figure
+	}{Table: table.String()}
+	for _, p := range []struct {
+		title string
+		fill  func(*plot.Plot) error
+	}{
+		{"Time to the first token", r.quantiles(func(h *histograms) *hdrhistogram.Histogram { return h.first })},
+		{"Time between tokens", r.quantiles(func(h *histograms) *hdrhistogram.Histogram { return h.between })},
+		{"Total time", r.quantiles(func(h *histograms) *hdrhistogram.Histogram { return h.total })},
+		{"Requests by second of arrival", r.outcomes},
+		{"First token of quick chats by second of arrival", r.firstTokens},
+	} {
+		f, err := render(p.title, p.fill)
+		if err != nil {
+			return err
+		}
+		data.Plots = append(data.Plots, f)
+	}
+	return page.Execute(w, data)
+}
+
+func render(title string, fill func(*plot.Plot) error) (figure, error) {
+	p := plot.New()
+	p.Legend.Top = true
+	p.Legend.Left = true
+	if err := fill(p); err != nil {
+		return figure{}, err
+	}
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	var b bytes.Buffer
+	if _, err := canvas.WriteTo(&b); err != nil {
+		return figure{}, err
+	}
+	_, svg, _ := bytes.Cut(b.Bytes(), []byte("<svg")) // without the XML prolog
+	return figure{Title: title, SVG: template.HTML("<svg" + string(svg))}, nil
+}
+
+// quantiles plots a histogram of each class: share of requests over time.
+func (r *Report) quantiles(pick func(*histograms) *hdrhistogram.Histogram) func(*plot.Plot) error {
+	return func(p *plot.Plot) error {
+		p.X.Label.Text, p.Y.Label.Text = "ms", "% of whole answers"
+		p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+		p.Y.Min, p.Y.Max = 0, 100
+		p.X.Min, p.X.Max = 1, 10
+		var lines []any
+		for _, c := range ident.Classes {
+			h, ok := r.hist[c]
+			if !ok || pick(h).TotalCount() == 0 {
+				continue
+			}
+			var points plotter.XYs
+			for _, b := range pick(h).CumulativeDistribution() {
+				points = append(points, plotter.XY{X: float64(max(b.ValueAt, minMicros)) / 1000, Y: b.Quantile})
+			}
+			lines = append(lines, c.String(), points)
+		}
+		return plotutil.AddLines(p, lines...)
+	}
+}
+
+func (r *Report) outcomes(p *plot.Plot) error {
+	p.X.Label.Text, p.Y.Label.Text = "s", "requests"
+	line := func(pick func(second) int) plotter.XYs {
+		points := plotter.XYs{{}}
+		for i, s := range r.seconds {
+			points = append(points, plotter.XY{X: float64(i + 1), Y: float64(pick(s))})
+		}
+		return points
+	}
+	return plotutil.AddLines(p,
+		"sent", line(func(s second) int { return s.sent }),
+		"whole", line(func(s second) int { return s.whole }),
+		"refused", line(func(s second) int { return s.refused }),
+		"failed", line(func(s second) int { return s.failed }))
+}
+
+func (r *Report) firstTokens(p *plot.Plot) error {
+	p.X.Label.Text, p.Y.Label.Text = "s", "ms"
+	line := func(q float64) plotter.XYs {
+		points := plotter.XYs{{}}
+		for i, s := range r.seconds {
+			if len(s.first) > 0 {
+				points = append(points, plotter.XY{X: float64(i + 1), Y: float64(quantile(s.first, q)) / float64(time.Millisecond)})
+			}
+		}
+		return points
+	}
+	return plotutil.AddLines(p, "p50", line(0.5), "p95", line(0.95), "max", line(1))
+}
+
+// quantile returns the q-quantile of times, which it sorts.
+func quantile(times []time.Duration, q float64) time.Duration {
+	slices.Sort(times)
+	return times[int(q*float64(len(times)-1))]
+}
--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,169 @@
+// Package load sends a seeded open-loop mix of requests to entry addresses and
+// reports what became of them: whole, cut, lost, doubled, wrong or refused, with
+// histograms for each class.
+//
+// Times run from the planned arrival, not from the sending, so that a stall is
+// not hidden by a client that waits.
+package load
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+)
+
+// Paths are the routes that the mix uses.
+type Paths struct {
+	Quick  string // POST chat completions. Default: /chat
+	Long   string // POST chat completions. Default: /drafts
+	Order  string // POST with Idempotency-Key. Default: /orders
+	Lookup string // GET with an ID behind it. Default: /catalogue/
+}
+
+// Options are the settings of a run.
+type Options struct {
+	// Entries are the addresses of entry hosts, "ip:port" or URLs.
+	Entries []string
+	// Keys are the API keys of the workspaces, the largest first.
+	Keys []string
+	// Rate of requests a second. Default: 10.
+	Rate float64
+	// Duration of the arrivals. Default: 10s.
+	Duration time.Duration
+	// Grace is how long requests may take after the last arrival. Default: 60s.
+	Grace time.Duration
+	// Seed of the plan.
+	Seed uint64
+	// Mix of classes. Default: DefaultMix.
+	Mix []Share
+	// Model named in chat requests.
+	Model string
+	Paths Paths
+	// Retries bounds how often a request is resent or reconnected. Default: 20.
+	Retries int
+	// RetryPause is the time between two of them. Default: 250ms.
+	RetryPause time.Duration
+	// Verify checks answers against what the stand-ins must answer.
+	Verify bool
+	// Engines, Services and Platform are control addresses of stand-ins; their
+	// counts go into the report.
+	Engines  []string
+	Services []string
+	Platform string
+}
+
+func setDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
+func (o Options) withDefaults() (Options, error) {
+	setDefault(&o.Rate, 10)
+	setDefault(&o.Duration, 10*time.Second)
+	setDefault(&o.Grace, time.Minute)
+	setDefault(&o.Retries, 20)
+	setDefault(&o.RetryPause, 250*time.Millisecond)
+	setDefault(&o.Paths.Quick, "/chat")
+	setDefault(&o.Paths.Long, "/drafts")
+	setDefault(&o.Paths.Order, "/orders")
+	setDefault(&o.Paths.Lookup, "/catalogue/")
+	if len(o.Mix) == 0 {
+		o.Mix = DefaultMix
+	}
+	if len(o.Entries) == 0 || len(o.Keys) == 0 {
+		return o, errors.Newf("load has %d entry addresses and %d workspace keys: want at least one of each", len(o.Entries), len(o.Keys))
+	}
+	entries := make([]string, 0, len(o.Entries))
+	for _, e := range o.Entries {
+		if !strings.Contains(e, "://") {
+			e = "http://" + e
+		}
+		entries = append(entries, strings.TrimSuffix(e, "/"))
+	}
+	o.Entries = entries
+	return o, nil
+}
+
+// Run sends the load and returns the report. Where ctx ends early, the report
+// covers what was sent by then.
+func Run(ctx context.Context, opts Options) (*Report, error) {
+	opts, err := opts.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	before, err := endpointCounts(ctx, opts)
+	if err != nil {
+		return nil, err
+	}
+	rec := newRecorder(opts)
+	send(ctx, opts, rec)
+	after, err := endpointCounts(context.WithoutCancel(ctx), opts)
+	if err != nil {
+		return nil, err
+	}
+	report := rec.report()
+	report.Endpoints = after.minus(before)
+	report.Orders, err = rec.audit(context.WithoutCancel(ctx))
+	return report, err
+}
+
+// send plays the plan and waits for the answers.
+func send(ctx context.Context, opts Options, rec *recorder) {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: 1024,
+	}
+	defer transport.CloseIdleConnections()
+	requests, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c := &client{opts: opts, http: &http.Client{Transport: transport}}
+	var wg sync.WaitGroup
+	start := time.Now()
+	for p := newPlanner(opts); ; {
+		a, more := p.draw()
+		if !more || !sleep(ctx, time.Until(start.Add(a.at))) {
+			break
+		}
+		wg.Go(func() { rec.add(a, c.do(requests, a, start.Add(a.at))) })
+	}
+	timer := time.AfterFunc(opts.Grace, cancel)
+	defer timer.Stop()
+	wg.Wait()
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// path returns the route of a class.
+func (p Paths) path(c ident.Class) string {
+	switch c {
+	case ident.ClassLong:
+		return p.Long
+	case ident.ClassOrder:
+		return p.Order
+	case ident.ClassLookup:
+		return p.Lookup
+	default:
+		return p.Quick
+	}
+}
