Count no recomputation for requests without an ID

Found by running the load tool against an engine directly: requests without an X-Request-Id were taken for repeats of one (15040 recomputed tokens where none was).

--- a/internal/standin/engine/schedule.go
+++ b/internal/standin/engine/schedule.go
@@ -144,7 +144,7 @@
 	c := &e.mu.counts
 	c.PromptTokens += total
 	c.CachedTokens += r.cached
-	if r.body.ResumeOffset > 0 || e.mu.runs[r.request] > 1 {
+	if r.body.ResumeOffset > 0 || r.request != "" && e.mu.runs[r.request] > 1 {
 		c.RecomputedTokens += uncached
 	}
 	start := time.Now()
