Plot a histogram by even quantiles

The distribution's own steps halve the rest each time, so that the lower half of the answers was one straight line. Go test ./internal/load passes.

--- a/internal/load/html.go
+++ b/internal/load/html.go
@@ -98,8 +98,9 @@
 				continue
 			}
 			var points plotter.XYs
-			for _, b := range pick(h).CumulativeDistribution() {
-				points = append(points, plotter.XY{X: float64(max(b.ValueAt, minMicros)) / 1000, Y: b.Quantile})
+			for q := 0.0; q <= 100; q++ {
+				micros := max(pick(h).ValueAtQuantile(q), minMicros)
+				points = append(points, plotter.XY{X: float64(micros) / 1000, Y: q})
 			}
 			lines = append(lines, c.String(), points)
 		}
