--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -55,5 +55,6 @@
 		nodeCommand(),
 		checkCommand(),
 		standinCommand(),
+		loadCommand(),
 	}
 }
