Run the whole path as separate processes

Cause: configuration, admission, routing and the ledger stood beside the path, not in it. Ruled out: capacity given whole to each node, which lets eight nodes queue eight times the slots at the engines.

--- /dev/null
+++ b/internal/cli/apply.go
@@ -0,0 +1,91 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jujubeshed/jujubeshed/internal/config"
+	"github.com/jujubeshed/jujubeshed/internal/config/syncer"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+)
+
+// applyTimeout bounds an apply.
+const applyTimeout = 30 * time.Second
+
+func applyCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "apply",
+		Usage:     "puts a folder of configuration files in force",
+		ArgsUsage: "DIR",
+		Flags:     []cli.Flag{platformFlag(), jsonFlag()},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			dir := cmd.Args().First()
+			if dir == "" {
+				return usageError{errors.New("apply needs the folder of the configuration files")}
+			}
+			files, err := readFolder(dir)
+			if err != nil {
+				return usageError{err}
+			}
+			ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+			defer cancel()
+			return runApply(ctx, cmd.Root().Writer, cmd.String("platform"), files, cmd.Bool("json"))
+		},
+	}
+}
+
+func jsonFlag() cli.Flag {
+	return &cli.BoolFlag{Name: "json", Usage: "print JSON for programs"}
+}
+
+func runApply(ctx context.Context, w io.Writer, addr string, files []config.File, asJSON bool) error {
+	store, err := platform.NewClient(platform.ClientOptions{Address: addr})
+	if err != nil {
+		return err
+	}
+	defer store.Close()
+	result, err := syncer.New(syncer.Options{Store: store}).Apply(ctx, files)
+	if asJSON {
+		if err := writeJSON(w, result); err != nil {
+			return err
+		}
+	} else if err := printFileStatus(w, result.Status); err != nil {
+		return err
+	}
+	switch {
+	case errors.Is(err, syncer.ErrRefused):
+		return usageError{err}
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrUnknown):
+		return offlineError{err}
+	default:
+		return err
+	}
+}
+
+func printFileStatus(w io.Writer, st config.Status) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "FILE\tSTATE\tREVISION\tREMARK")
+	for _, f := range st.Files {
+		fmt.Fprintf(t, "%s\t%s\t%d\t\n", f.Name, f.State, f.Revision)
+		for _, d := range f.Diagnostics {
+			fmt.Fprintf(t, "\t\t\tline %d: %s: %s\n", d.Line, d.Field, d.Message)
+		}
+		for _, o := range f.OverriddenBy {
+			fmt.Fprintf(t, "\t\t\t%s is overridden by %s\n", o.Object, o.By)
+		}
+	}
+	return t.Flush()
+}
+
+func writeJSON(w io.Writer, v any) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -26,6 +26,15 @@
 // usageError marks an error of flags, settings or files.
 type usageError struct{ error }
 
+// Unwrap returns the cause.
+func (e usageError) Unwrap() error { return e.error }
+
+// offlineError marks that the platform or a node could not be reached.
+type offlineError struct{ error }
+
+// Unwrap returns the cause.
+func (e offlineError) Unwrap() error { return e.error }
+
 // Run executes the command line and returns the exit code.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	cmd := &cli.Command{
@@ -43,10 +52,15 @@
 	}
 	fmt.Fprintln(stderr, "jujubeshed:", err)
 	var usage usageError
-	if errors.As(err, &usage) {
+	var offline offlineError
+	switch {
+	case errors.As(err, &usage):
 		return ExitUsage
+	case errors.As(err, &offline):
+		return ExitOffline
+	default:
+		return ExitFailed
 	}
-	return ExitFailed
 }
 
 // commands lists the subcommands. Each lives in a file of its own.
@@ -54,6 +68,9 @@
 	return []*cli.Command{
 		nodeCommand(),
 		checkCommand(),
+		applyCommand(),
+		statusCommand(),
+		movesCommand(),
 		standinCommand(),
 		loadCommand(),
 	}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,114 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jujubeshed/jujubeshed/api/gen/operators"
+	"github.com/jujubeshed/jujubeshed/internal/peerauth"
+)
+
+// statusTimeout bounds a call of the operators' API.
+const statusTimeout = 10 * time.Second
+
+func operatorFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "node", Value: "127.0.0.1:8081", Usage: "IP:port of a node's --operators", Sources: env("NODE")},
+		keyFlag(),
+		jsonFlag(),
+	}
+}
+
+func operatorsClient(cmd *cli.Command) (*operators.Client, error) {
+	client := &http.Client{Transport: peerauth.Key(cmd.String("key")).Transport(http.DefaultTransport)}
+	return operators.NewClient("http://"+cmd.String("node"), operators.WithClient(client))
+}
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "tells what a node knows: nodes, endpoints, files and whether a revision is in force everywhere",
+		Flags: operatorFlags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+			defer cancel()
+			c, err := operatorsClient(cmd)
+			if err != nil {
+				return usageError{err}
+			}
+			st, err := c.GetStatus(ctx)
+			if err != nil {
+				return offlineError{err}
+			}
+			if cmd.Bool("json") {
+				return writeJSON(cmd.Root().Writer, st)
+			}
+			return printStatus(cmd.Root().Writer, st)
+		},
+	}
+}
+
+func movesCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "moves",
+		Usage: "tells whether each version move is done, undone or under way, and why",
+		Flags: operatorFlags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+			defer cancel()
+			c, err := operatorsClient(cmd)
+			if err != nil {
+				return usageError{err}
+			}
+			list, err := c.GetMoves(ctx)
+			if err != nil {
+				return offlineError{err}
+			}
+			if cmd.Bool("json") {
+				return writeJSON(cmd.Root().Writer, list)
+			}
+			return printMoves(cmd.Root().Writer, list.Moves)
+		},
+	}
+}
+
+func printStatus(w io.Writer, st *operators.Status) error {
+	everywhere := "not yet everywhere"
+	if st.Everywhere {
+		everywhere = "in force everywhere"
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "node %s in %s: revision %d, %s; invariant violations: %d\n",
+		st.Node, st.DataCentre, st.Revision, everywhere, st.InvariantViolations)
+	fmt.Fprintln(t, "\nNODE\tDATA CENTRE\tSTATE\tREVISION")
+	for _, m := range st.Members {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\n", m.Node, m.DataCentre, m.State, m.Revision)
+	}
+	fmt.Fprintln(t, "\nENDPOINT\tHOST\tDATA CENTRE\tSERVICE\tVERSION\tSTATE")
+	for _, e := range st.Endpoints {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\n", e.Endpoint, e.Host, e.DataCentre, e.Service, e.Version, e.State)
+	}
+	fmt.Fprintln(t, "\nFILE\tSTATE\tREVISION\tREMARK")
+	for _, f := range st.Files {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%s\n", f.File, f.State, f.Revision.Or(0), f.Reason.Or(""))
+	}
+	return t.Flush()
+}
+
+func printMoves(w io.Writer, moves []operators.Move) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "MOVE\tSERVICE\tFROM\tTO\tSTATE\tSHARE\tREASON\tNEXT")
+	for _, m := range moves {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%.1f%%\t%s\t%s\n", m.Name, m.Service, m.From, m.To, m.State, 100*m.Share, m.Reason, m.Next)
+		for _, e := range m.Evidence {
+			fmt.Fprintf(t, "\t\t\t\t\t\troute %s, %s: %d requests, %d failed, %d slow\t\n", e.Route, e.Version, e.Requests, e.Failures, e.Slow)
+		}
+	}
+	return t.Flush()
+}
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io/fs"
 	"log/slog"
@@ -17,6 +16,7 @@
 
 	"github.com/jujubeshed/jujubeshed/examples"
 	"github.com/jujubeshed/jujubeshed/internal/config"
+	"github.com/jujubeshed/jujubeshed/internal/config/syncer"
 	"github.com/jujubeshed/jujubeshed/internal/endpoint"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/node"
@@ -264,12 +264,6 @@
 	if err != nil {
 		return err
 	}
-	cfg, _ := config.Merge(files)
-	cfg.Revision = 1
-	raw, err := json.Marshal(cfg)
-	if err != nil {
-		return err
-	}
-	_, err = s.Platform.Store().Put(ctx, "config/accepted", raw, 0)
+	_, err = syncer.New(syncer.Options{Store: s.Platform.Store()}).Apply(ctx, files)
 	return err
 }
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/api/gen/operators"
+	"github.com/jujubeshed/jujubeshed/internal/config"
+	"github.com/jujubeshed/jujubeshed/internal/discovery"
+	"github.com/jujubeshed/jujubeshed/internal/operator"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+	"github.com/jujubeshed/jujubeshed/internal/route/balancer"
+)
+
+// fileStatusTimeout bounds the read of the files' status from the store.
+const fileStatusTimeout = time.Second
+
+// statusSource tells operators what the node knows.
+type statusSource struct {
+	opts     *Options
+	config   *configService
+	hosts    *discovery.Watcher
+	balancer *balancer.Balancer
+}
+
+var _ operator.Source = (*statusSource)(nil)
+
+// Status returns the node's view of the fleet.
+func (s *statusSource) Status(ctx context.Context) (*operators.Status, error) {
+	st := &operators.Status{
+		Node:       string(s.opts.ID),
+		DataCentre: string(s.opts.DataCentre),
+		Revision:   int64(s.config.Revision()),
+		Members:    []operators.Member{},
+		Endpoints:  s.endpoints(),
+		Files:      s.files(ctx),
+	}
+	return st, nil
+}
+
+func (s *statusSource) endpoints() []operators.Endpoint {
+	out := []operators.Endpoint{}
+	for _, h := range s.hosts.Hosts() {
+		for _, e := range h.Endpoints {
+			state := operators.EndpointStateLive
+			if h.State == platform.HostLeaving || s.balancer.IsLeaving(e.ID) {
+				state = operators.EndpointStateLeaving
+			}
+			out = append(out, operators.Endpoint{
+				Endpoint: string(e.ID), Host: string(h.Host), DataCentre: string(h.DataCentre),
+				Service: string(e.Service), Version: string(e.Version), State: state,
+			})
+		}
+	}
+	return out
+}
+
+// files returns what became of the operators' files; none where the store is down.
+func (s *statusSource) files(ctx context.Context) []operators.FileStatus {
+	ctx, cancel := context.WithTimeout(ctx, fileStatusTimeout)
+	defer cancel()
+	out := []operators.FileStatus{}
+	st, err := s.config.Status(ctx)
+	if err != nil {
+		return out
+	}
+	for _, f := range st.Files {
+		fs := operators.FileStatus{File: f.Name, State: string(f.State), Revision: operators.NewOptInt64(int64(f.Revision))}
+		if reason := fileReason(f); reason != "" {
+			fs.Reason.SetTo(reason)
+		}
+		out = append(out, fs)
+	}
+	return out
+}
+
+// fileReason says in one line why a file, or a part of it, is not in force.
+func fileReason(f config.FileStatus) string {
+	for _, d := range f.Diagnostics {
+		return d.Message
+	}
+	for _, o := range f.OverriddenBy {
+		return o.Object + " is overridden by " + o.By
+	}
+	return ""
+}
+
+// Moves returns the version moves.
+func (s *statusSource) Moves(context.Context) ([]operators.Move, error) {
+	return nil, nil
+}
--- /dev/null
+++ b/internal/node/wiring.go
@@ -0,0 +1,191 @@
+package node
+
+import (
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/jujubeshed/jujubeshed/internal/admit/gate"
+	"github.com/jujubeshed/jujubeshed/internal/answer"
+	"github.com/jujubeshed/jujubeshed/internal/config"
+	"github.com/jujubeshed/jujubeshed/internal/config/syncer"
+	"github.com/jujubeshed/jujubeshed/internal/discovery"
+	"github.com/jujubeshed/jujubeshed/internal/dispatch"
+	"github.com/jujubeshed/jujubeshed/internal/endpoint"
+	"github.com/jujubeshed/jujubeshed/internal/entry"
+	"github.com/jujubeshed/jujubeshed/internal/handover"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/kernel"
+	"github.com/jujubeshed/jujubeshed/internal/observe"
+	"github.com/jujubeshed/jujubeshed/internal/once"
+	"github.com/jujubeshed/jujubeshed/internal/once/committer"
+	"github.com/jujubeshed/jujubeshed/internal/operator"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+	"github.com/jujubeshed/jujubeshed/internal/route"
+	"github.com/jujubeshed/jujubeshed/internal/route/balancer"
+)
+
+// Names of a node's services. They start in this order, and drain and stop in
+// the reverse one.
+const (
+	serviceStore     kernel.Name = "platform.client"
+	serviceLedger    kernel.Name = "once.ledger"
+	serviceEndpoints kernel.Name = "endpoint.client"
+	serviceAdmission kernel.Name = "admit.gate"
+	serviceConfig    kernel.Name = "config.syncer"
+	serviceDiscovery kernel.Name = "discovery.hosts"
+	serviceObserver  kernel.Name = "observe.endpoints"
+	servicePeers     kernel.Name = "listener.peers"
+	serviceOperators kernel.Name = "listener.operators"
+	serviceCallers   kernel.Name = "listener.callers"
+)
+
+// wiring builds the services of a node and registers them.
+type wiring struct {
+	opts     *Options
+	log      *slog.Logger
+	registry *kernel.Registry
+	metrics  *prometheus.Registry
+	life     ident.Incarnation
+
+	store     *platform.Client
+	endpoints *endpoint.Client
+	ledger    *committer.Committer
+	gate      *gate.Gate
+	balancer  *balancer.Balancer
+	config    *configService
+	hosts     *discovery.Watcher
+	observer  *observe.Observer
+	answers   *answer.Table
+	entry     *entry.Server
+	rejected  prometheus.Counter
+}
+
+// run builds the parts bottom up.
+func (w *wiring) run() error {
+	w.life = ident.Incarnation(time.Now().UnixNano())
+	w.buildMetrics()
+	if err := w.buildPlatform(); err != nil {
+		return err
+	}
+	w.buildRouting()
+	w.buildConfig()
+	w.buildEntry()
+	return w.register()
+}
+
+func (w *wiring) buildMetrics() {
+	w.metrics = prometheus.NewRegistry()
+	w.rejected = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "peer_calls_rejected_total", Help: "Calls of peers or operators without the shared key.",
+	})
+	w.metrics.MustRegister(w.rejected, collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+}
+
+func (w *wiring) buildPlatform() error {
+	store, err := platform.NewClient(platform.ClientOptions{Address: w.opts.Platform})
+	if err != nil {
+		return err
+	}
+	w.store = store
+	w.ledger = committer.New(store, committer.Options{
+		Ledger:  once.Options{Node: w.opts.ID, Incarnation: w.life},
+		Log:     w.log,
+		Metrics: committer.NewMetrics(w.metrics),
+	})
+	w.hosts = discovery.New(discovery.Options{Cloud: store}, w.log, store)
+	return nil
+}
+
+func (w *wiring) buildRouting() {
+	w.endpoints = endpoint.NewClient()
+	w.balancer = balancer.New(route.Options{Node: w.opts.ID, DataCentre: w.opts.DataCentre}, uint64(w.life))
+	w.gate = gate.New(gate.Options{})
+	w.observer = observe.New(observe.Options{Node: w.opts.ID, DataCentre: w.opts.DataCentre}, w.log, w.endpoints, w.balancer)
+	w.hosts.OnHosts(w.balancer.SetHosts)
+	w.hosts.OnHosts(w.observer.SetHosts)
+	w.hosts.OnNotice(w.balancer.MarkHost)
+}
+
+func (w *wiring) buildConfig() {
+	w.config = newConfigService(syncer.New(syncer.Options{
+		Store:    w.store,
+		OnChange: w.configChanged,
+		Seed:     uint64(w.life),
+		Metrics:  syncer.NewMetrics(w.metrics),
+		Log:      w.log,
+	}))
+	capacity := &capacityUpdater{gate: w.gate, balancer: w.balancer, config: w.config, live: len(w.opts.Seeds) + 1}
+	w.hosts.OnHosts(func([]platform.HostInfo) { capacity.update() })
+}
+
+func (w *wiring) configChanged(c *config.Config) {
+	w.balancer.SetConfig(c)
+	w.gate.SetWorkspaces(c.Workspaces)
+	w.log.Info("config: In force.", "revision", uint64(c.Revision))
+}
+
+func (w *wiring) buildEntry() {
+	w.answers = answer.NewTable()
+	client := &http.Client{Transport: w.opts.Key.Transport(http.DefaultTransport)}
+	w.entry = entry.New(entry.Options{Node: w.opts.ID, Incarnation: w.life}, entry.Parts{
+		Log:     w.log,
+		Config:  w.config,
+		Gate:    admission{w.gate},
+		Sender:  dispatch.New(w.endpoints, w.balancer, versions{w.config}),
+		Ledger:  dispatch.NewOrders(w.ledger),
+		Answers: w.answers,
+		Remote:  handover.NewRemote(w.log, staticMembers(w.opts.Seeds), client),
+		Metrics: entry.NewMetrics(w.metrics),
+	})
+}
+
+func (w *wiring) register() error {
+	operators, err := w.operatorsHandler()
+	if err != nil {
+		return err
+	}
+	services := []struct {
+		name kernel.Name
+		s    kernel.Service
+	}{
+		{serviceStore, stopFunc(w.store.Close)},
+		{serviceLedger, stopFunc(w.ledger.Stop)},
+		{serviceEndpoints, stopFunc(w.endpoints.Close)},
+		{serviceAdmission, stopFunc(w.gate.Close)},
+		{serviceConfig, w.config},
+		{serviceDiscovery, w.hosts},
+		{serviceObserver, w.observer},
+		{servicePeers, newListener("peers", w.opts.Peers, w.peersHandler(), w.log)},
+		{serviceOperators, newListener("operators", w.opts.Operators, operators, w.log)},
+		{serviceCallers, newCallers(w.opts, w.entry, w.log)},
+	}
+	for _, s := range services {
+		if err := w.registry.Register(s.name, s.s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *wiring) peersHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(handover.NewServer(w.log, w.config, w.answers, w.entry).Handler())
+	return w.opts.Key.Handler(mux, w.rejected.Inc)
+}
+
+func (w *wiring) operatorsHandler() (http.Handler, error) {
+	api, err := operator.New(&statusSource{opts: w.opts, config: w.config, hosts: w.hosts, balancer: w.balancer})
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(w.metrics, promhttp.HandlerOpts{}))
+	mux.Handle("/", w.opts.Key.Handler(api, w.rejected.Inc))
+	return mux, nil
+}
