Add membership and soft state between nodes

Cause: eight nodes have to act as one without a coordination service, by a mechanism that holds at 710: membership, leaving marks and load detail have to reach all nodes within seconds at 11 KB a second a node.

Change: internal/peer, a deterministic state machine. Each node owns a log within its data centre and, as a delegate, one for the fleet; a digest of salted tags says how far copies reach, and beats advance a log by a few bytes. Marks are grow-only registers that are sent on at once and reconciled by hashes. Time is the sum of clamped steps; a log learnt second-hand counts only once it advanced. internal/peer/virtual delivers messages over a virtual clock for tests.

Conclusion: go test ./internal/peer/... passes; scripts cover joining, suspicion with a second witness, restart, pause, clock jumps, partition and marks.

--- /dev/null
+++ b/internal/peer/aggregate.go
@@ -0,0 +1,184 @@
+package peer
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	peerv1 "github.com/jujubeshed/jujubeshed/api/gen/peer/v1"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+)
+
+// retiredKey names the counters of lives that are over, kept so that sums over a
+// data centre don't fall.
+type retiredKey string
+
+// electDelegates returns the delegates of the data centre as this node sees it.
+func (n *Node) electDelegates() []ident.NodeID {
+	var ids []ident.NodeID
+	for _, r := range n.logs.order {
+		if r.scope == scopeLocal && r.state == StateAlive {
+			ids = append(ids, r.owner)
+		}
+	}
+	ids = rank(n.o.DataCentre, ids)
+	return ids[:min(delegatesPerDC, len(ids))]
+}
+
+// IsDelegate tells whether this node speaks for its data centre. One that has just
+// started doesn't, since until it knows its peers every node would.
+func (n *Node) IsDelegate() bool {
+	return n.clock >= joinIntervals*n.o.Interval && slices.Contains(n.delegates, n.o.ID)
+}
+
+// localDelegates returns the other delegates of the data centre.
+func (n *Node) localDelegates() []target {
+	var out []target
+	for _, p := range n.peers() {
+		if slices.Contains(n.delegates, p.id) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// otherDelegates returns the delegates of the other data centres, by data centre.
+func (n *Node) otherDelegates() [][]target {
+	var out [][]target
+	for _, dc := range n.DataCentres() {
+		if dc.Name != n.o.DataCentre {
+			out = append(out, n.delegatesOf(dc.Name))
+		}
+	}
+	return out
+}
+
+// delegatesOf returns the delegates that any copy of an aggregate names, as two
+// parts of a data centre may not know each other yet.
+func (n *Node) delegatesOf(dc ident.DataCentre) []target {
+	var out []target
+	for _, r := range n.logs.order {
+		for _, a := range r.aggregates {
+			if a.GetDataCentre() != string(dc) || n.clock-r.advanced > n.freshFor(scopeFleet) {
+				continue
+			}
+			for _, g := range a.GetDelegates() {
+				out = append(out, target{ident.NodeID(g.GetNode()), g.GetAddress(), dc})
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b target) int { return strings.Compare(a.address, b.address) })
+	return slices.CompactFunc(out, func(a, b target) bool { return a.address == b.address })
+}
+
+// strangers returns addresses worth a try that are not in the live membership.
+func (n *Node) strangers() []string {
+	var out []string
+	for _, id := range n.buried() {
+		if t := n.tombs[id]; !t.left && t.address != "" {
+			out = append(out, t.address)
+		}
+	}
+	for _, t := range n.delegatesOf(n.o.DataCentre) {
+		out = append(out, t.address)
+	}
+	return append(out, n.seeds...)
+}
+
+// fleetInterval is the time between the beats of a fleet log. It grows with the
+// number of data centres, so that a node's traffic doesn't.
+func (n *Node) fleetInterval() time.Duration {
+	return max(n.o.Interval, time.Duration(n.dataCentres)*fleetBeatPerDC)
+}
+
+// countDataCentres counts the data centres that have an aggregate.
+func (n *Node) countDataCentres() int {
+	names := make(map[string]bool)
+	for _, r := range n.logs.order {
+		for _, a := range r.aggregates {
+			names[a.GetDataCentre()] = true
+		}
+	}
+	return len(names)
+}
+
+// publishAggregate writes what a delegate says of its data centre. A node that is
+// no delegate any more takes it back.
+func (n *Node) publishAggregate() {
+	dc := string(n.o.DataCentre)
+	if !n.IsDelegate() {
+		n.clearFleetLog()
+		return
+	}
+	if n.clock < n.nextAggregate {
+		return
+	}
+	n.nextAggregate = n.clock + n.fleetInterval()
+	// A log that is full keeps the previous aggregate.
+	_ = n.Set(TopicAggregate, dc, encode(n.aggregate()))
+	for _, s := range n.localSums() {
+		_ = n.Set(TopicEvidenceSum, evidenceKey(n.o.DataCentre, s.key), encode(&peerv1.Counters{Values: s.sum}))
+	}
+}
+
+func (n *Node) clearFleetLog() {
+	for _, e := range slices.Clone(n.own[scopeFleet].entries) {
+		if e.topic != TopicSummary {
+			n.Delete(e.topic, e.key)
+		}
+	}
+}
+
+func (n *Node) aggregate() *peerv1.Aggregate {
+	a := &peerv1.Aggregate{DataCentre: string(n.o.DataCentre)}
+	for _, m := range n.Members() {
+		switch m.State {
+		case StateAlive:
+			a.Alive++
+		case StateSuspect:
+			a.Suspect++
+		default:
+			continue
+		}
+		if a.MinRevision == 0 || uint64(m.Revision) < a.MinRevision {
+			a.MinRevision = uint64(m.Revision)
+		}
+		a.MaxRevision = max(a.MaxRevision, uint64(m.Revision))
+		if slices.Contains(n.delegates, m.ID) {
+			a.Delegates = append(a.Delegates, &peerv1.Delegate{Node: string(m.ID), Address: m.Address})
+		}
+	}
+	return a
+}
+
+// DataCentres returns the freshest aggregate of each data centre, ordered by name.
+func (n *Node) DataCentres() []DataCentre {
+	best := make(map[ident.DataCentre]DataCentre)
+	for _, r := range n.logs.order {
+		for _, a := range r.aggregates {
+			d := dataCentreOf(a, n.clock-r.advanced)
+			if old, ok := best[d.Name]; !ok || d.Silent < old.Silent {
+				best[d.Name] = d
+			}
+		}
+	}
+	return slices.SortedFunc(maps.Values(best), func(a, b DataCentre) int {
+		return strings.Compare(string(a.Name), string(b.Name))
+	})
+}
+
+func dataCentreOf(a *peerv1.Aggregate, silent time.Duration) DataCentre {
+	d := DataCentre{
+		Name:        ident.DataCentre(a.GetDataCentre()),
+		Alive:       int(a.GetAlive()),
+		Suspect:     int(a.GetSuspect()),
+		MinRevision: ident.Revision(a.GetMinRevision()),
+		MaxRevision: ident.Revision(a.GetMaxRevision()),
+		Silent:      silent,
+	}
+	for _, g := range a.GetDelegates() {
+		d.Delegates = append(d.Delegates, Delegate{ident.NodeID(g.GetNode()), g.GetAddress()})
+	}
+	return d
+}
--- /dev/null
+++ b/internal/peer/options.go
@@ -0,0 +1,84 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+)
+
+// Defaults of Options.
+const (
+	DefaultInterval     = time.Second
+	DefaultSuspectAfter = 5 * time.Second
+	DefaultDropAfter    = 10 * time.Minute
+	DefaultTombstoneFor = time.Hour
+	DefaultLeavingFor   = time.Hour
+	DefaultBadFor       = 7 * 24 * time.Hour
+	DefaultFanout       = 3
+	DefaultMessageBytes = 32 << 10
+)
+
+const (
+	digestPeers       = 2  // peers of the data centre that get a digest each interval
+	delegatesPerDC    = 2  // nodes that speak for a data centre
+	rumourRounds      = 2  // intervals in which a new mark is sent again
+	reconnectOdds     = 8  // one interval in so many tries an address not in the membership
+	witnessesNeeded   = 2  // nodes that must find a member silent before it is gone
+	clampIntervals    = 2  // largest step of time, in intervals
+	saltsKept         = 32 // digests whose answers are still taken
+	joinIntervals     = 5  // after its start in which a node speaks for no data centre
+	lastLeg           = 2  // of a digest exchange
+	fleetBeatPerDC    = 250 * time.Millisecond
+	fleetSilenceBeats = 3
+	markQuiet         = time.Minute // end of a mark's life in which it isn't reconciled
+	deletedFor        = 5 * time.Minute
+)
+
+// Options configures a Node.
+type Options struct {
+	ID         ident.NodeID
+	DataCentre ident.DataCentre
+	// Address is the "ip:port" of the peers' listener.
+	Address string
+	// Incarnation of this life; it should grow with each start. A node that meets
+	// a higher one of itself takes the next.
+	Incarnation ident.Incarnation
+	// Seeds are addresses to join by. Default: none.
+	Seeds []string
+	// Interval between calls of Tick. Default: 1s.
+	Interval time.Duration
+	// SuspectAfter is the silence after which a member is suspected. Default: 5s.
+	SuspectAfter time.Duration
+	// DropAfter is the silence after which a log is forgotten without a second
+	// witness. Default: 10m.
+	DropAfter time.Duration
+	// TombstoneFor is how long a life that is over is refused. Default: 1h.
+	TombstoneFor time.Duration
+	// LeavingFor is how long leaving marks are kept. Default: 1h.
+	LeavingFor time.Duration
+	// BadFor is how long marks of bad versions are kept. Default: 168h.
+	BadFor time.Duration
+	// Fanout is the number of peers that get a new mark at once. Default: 3.
+	Fanout int
+	// MessageBytes bounds a message, and this node's own log. Default: 32 KiB.
+	MessageBytes int
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Interval, DefaultInterval)
+	setDefault(&o.SuspectAfter, DefaultSuspectAfter)
+	setDefault(&o.DropAfter, DefaultDropAfter)
+	setDefault(&o.TombstoneFor, DefaultTombstoneFor)
+	setDefault(&o.LeavingFor, DefaultLeavingFor)
+	setDefault(&o.BadFor, DefaultBadFor)
+	setDefault(&o.Fanout, DefaultFanout)
+	setDefault(&o.MessageBytes, DefaultMessageBytes)
+	return o
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
