Add the demo

Cause: nothing showed a newcomer the system at work in one command. Change: both example deployments, cut down, under a seeded mix with the reclaim of an engine host; it exits 0 only if every answer was whole and every order ran exactly once. The load tool took the chunk with the finish reason for a repeat, since it has the ID of the last token: 62 of 62 streams counted as doubled; it now takes the end at that ID.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -66,6 +66,7 @@
 // commands lists the subcommands. Each lives in a file of its own.
 func commands() []*cli.Command {
 	return []*cli.Command{
+		demoCommand(),
 		nodeCommand(),
 		checkCommand(),
 		applyCommand(),
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -48,11 +48,11 @@
 	Engines  []*engine.Engine
 	Desks    []*service.Service
 	Nodes    []*node.Node
-	// Callers and Operators are the nodes' addresses; Controls those of the endpoints.
+	// Callers and Operators are the nodes' addresses.
 	Callers   []string
 	Operators []string
-	Controls  []string
 
+	controls     []string // of engines, then of plain services
 	platformAddr string
 	cancel       context.CancelFunc
 	wg           sync.WaitGroup
@@ -153,7 +153,7 @@
 	if err != nil {
 		return err
 	}
-	s.Controls = append(s.Controls, ln.Addr().String())
+	s.controls = append(s.controls, ln.Addr().String())
 	s.run(ctx, process.Options{
 		Listener: ln, Handler: h, Platform: s.platformAddr, SetLeaving: leaving, Log: s.opts.Log,
 		Host: platform.HostInfo{
@@ -247,6 +247,16 @@
 	return resp.StatusCode == http.StatusNoContent
 }
 
+// EngineControls returns the addresses of the engines' control pages.
+func (s *Site) EngineControls() []string {
+	return s.controls[:len(s.Engines)]
+}
+
+// DeskControls returns the addresses of the plain services' control pages.
+func (s *Site) DeskControls() []string {
+	return s.controls[len(s.Engines):]
+}
+
 // Stop stops the nodes, then the stand-ins.
 func (s *Site) Stop(ctx context.Context) error {
 	var all error
@@ -267,3 +277,8 @@
 	_, err = syncer.New(syncer.Options{Store: s.Platform.Store()}).Apply(ctx, files)
 	return err
 }
+
+// PlatformAddress returns the address of the platform stand-in.
+func (s *Site) PlatformAddress() string {
+	return s.platformAddr
+}
--- a/internal/load/answer.go
+++ b/internal/load/answer.go
@@ -45,7 +45,12 @@
 		return false
 	}
 	var c endpoint.ChatChunk
-	if json.Unmarshal([]byte(e.data), &c) != nil || len(c.Choices) == 0 || !a.follows(e.id) {
+	if json.Unmarshal([]byte(e.data), &c) != nil || len(c.Choices) == 0 {
+		return false
+	}
+	// The chunk with the finish reason brings no token: its ID is that of the last one.
+	ends := c.Choices[0].FinishReason != "" && c.Choices[0].Delta.Content == ""
+	if !a.follows(e.id, ends) {
 		return false
 	}
 	a.text.WriteString(c.Choices[0].Delta.Content)
@@ -54,8 +59,9 @@
 }
 
 // follows notes an event ID, "REQUEST/OFFSET", and returns whether the event is
-// a later one of this answer. An event without an ID is taken as it comes.
-func (a *answer) follows(id string) bool {
+// a later one of this answer; the end may have the ID of the event before it. An
+// event without an ID is taken as it comes.
+func (a *answer) follows(id string, end bool) bool {
 	if id == "" {
 		return true
 	}
@@ -68,7 +74,7 @@
 		a.crossed = true
 		return false
 	}
-	if offset <= a.offset {
+	if offset < a.offset || (offset == a.offset && !end) {
 		a.doubled = true
 		return false
 	}
