Put in force what a round of acceptance by somebody else brought

Cause: a node that woke for an operator's files waited, read the accepted object with the rest of the round, and returned without putting it in force; only the listing three seconds later did. Ruled out: the platform stand-in (its watch answers a plain HTTP call at once) and the client. Change: the node puts in force what it reads there.

--- a/internal/config/syncer/run.go
+++ b/internal/config/syncer/run.go
@@ -160,19 +160,26 @@
 
 // act puts the accepted revision in force, and accepts files where nobody did.
 func (s *Syncer) act(ctx context.Context, v *view) error {
+	judged, err := s.force(v)
+	if err != nil || judged {
+		return err
+	}
+	return s.acceptLater(ctx, v)
+}
+
+// force puts the accepted revision of a view in force. It tells whether that
+// revision judges the files of the view.
+func (s *Syncer) force(v *view) (judged bool, err error) {
 	accepted, err := config.DecodeAccepted(v.accepted.Value)
 	if err != nil {
-		return err
+		return false, err
 	}
 	if accepted.Revision > s.Revision() {
 		s.put(accepted.Config, v.listed)
 	}
 	s.confirm(v.listed)
 	status, err := config.DecodeStatus(v.status.Value)
-	if err != nil || !status.Judges(v.list(), accepted.Revision) {
-		return s.acceptLater(ctx, v)
-	}
-	return nil
+	return err == nil && status.Judges(v.list(), accepted.Revision), nil
 }
 
 func (v *view) list() []config.File {
@@ -196,9 +203,9 @@
 		v.position = r.Position
 		v.synced = v.synced && !r.Gap
 		v.update(r.Changed)
-		status, err := config.DecodeStatus(v.status.Value)
-		if err == nil && status.Judges(v.list(), status.Revision) {
-			return nil // the next step puts it in force
+		judged, err := s.force(v)
+		if err != nil || judged {
+			return err
 		}
 	}
 	roundCtx, cancel := context.WithTimeout(ctx, 2*s.opts.CallTimeout)
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -64,7 +64,7 @@
 	return s
 }
 
-func (s *site) startNode(t *testing.T, i int) {
+func (s *site) startNode(t testing.TB, i int) {
 	t.Helper()
 	args := []string{"node", "--node-id", fmt.Sprintf("entry-%d", i), "--data-centre", dataCentres[i],
 		"--callers", s.nodes[i], "--peers", s.peers[i], "--operators", s.ops[i],
--- a/internal/e2e/processes_test.go
+++ b/internal/e2e/processes_test.go
@@ -69,7 +69,7 @@
 }
 
 // start runs the program until the test ends; its log is printed where the test failed.
-func start(t *testing.T, name string, args ...string) *process {
+func start(t testing.TB, name string, args ...string) *process {
 	t.Helper()
 	out := &lockedBuffer{}
 	cmd := exec.Command(binary, args...)
@@ -102,7 +102,7 @@
 	<-p.done
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -113,7 +113,7 @@
 }
 
 // runCommand runs a command of the program to its end and returns its output.
-func runCommand(t *testing.T, wantCode int, args ...string) string {
+func runCommand(t testing.TB, wantCode int, args ...string) string {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
@@ -133,7 +133,7 @@
 }
 
 // eventually waits until f returns nil.
-func eventually(t *testing.T, what string, f func() error) {
+func eventually(t testing.TB, what string, f func() error) {
 	t.Helper()
 	var err error
 	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
