Drive the membership over connect-go

Cause: the state machine needs sockets, a clock and authentication.

Change: internal/peer/gossip. Seeds come from the settings and from a function, whose failure leaves those known.

--- /dev/null
+++ b/internal/peer/gossip/loop.go
@@ -0,0 +1,125 @@
+package gossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/peer"
+)
+
+// jitterShare is the share of the interval by which a tick may be early or late.
+const jitterShare = 0.1
+
+func (s *Service) tickLoop() {
+	timer := time.NewTimer(s.nextTick())
+	defer timer.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-timer.C:
+			s.step((*peer.Node).Tick)
+			s.observe()
+			timer.Reset(s.nextTick())
+		}
+	}
+}
+
+func (s *Service) nextTick() time.Duration {
+	i := float64(s.o.Peer.Interval)
+	return time.Duration(i * (1 + jitterShare*(2*rand.Float64()-1)))
+}
+
+func (s *Service) observe() {
+	s.mu.Lock()
+	members, marks := s.mu.node.Members(), s.mu.node.MarkCount()
+	s.mu.Unlock()
+	s.metrics.observe(members, marks)
+}
+
+// step lets the node act and sends what it returns.
+func (s *Service) step(f func(*peer.Node, time.Time) []peer.Send) {
+	s.mu.Lock()
+	sends := f(s.mu.node, time.Now())
+	s.takeChanges()
+	s.mu.Unlock()
+	s.dispatch(sends)
+}
+
+// takeChanges queues the node's changes for the listeners. The lock is held.
+func (s *Service) takeChanges() {
+	c := s.mu.node.Changes()
+	if len(c) == 0 {
+		return
+	}
+	s.mu.pending = append(s.mu.pending, c...)
+	select {
+	case s.notify <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Service) changeLoop() {
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-s.notify:
+			s.deliver()
+		}
+	}
+}
+
+func (s *Service) deliver() {
+	s.mu.Lock()
+	c := s.mu.pending
+	s.mu.pending = nil
+	s.mu.Unlock()
+	for _, change := range c {
+		s.logChange(change)
+	}
+	for _, f := range s.listeners {
+		f(c)
+	}
+}
+
+func (s *Service) logChange(c peer.Change) {
+	switch c.Kind {
+	case peer.ChangeMember:
+		s.log.Info("peer: Member changed.", "member", string(c.Member.ID),
+			"incarnation", uint64(c.Member.Incarnation), "state", c.Member.State.String())
+	case peer.ChangeMark:
+		s.log.Info("peer: Mark learnt.", "kind", int(c.Mark.Kind), "subject", c.Mark.Subject, "number", c.Mark.Number)
+	case peer.ChangeRefuted:
+		s.metrics.Refuted.Inc()
+		s.log.Warn("peer: Own end refuted.", "node", string(s.o.Peer.ID))
+	}
+}
+
+func (s *Service) seedLoop() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-timer.C:
+			s.refreshSeeds()
+			timer.Reset(s.o.SeedEvery)
+		}
+	}
+}
+
+func (s *Service) refreshSeeds() {
+	ctx, cancel := context.WithTimeout(s.ctx, s.o.Timeout)
+	defer cancel()
+	found, err := s.o.Seeds(ctx)
+	if err != nil {
+		s.log.Warn("peer: Seeds not found.", "error", err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.node.SetSeeds(append(append([]string(nil), s.o.Peer.Seeds...), found...))
+}
--- /dev/null
+++ b/internal/peer/gossip/state.go
@@ -0,0 +1,85 @@
+package gossip
+
+import (
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/peer"
+)
+
+// read runs f with the node under the lock.
+func read[T any](s *Service, f func(*peer.Node) T) T {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer s.takeChanges()
+	return f(s.mu.node)
+}
+
+// Members returns the members of the data centre, ordered by ID.
+func (s *Service) Members() []peer.Member { return read(s, (*peer.Node).Members) }
+
+// DataCentres returns the aggregate of each data centre, ordered by name.
+func (s *Service) DataCentres() []peer.DataCentre { return read(s, (*peer.Node).DataCentres) }
+
+// IsDelegate tells whether this node speaks for its data centre.
+func (s *Service) IsDelegate() bool { return read(s, (*peer.Node).IsDelegate) }
+
+// Mark records marks and sends them on at once.
+func (s *Service) Mark(marks ...peer.Mark) {
+	s.step(func(n *peer.Node, now time.Time) []peer.Send { return n.Mark(now, marks...) })
+}
+
+// Marks returns all marks, ordered by kind and subject.
+func (s *Service) Marks() []peer.Mark { return read(s, (*peer.Node).Marks) }
+
+// Marked returns the highest number marked for a subject.
+func (s *Service) Marked(k peer.MarkKind, subject string) (number uint64, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mu.node.Marked(k, subject)
+}
+
+// Leaving tells whether that life of an endpoint is marked as leaving.
+func (s *Service) Leaving(id ident.EndpointID, inc ident.Incarnation) bool {
+	return read(s, func(n *peer.Node) bool { return n.Leaving(id, inc) })
+}
+
+// HostLeaving tells whether that life of a host is marked as leaving.
+func (s *Service) HostLeaving(h ident.Host, inc ident.Incarnation) bool {
+	return read(s, func(n *peer.Node) bool { return n.HostLeaving(h, inc) })
+}
+
+// Set publishes a value in this node's own log.
+func (s *Service) Set(t peer.Topic, key string, value []byte) error {
+	return read(s, func(n *peer.Node) error { return n.Set(t, key, value) })
+}
+
+// Delete removes a value from this node's own log.
+func (s *Service) Delete(t peer.Topic, key string) {
+	read(s, func(n *peer.Node) any { n.Delete(t, key); return nil })
+}
+
+// Entries returns the values of a topic, ordered by owner and sequence.
+func (s *Service) Entries(t peer.Topic) []peer.Entry {
+	return read(s, func(n *peer.Node) []peer.Entry { return n.Entries(t) })
+}
+
+// SetRevision announces the revision that this node has in force.
+func (s *Service) SetRevision(r ident.Revision) {
+	read(s, func(n *peer.Node) any { n.SetRevision(r); return nil })
+}
+
+// SetEvidence publishes this node's counters of a key.
+func (s *Service) SetEvidence(key string, c peer.Counters) error {
+	return read(s, func(n *peer.Node) error { return n.SetEvidence(key, c) })
+}
+
+// Evidence returns the counters of a key summed over all known nodes.
+func (s *Service) Evidence(key string) peer.Counters {
+	return read(s, func(n *peer.Node) peer.Counters { return n.Evidence(key) })
+}
+
+// ForgetEvidence drops the counters of a key whose move has ended.
+func (s *Service) ForgetEvidence(key string) {
+	read(s, func(n *peer.Node) any { n.ForgetEvidence(key); return nil })
+}
--- a/internal/peer/marks.go
+++ b/internal/peer/marks.go
@@ -154,3 +154,6 @@
 	}
 	return slices.Clone(n.marks.buckets[:])
 }
+
+// MarkCount returns the number of marks kept.
+func (n *Node) MarkCount() int { return len(n.marks.byKey) }
