--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -36,7 +36,8 @@
 func evenings(peak float64) func(time.Time) float64 {
 	return func(t time.Time) float64 {
 		h := float64(t.Hour()) + float64(t.Minute())/60 + float64(t.Second())/3600
-		d := peak * (0.15 + 0.6*math.Exp(-math.Pow((h-20)/3, 2)) + 0.3*math.Exp(-math.Pow((h-13)/2, 2)))
+		bump := func(at, width float64) float64 { return math.Exp(-(h - at) * (h - at) / (width * width)) }
+		d := peak * (0.15 + 0.6*bump(20, 3) + 0.3*bump(13, 2))
 		if int(h*60)%97 < 12 { // a club's practice ends
 			d *= 1.25
 		}
@@ -214,9 +215,9 @@
 	})
 }
 
-// TestScripts runs testdata/*: each script drives one planner.
+// TestScripts runs testdata/scripts: each script drives one planner.
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		var p *Planner
 		var sent, stored Plan
 		now := func(d *datadriven.TestData) time.Time {
