Take events without text with any offset

Chat completions begin with an event of the role and end with one of the finish reason; neither brings a token, so neither may count as a doubled one. The fake entry sends both now. go test ./internal/load: passes.

--- a/internal/load/answer.go
+++ b/internal/load/answer.go
@@ -45,17 +45,22 @@
 		return false
 	}
 	var c endpoint.ChatChunk
-	if json.Unmarshal([]byte(e.data), &c) != nil || len(c.Choices) == 0 || !a.follows(e.id) {
+	if json.Unmarshal([]byte(e.data), &c) != nil || len(c.Choices) == 0 {
 		return false
 	}
-	a.text.WriteString(c.Choices[0].Delta.Content)
+	text := c.Choices[0].Delta.Content
+	if !a.follows(e.id, text != "") {
+		return false
+	}
+	a.text.WriteString(text)
 	a.whole = a.whole || c.Choices[0].FinishReason != ""
-	return c.Choices[0].Delta.Content != ""
+	return text != ""
 }
 
 // follows notes an event ID, "REQUEST/OFFSET", and returns whether the event is
-// a later one of this answer. An event without an ID is taken as it comes.
-func (a *answer) follows(id string) bool {
+// a later one of this answer. An event without an ID is taken as it comes, and
+// one without text may have the offset of its neighbour.
+func (a *answer) follows(id string, text bool) bool {
 	if id == "" {
 		return true
 	}
@@ -68,6 +73,9 @@
 		a.crossed = true
 		return false
 	}
+	if !text {
+		return true
+	}
 	if offset <= a.offset {
 		a.doubled = true
 		return false
