Join the nodes: membership, marks, load reports and configuration by peers

Cause: nodes knew each other from settings only, each read the store for itself, and a leaving mark stayed where it was learnt. Change: the node gives its parts the live membership, shares load reports within its data centre and leaving marks everywhere, fetches announced revisions from peers, finds answers through another data centre's delegates, and tells the ledger of lives that ended.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -97,12 +97,20 @@
 	return buildLogger(cmd.Root().ErrWriter, cmd.String("log-level"), cmd.String("log-format"))
 }
 
+// shortErrors keeps the stack traces that errors carry out of the log.
+func shortErrors(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(err.Error())
+	}
+	return a
+}
+
 func buildLogger(w io.Writer, level, format string) (*slog.Logger, error) {
 	var l slog.Level
 	if err := l.UnmarshalText([]byte(level)); err != nil {
 		return nil, usageError{fmt.Errorf("--log-level=%q: debug, info, warn or error is allowed", level)}
 	}
-	opts := &slog.HandlerOptions{Level: l}
+	opts := &slog.HandlerOptions{Level: l, ReplaceAttr: shortErrors}
 	switch format {
 	case "text":
 		return slog.New(slog.NewTextHandler(w, opts)), nil
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -31,7 +31,7 @@
 const readyTimeout = 20 * time.Second
 
 // siteKey is the shared key of a site's nodes.
-const siteKey = "demo-key"
+const siteKey = "demo-key-of-16-bytes"
 
 // SiteOptions are the settings of a Site.
 type SiteOptions struct {
--- a/internal/e2e/processes_test.go
+++ b/internal/e2e/processes_test.go
@@ -5,12 +5,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -18,7 +18,7 @@
 
 const (
 	startTimeout = 20 * time.Second
-	sharedKey    = "test-key"
+	sharedKey    = "test-key-of-16-bytes"
 )
 
 var binary string
@@ -102,14 +102,17 @@
 	<-p.done
 }
 
+const addressPort = 20080
+
+var addressCount atomic.Uint32
+
+// freeAddress returns an address of the loopback network that no other test uses:
+// each process of a run has an IP number of its own.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	pid := uint32(os.Getpid())
+	n := addressCount.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>8%64, pid%256, 1+n%250, addressPort+n/250)
 }
 
 // runCommand runs a command of the program to its end and returns its output.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -95,7 +95,7 @@
 		t.Fatal("the test's configuration was not understood")
 	}
 	remote := &noRemote{}
-	s := New(Options{Node: "entry-1", Incarnation: 7, MaxBodyBytes: 4096}, Parts{
+	s := New(Options{Node: "entry-1", DataCentre: "dc", Incarnation: 7, MaxBodyBytes: 4096}, Parts{
 		Log: slog.New(slog.DiscardHandler), Config: fixedConfig{cfg}, Gate: gate, Sender: sender, Ledger: passLedger{},
 		Answers: answer.NewTable(), Remote: remote, Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
@@ -166,7 +166,7 @@
 		want   []string
 	}{
 		{"document", []string{"a ", "b"}, whole, "false", 200, []string{`"content":"a b"`, `"finish_reason":"stop"`, `"prompt_tokens":3`}},
-		{"stream", []string{"a ", "b\n"}, whole, "true", 200, []string{"id: entry-1.7.1/", `"content":"`, `b\n"`, `"finish_reason":"stop"`, "data: [DONE]\n\n"}},
+		{"stream", []string{"a ", "b\n"}, whole, "true", 200, []string{"id: entry-1~dc.7.1/", `"content":"`, `b\n"`, `"finish_reason":"stop"`, "data: [DONE]\n\n"}},
 		{"failed document", nil, answer.End{Err: fail}, "false", 502, []string{`"verdict":"may-have-run"`}},
 		{"failure before the first token", nil, answer.End{Err: fail}, "true", 502, []string{`"verdict":"may-have-run"`}},
 	}
@@ -252,10 +252,13 @@
 	}
 }
 
-func TestOrigin(t *testing.T) {
-	for id, want := range map[ident.RequestID]ident.NodeID{"entry-1.7.a": "entry-1", "a.b.1.2": "a.b", "x": "", ".1.2": "", "1.2": ""} {
-		if got, _ := Origin(id); got != want {
-			t.Errorf("Origin(%q) = %q, want %q", id, got, want)
+func TestOriginOf(t *testing.T) {
+	tests := map[ident.RequestID]Origin{
+		"entry-1~dc.7.a": {"entry-1", "dc"}, "a.b~c.d.1.2": {"a.b", "c.d"}, "a.1.2": {"a", ""}, "x": {}, ".1.2": {}, "1.2": {},
+	}
+	for id, want := range tests {
+		if got := OriginOf(id); got != want {
+			t.Errorf("OriginOf(%q) = %q, want %q", id, got, want)
 		}
 	}
 }
--- a/internal/entry/id.go
+++ b/internal/entry/id.go
@@ -9,25 +9,33 @@
 
 const idBase = 36
 
-// newRequestID returns an ID that names this node and life, "NODE.LIFE.SERIAL".
+// newRequestID returns an ID that names this node, its data centre and its life:
+// "NODE~DATACENTRE.LIFE.SERIAL".
 func (s *Server) newRequestID() ident.RequestID {
 	life := strconv.FormatUint(uint64(s.opts.Incarnation), idBase)
 	serial := strconv.FormatUint(s.serial.Add(1), idBase)
-	return ident.RequestID(string(s.opts.Node) + "." + life + "." + serial)
+	return ident.RequestID(string(s.opts.Node) + "~" + string(s.opts.DataCentre) + "." + life + "." + serial)
 }
 
-// Origin returns the node that gave a request its ID, and false where the ID
-// has another form.
-func Origin(id ident.RequestID) (ident.NodeID, bool) {
+// Origin is where a request was taken in.
+type Origin struct {
+	Node       ident.NodeID
+	DataCentre ident.DataCentre
+}
+
+// OriginOf returns the origin that a request ID names; zero where the ID has
+// another form.
+func OriginOf(id ident.RequestID) Origin {
 	serial := strings.LastIndexByte(string(id), '.')
 	if serial < 0 {
-		return "", false
+		return Origin{}
 	}
 	life := strings.LastIndexByte(string(id[:serial]), '.')
 	if life <= 0 {
-		return "", false
+		return Origin{}
 	}
-	return ident.NodeID(id[:life]), true
+	node, dc, _ := strings.Cut(string(id[:life]), "~")
+	return Origin{ident.NodeID(node), ident.DataCentre(dc)}
 }
 
 // appendEventID appends the ID of a server-sent event: the request and the
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -17,7 +17,7 @@
 
 // Limits of a request, in bytes.
 const (
-	DefaultMaxBodyBytes   = 8 << 20
+	DefaultMaxBodyBytes   = 2 << 20 // a hand-over carries the body and the answer in one call of 4 MiB at most
 	DefaultMaxHeaderBytes = 64 << 10
 )
 
@@ -27,8 +27,9 @@
 // Options are the settings of a Server.
 type Options struct {
 	Node        ident.NodeID
+	DataCentre  ident.DataCentre
 	Incarnation ident.Incarnation
-	// MaxBodyBytes bounds a request's body. Default: 8 MiB.
+	// MaxBodyBytes bounds a request's body. Default: 2 MiB.
 	MaxBodyBytes int64
 }
 
--- a/internal/handover/convert.go
+++ b/internal/handover/convert.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"bytes"
 	"encoding/json"
 	"time"
 
@@ -15,8 +16,10 @@
 )
 
 func jobToProto(job *entry.ChatJob, text []byte, ends []int32) (*handoverv1.HandOverRequest, error) {
-	body, err := json.Marshal(job.Body)
-	if err != nil {
+	var body bytes.Buffer
+	enc := json.NewEncoder(&body)
+	enc.SetEscapeHTML(false) // the escapes could make the body six times as long
+	if err := enc.Encode(job.Body); err != nil {
 		return nil, errors.Wrapf(err, "encode the body of %s", job.Request.ID)
 	}
 	r := job.Request
@@ -27,7 +30,7 @@
 		Service:        string(r.Service.Name),
 		ArrivedUnixMs:  r.Arrived.UnixMilli(),
 		DeadlineUnixMs: r.Deadline.UnixMilli(),
-		Body:           body,
+		Body:           body.Bytes(),
 		Text:           text,
 		TokenEnds:      ends,
 	}, nil
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -47,20 +47,22 @@
 	return nil
 }
 
-type members []Member
+type members struct{ local, delegates []Member }
 
-func (m members) Live() []Member { return m }
+func (m members) Local() []Member     { return m.local }
+func (m members) Delegates() []Member { return m.delegates }
 
 type peer struct {
 	adopter *adopter
 	addr    string
 }
 
-func newPeer(t *testing.T, key peerauth.Key) *peer {
+// newPeer starts a node whose data centre has the other nodes given.
+func newPeer(t *testing.T, key peerauth.Key, local ...*peer) *peer {
 	t.Helper()
 	p := &peer{adopter: &adopter{answers: answer.NewTable()}}
 	mux := http.NewServeMux()
-	mux.Handle(NewServer(slog.New(slog.DiscardHandler), testConfig, p.adopter.answers, p.adopter).Handler())
+	mux.Handle(NewServer(slog.New(slog.DiscardHandler), testConfig, p.adopter.answers, p.adopter, newRemote(t, key, local...)).Handler())
 	srv := httptest.NewServer(key.Handler(mux, func() {}))
 	t.Cleanup(srv.Close)
 	p.addr = strings.TrimPrefix(srv.URL, "http://")
@@ -69,10 +71,19 @@
 
 func newRemote(t *testing.T, key peerauth.Key, peers ...*peer) *Remote {
 	t.Helper()
-	var ms members
+	return newRemoteOf(t, key, members{local: named(peers)})
+}
+
+func named(peers []*peer) []Member {
+	var out []Member
 	for i, p := range peers {
-		ms = append(ms, Member{ID: ident.NodeID("peer-" + string(rune('a'+i))), Address: p.addr})
+		out = append(out, Member{ID: ident.NodeID("peer-" + string(rune('a'+i))), Address: p.addr, DataCentre: "far"})
 	}
+	return out
+}
+
+func newRemoteOf(t *testing.T, key peerauth.Key, ms members) *Remote {
+	t.Helper()
 	base := &http.Transport{}
 	t.Cleanup(base.CloseIdleConnections)
 	return NewRemote(slog.New(slog.DiscardHandler), ms, &http.Client{Transport: key.Transport(base)})
@@ -98,7 +109,7 @@
 	r := newRemote(t, "k", a, b)
 	ctx := context.Background()
 	job := newJob("gone.1.1")
-	first := r.ranked(job.Request.ID)[0]
+	first := rank(job.Request.ID, r.members.Local())[0]
 	stopping, taker := a, b
 	if first.Address == b.addr {
 		stopping, taker = b, a
@@ -144,6 +155,29 @@
 	}
 }
 
+// TestFindInAnotherDataCentre asks a delegate for an answer that another node of
+// its data centre holds.
+func TestFindInAnotherDataCentre(t *testing.T) {
+	holder := newPeer(t, "k")
+	delegate := newPeer(t, "k", holder)
+	a := answer.New("n~far.1.1", "w", "m", true)
+	a.Append(0, []byte("far"))
+	a.Close(time.Now(), answer.End{Reason: "stop"})
+	holder.adopter.answers.Add(a)
+	r := newRemoteOf(t, "k", members{delegates: named([]*peer{delegate})})
+	got, err := r.Find(context.Background(), a.ID)
+	if err != nil || got == nil {
+		t.Fatalf("answer %v, error %v", got, err)
+	}
+	reader := got.Follow(0)
+	for !got.End().Done {
+		<-reader.Wake()
+	}
+	if got.Text() != "far" {
+		t.Errorf("answer = %q", got.Text())
+	}
+}
+
 func TestWrongKeyIsRefused(t *testing.T) {
 	p := newPeer(t, "right")
 	if err := newRemote(t, "wrong", p).HandOver(context.Background(), newJob("a.1.1")); err == nil || len(p.adopter.jobs) != 0 {
--- a/internal/handover/remote.go
+++ b/internal/handover/remote.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -26,13 +27,17 @@
 
 // Member is another node that can be called.
 type Member struct {
-	ID      ident.NodeID
-	Address string // of its peers' listener
+	ID         ident.NodeID
+	Address    string // of its peers' listener
+	DataCentre ident.DataCentre
 }
 
-// Members lists the live nodes, this one aside, that are not about to stop.
+// Members lists live nodes, this one aside.
 type Members interface {
-	Live() []Member
+	// Local returns the nodes of this data centre.
+	Local() []Member
+	// Delegates returns the nodes that speak for other data centres.
+	Delegates() []Member
 }
 
 // Remote calls other nodes.
@@ -51,47 +56,67 @@
 
 func now() time.Time { return time.Now() }
 
-// ranked returns the members to ask for a request: the node that began it, then
-// those that a hand-over chooses first.
-func (r *Remote) ranked(id ident.RequestID) []Member {
-	byID := make(map[ident.NodeID]Member)
-	var ids []ident.NodeID
-	for _, m := range r.members.Live() {
+// rank orders members for a request: the node that began it first, then by
+// rendezvous hashing, on which all nodes agree.
+func rank(id ident.RequestID, members []Member) []Member {
+	origin := entry.OriginOf(id)
+	byID := make(map[ident.NodeID]Member, len(members))
+	ids := make([]ident.NodeID, 0, len(members))
+	for _, m := range members {
 		byID[m.ID] = m
 		ids = append(ids, m.ID)
 	}
-	var out []Member
-	origin, ok := entry.Origin(id)
-	if m, live := byID[origin]; ok && live {
+	out := make([]Member, 0, len(members))
+	if m, ok := byID[origin.Node]; ok {
 		out = append(out, m)
 	}
 	for _, nid := range rendezvous.Rank(string(id), ids) {
-		if nid != origin {
+		if nid != origin.Node {
 			out = append(out, byID[nid])
 		}
 	}
 	return out[:min(candidates, len(out))]
 }
 
-// Find follows an answer at the node that holds it.
+// Find follows an answer at the node that holds it: one of this data centre, of
+// the data centre that took the request in, or of those that a hand-over out of
+// it chooses first.
 func (r *Remote) Find(ctx context.Context, id ident.RequestID) (*answer.Answer, error) {
-	for _, m := range r.ranked(id) {
-		a, err := r.follow(ctx, m, id)
+	if a := r.findLocal(ctx, id); a != nil {
+		return a, nil
+	}
+	delegates := r.members.Delegates()
+	origin := entry.OriginOf(id).DataCentre
+	home := slices.DeleteFunc(slices.Clone(delegates), func(m Member) bool { return m.DataCentre != origin })
+	if a := r.findAt(ctx, id, rank(id, home), true); a != nil {
+		return a, nil
+	}
+	return r.findAt(ctx, id, rank(id, delegates), true), nil
+}
+
+func (r *Remote) findLocal(ctx context.Context, id ident.RequestID) *answer.Answer {
+	return r.findAt(ctx, id, rank(id, r.members.Local()), false)
+}
+
+// findAt asks members in turn; nil where none has the answer.
+func (r *Remote) findAt(ctx context.Context, id ident.RequestID, members []Member, forward bool) *answer.Answer {
+	for _, m := range members {
+		a, err := r.follow(ctx, m, id, forward)
 		if err == nil {
-			return a, nil
+			return a
 		}
 		if connect.CodeOf(err) != connect.CodeNotFound {
 			r.log.Warn("handover: Node can't be asked for an answer.", "node", string(m.ID), "error", err)
 		}
 	}
-	return nil, nil
+	return nil
 }
 
 // follow opens the stream of one node and copies it in the background.
-func (r *Remote) follow(ctx context.Context, m Member, id ident.RequestID) (*answer.Answer, error) {
+func (r *Remote) follow(ctx context.Context, m Member, id ident.RequestID, forward bool) (*answer.Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	stop := time.AfterFunc(findTimeout, cancel)
-	stream, err := r.client(m).Follow(ctx, connect.NewRequest(&handoverv1.FollowRequest{RequestId: string(id)}))
+	stream, err := r.client(m).Follow(ctx, connect.NewRequest(&handoverv1.FollowRequest{RequestId: string(id), Forward: forward}))
 	if err != nil {
 		cancel()
 		return nil, err
@@ -132,7 +157,8 @@
 	a.Close(now(), answer.End{Moved: true})
 }
 
-// HandOver offers a job to the nodes that Find asks, in the same order.
+// HandOver offers a job to the nodes that Find asks, in the same order: those of
+// this data centre, then those of others.
 func (r *Remote) HandOver(ctx context.Context, job *entry.ChatJob) error {
 	text, ends := job.Answer.Tokens()
 	msg, err := jobToProto(job, text, ends)
@@ -140,7 +166,8 @@
 		return err
 	}
 	err = errors.Newf("no live node takes over %q", job.Request.ID)
-	for _, m := range r.ranked(job.Request.ID) {
+	id := job.Request.ID
+	for _, m := range append(rank(id, r.members.Local()), rank(id, r.members.Delegates())...) {
 		callCtx, cancel := context.WithTimeout(ctx, handOverTimeout)
 		_, callErr := r.client(m).HandOver(callCtx, connect.NewRequest(msg))
 		cancel()
--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -29,13 +29,15 @@
 	config  entry.ConfigSource
 	answers *answer.Table
 	adopter Adopter
+	remote  *Remote
 }
 
 var _ handoverv1connect.AnswerServiceHandler = (*Server)(nil)
 
-// NewServer returns a server over the node's answers.
-func NewServer(log *slog.Logger, config entry.ConfigSource, answers *answer.Table, adopter Adopter) *Server {
-	return &Server{log: log, config: config, answers: answers, adopter: adopter}
+// NewServer returns a server over the node's answers. It forwards calls for
+// answers of its data centre through remote.
+func NewServer(log *slog.Logger, config entry.ConfigSource, answers *answer.Table, adopter Adopter, remote *Remote) *Server {
+	return &Server{log: log, config: config, answers: answers, adopter: adopter, remote: remote}
 }
 
 // Handler returns the path and handler to mount on the peers' listener.
@@ -56,10 +58,21 @@
 	return connect.NewResponse(&handoverv1.HandOverResponse{}), nil
 }
 
-// Follow streams an answer of this node.
+// find returns an answer of this node, or of its data centre where forward is set.
+func (s *Server) find(ctx context.Context, id ident.RequestID, forward bool) *answer.Answer {
+	if a := s.answers.Get(id); a != nil && !a.End().Moved {
+		return a
+	}
+	if !forward {
+		return nil
+	}
+	return s.remote.findLocal(ctx, id)
+}
+
+// Follow streams an answer of this node, or of its data centre.
 func (s *Server) Follow(ctx context.Context, req *connect.Request[handoverv1.FollowRequest], out *connect.ServerStream[handoverv1.FollowResponse]) error {
-	a := s.answers.Get(ident.RequestID(req.Msg.GetRequestId()))
-	if a == nil || a.End().Moved {
+	a := s.find(ctx, ident.RequestID(req.Msg.GetRequestId()), req.Msg.GetForward())
+	if a == nil {
 		return connect.NewError(connect.CodeNotFound, errors.Newf("answer %q is not here", req.Msg.GetRequestId()))
 	}
 	head := &handoverv1.Head{Workspace: string(a.Workspace), Model: a.Model, Stream: a.Stream}
--- a/internal/load/answer.go
+++ b/internal/load/answer.go
@@ -48,20 +48,19 @@
 	if json.Unmarshal([]byte(e.data), &c) != nil || len(c.Choices) == 0 {
 		return false
 	}
-	// The chunk with the finish reason brings no token: its ID is that of the last one.
-	ends := c.Choices[0].FinishReason != "" && c.Choices[0].Delta.Content == ""
-	if !a.follows(e.id, ends) {
+	text := c.Choices[0].Delta.Content
+	if !a.follows(e.id, text != "") {
 		return false
 	}
-	a.text.WriteString(c.Choices[0].Delta.Content)
+	a.text.WriteString(text)
 	a.whole = a.whole || c.Choices[0].FinishReason != ""
-	return c.Choices[0].Delta.Content != ""
+	return text != ""
 }
 
 // follows notes an event ID, "REQUEST/OFFSET", and returns whether the event is
-// a later one of this answer; the end may have the ID of the event before it. An
-// event without an ID is taken as it comes.
-func (a *answer) follows(id string, end bool) bool {
+// a later one of this answer. An event without an ID is taken as it comes, and
+// one without text may have the offset of its neighbour.
+func (a *answer) follows(id string, text bool) bool {
 	if id == "" {
 		return true
 	}
@@ -74,7 +73,10 @@
 		a.crossed = true
 		return false
 	}
-	if offset < a.offset || (offset == a.offset && !end) {
+	if !text {
+		return true
+	}
+	if offset <= a.offset {
 		a.doubled = true
 		return false
 	}
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -24,9 +24,13 @@
 }
 
 func newListener(name, addr string, h http.Handler, log *slog.Logger) *listener {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
 	return &listener{
 		name: name, addr: addr, log: log,
 		server: &http.Server{
+			Protocols:         protocols,
 			Handler:           h,
 			ReadHeaderTimeout: readHeaderTimeout,
 			MaxHeaderBytes:    entry.DefaultMaxHeaderBytes,
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -4,9 +4,11 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/peer/gossip"
 	"github.com/jujubeshed/jujubeshed/internal/peerauth"
 )
 
@@ -57,13 +59,15 @@
 	required := []struct{ flag, value, allowed string }{
 		{"node-id", string(o.ID), "a name without spaces, unique in the fleet,"},
 		{"data-centre", string(o.DataCentre), "the name of the node's data centre"},
-		{"key", string(o.Key), "a secret of any length that all nodes share"},
 	}
 	for _, r := range required {
 		if r.value == "" {
 			return &SettingError{r.flag, r.value, r.allowed}
 		}
 	}
+	if len(o.Key) < gossip.MinKeyBytes {
+		return &SettingError{"key", strings.Repeat("*", len(o.Key)), fmt.Sprintf("a secret of at least %d bytes", gossip.MinKeyBytes)}
+	}
 	addresses := []struct{ flag, value string }{
 		{"callers", o.Callers}, {"operators", o.Operators}, {"peers", o.Peers}, {"platform", o.Platform},
 	}
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/jujubeshed/jujubeshed/internal/admit"
 	"github.com/jujubeshed/jujubeshed/internal/admit/gate"
 	"github.com/jujubeshed/jujubeshed/internal/config/syncer"
 	"github.com/jujubeshed/jujubeshed/internal/entry"
-	"github.com/jujubeshed/jujubeshed/internal/handover"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/kernel"
 	"github.com/jujubeshed/jujubeshed/internal/route"
@@ -81,17 +81,33 @@
 	gate     *gate.Gate
 	balancer *balancer.Balancer
 	config   entry.ConfigSource
-	live     int
+
+	mu struct {
+		sync.Mutex
+		live int // nodes, this one included; zero before the first membership
+	}
+}
+
+// setLive takes the number of live nodes.
+func (u *capacityUpdater) setLive(n int) {
+	u.mu.Lock()
+	u.mu.live = n
+	u.mu.Unlock()
+	u.update()
 }
 
+// update gives the gate the present shares.
 func (u *capacityUpdater) update() {
 	cfg := u.config.Current()
 	if cfg == nil {
 		return
 	}
-	u.gate.SetLiveNodes(u.live)
+	u.mu.Lock()
+	live := max(u.mu.live, 1)
+	u.mu.Unlock()
+	u.gate.SetLiveNodes(live)
 	for name := range cfg.Services {
-		share := float64(u.balancer.Slots(name)) * overcommit / float64(u.live)
+		share := float64(u.balancer.Slots(name)) * overcommit / float64(live)
 		u.gate.SetCapacity(name, max(1, int(share)))
 	}
 }
@@ -107,15 +123,3 @@
 	}
 	return []route.Share{{Version: cfg.Services[service].Version, Weight: 1}}
 }
-
-// staticMembers are the nodes of the settings.
-type staticMembers []string
-
-// Live returns the seeds.
-func (s staticMembers) Live() []handover.Member {
-	var out []handover.Member
-	for _, a := range s {
-		out = append(out, handover.Member{ID: ident.NodeID(a), Address: a})
-	}
-	return out
-}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,301 @@
+package node
+
+import (
+	"context"
+	"encoding/binary"
+	"log/slog"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	observev1 "github.com/jujubeshed/jujubeshed/api/gen/observe/v1"
+	"github.com/jujubeshed/jujubeshed/internal/config"
+	"github.com/jujubeshed/jujubeshed/internal/endpoint"
+	"github.com/jujubeshed/jujubeshed/internal/handover"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/observe"
+	"github.com/jujubeshed/jujubeshed/internal/once/committer"
+	"github.com/jujubeshed/jujubeshed/internal/peer"
+	"github.com/jujubeshed/jujubeshed/internal/peer/gossip"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+	"github.com/jujubeshed/jujubeshed/internal/route"
+	"github.com/jujubeshed/jujubeshed/internal/route/balancer"
+)
+
+const (
+	// kindConfig is the kind of bytes that peers fetch to catch up on configuration.
+	kindConfig = "config"
+	// relayDelay is how long a load report is on its way between nodes.
+	relayDelay = time.Second
+	// watchAlone is how long after its start a node watches the store, whether or
+	// not it is a delegate.
+	watchAlone = 15 * time.Second
+)
+
+// peers connects the parts of a node with what its peers say.
+type peers struct {
+	opts     *Options
+	log      *slog.Logger
+	gossip   *gossip.Service
+	balancer *balancer.Balancer
+	observer *observe.Observer
+	config   *configService
+	capacity *capacityUpdater
+	ledger   *committer.Committer
+	started  time.Time
+}
+
+var (
+	_ handover.Members = (*peers)(nil)
+	_ observe.Sink     = (*peers)(nil)
+)
+
+// connect subscribes to what peers say and offers what they may fetch.
+func (p *peers) connect() {
+	p.started = time.Now()
+	p.gossip.Provide(kindConfig, p.provideConfig)
+	p.gossip.OnChange(p.changed)
+}
+
+// changed takes a batch of changes of the shared state.
+func (p *peers) changed(changes []peer.Change) {
+	members := false
+	for _, c := range changes {
+		switch c.Kind {
+		case peer.ChangeMember:
+			members = true
+			p.memberChanged(c.Member)
+		case peer.ChangeEntry:
+			p.entryChanged(c.Entry)
+		case peer.ChangeMark:
+			p.marked(c.Mark)
+		case peer.ChangeRefuted:
+		}
+	}
+	if members {
+		p.refresh()
+	}
+}
+
+// memberChanged tells the ledger of a life that ended.
+func (p *peers) memberChanged(m peer.Member) {
+	if m.State == peer.StateGone || m.State == peer.StateLeft {
+		p.ledger.NodeGone(m.ID, m.Incarnation)
+	}
+}
+
+// refresh gives the parts the present membership.
+func (p *peers) refresh() {
+	local := p.localIDs()
+	live := p.liveNodes(len(local))
+	p.balancer.SetNodes(route.Nodes{Live: live, Local: local})
+	p.observer.SetNodes(local)
+	p.capacity.setLive(live)
+	p.config.SetWatching(p.gossip.IsDelegate() || time.Since(p.started) < watchAlone)
+}
+
+// localIDs returns the live nodes of this data centre, this one included.
+func (p *peers) localIDs() []ident.NodeID {
+	ids := []ident.NodeID{p.opts.ID}
+	for _, m := range p.Local() {
+		ids = append(ids, m.ID)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// liveNodes counts the live nodes of all data centres.
+func (p *peers) liveNodes(local int) int {
+	live := local
+	for _, dc := range p.gossip.DataCentres() {
+		if dc.Name != p.opts.DataCentre {
+			live += dc.Alive
+		}
+	}
+	return live
+}
+
+// Local returns the other live nodes of this data centre.
+func (p *peers) Local() []handover.Member {
+	var out []handover.Member
+	for _, m := range p.gossip.Members() {
+		if m.ID != p.opts.ID && m.State == peer.StateAlive {
+			out = append(out, handover.Member{ID: m.ID, Address: m.Address, DataCentre: m.DataCentre})
+		}
+	}
+	return out
+}
+
+// Delegates returns the nodes that speak for other data centres. A node that has
+// just started knows none yet; its seeds take their place.
+func (p *peers) Delegates() []handover.Member {
+	out := p.knownDelegates()
+	if len(out) > 0 {
+		return out
+	}
+	for _, address := range p.opts.Seeds {
+		out = append(out, handover.Member{ID: ident.NodeID(address), Address: address})
+	}
+	return out
+}
+
+func (p *peers) knownDelegates() []handover.Member {
+	var out []handover.Member
+	for _, dc := range p.gossip.DataCentres() {
+		if dc.Name == p.opts.DataCentre {
+			continue
+		}
+		for _, d := range dc.Delegates {
+			out = append(out, handover.Member{ID: d.ID, Address: d.Address, DataCentre: dc.Name})
+		}
+	}
+	return out
+}
+
+// entryChanged takes a load report that another node read.
+func (p *peers) entryChanged(e peer.Entry) {
+	if e.Topic != peer.TopicLoad || e.Owner == p.opts.ID || e.Value == nil {
+		return
+	}
+	var load observev1.Load
+	if err := proto.Unmarshal(e.Value, &load); err != nil {
+		p.log.Warn("peer: Load report is malformed.", "node", string(e.Owner), "error", err)
+		return
+	}
+	p.balancer.Report(loadFromProto(ident.EndpointID(e.Key), &load))
+}
+
+func loadFromProto(id ident.EndpointID, l *observev1.Load) endpoint.LoadReport {
+	return endpoint.LoadReport{
+		Endpoint:      id,
+		Version:       ident.Version(l.GetVersion()),
+		Running:       int(l.GetRunning()),
+		Queued:        int(l.GetQueued()),
+		QueuedTokens:  int(l.GetQueuedTokens()),
+		MaxRunning:    int(l.GetMaxRunning()),
+		PrefillPerSec: float64(l.GetPrefillPerSecond()),
+		DecodePerSec:  float64(l.GetDecodePerSecond()),
+		Age:           time.Duration(l.GetAgeMs())*time.Millisecond + relayDelay,
+	}
+}
+
+// Report shares a load report that this node read.
+func (p *peers) Report(r endpoint.LoadReport) {
+	raw, err := proto.Marshal(&observev1.Load{
+		Version:          string(r.Version),
+		Running:          uint32(r.Running),
+		Queued:           uint32(r.Queued),
+		QueuedTokens:     uint32(r.QueuedTokens),
+		MaxRunning:       uint32(r.MaxRunning),
+		PrefillPerSecond: float32(r.PrefillPerSec),
+		DecodePerSecond:  float32(r.DecodePerSec),
+		AgeMs:            uint32(r.Age.Milliseconds()),
+	})
+	if err == nil {
+		err = p.gossip.Set(peer.TopicLoad, string(r.Endpoint), raw)
+	}
+	if err != nil {
+		p.log.Warn("peer: Load report can't be shared.", "endpoint", string(r.Endpoint), "error", err)
+	}
+}
+
+// CacheEvents are not shared: a node learns of prefixes from its own dispatches
+// and the endpoints that it observes.
+func (p *peers) CacheEvents(ident.EndpointID, endpoint.CacheEvents) {}
+
+// MarkEndpoint shares an endpoint's own word that it leaves.
+func (p *peers) MarkEndpoint(id ident.EndpointID, s endpoint.LeavingState) {
+	p.gossip.Mark(peer.Mark{
+		Kind: peer.MarkEndpointLeaving, Subject: string(id), Number: uint64(s.Incarnation), Value: encodeTime(s.Deadline),
+	})
+}
+
+// markHost shares that a host leaves.
+func (p *peers) markHost(n platform.Notice) {
+	p.gossip.Mark(peer.Mark{
+		Kind: peer.MarkHostLeaving, Subject: string(n.Host), Number: uint64(n.Incarnation), Value: encodeTime(n.Deadline),
+	})
+}
+
+// marked takes a mark that a peer shared.
+func (p *peers) marked(m peer.Mark) {
+	switch m.Kind {
+	case peer.MarkHostLeaving:
+		p.balancer.MarkHost(platform.Notice{
+			Host: ident.Host(m.Subject), Incarnation: ident.Incarnation(m.Number), Deadline: decodeTime(m.Value),
+		})
+	case peer.MarkEndpointLeaving:
+		p.balancer.MarkEndpoint(ident.EndpointID(m.Subject), endpoint.LeavingState{
+			Leaving: true, Incarnation: ident.Incarnation(m.Number), Deadline: decodeTime(m.Value),
+		})
+	case peer.MarkRevision:
+		go p.catchUp(ident.Revision(m.Number))
+	case peer.MarkBadVersion:
+	}
+}
+
+func encodeTime(t time.Time) []byte {
+	return binary.BigEndian.AppendUint64(nil, uint64(max(t.UnixMilli(), 0)))
+}
+
+func decodeTime(b []byte) time.Time {
+	if len(b) != 8 {
+		return time.Time{}
+	}
+	return time.UnixMilli(int64(binary.BigEndian.Uint64(b)))
+}
+
+// announce tells the peers of a revision in force here.
+func (p *peers) announce(c *config.Config) {
+	p.gossip.SetRevision(c.Revision)
+	p.gossip.Mark(peer.Mark{Kind: peer.MarkRevision, Number: uint64(c.Revision)})
+}
+
+// provideConfig returns what leads from the revision in name to this node's.
+func (p *peers) provideConfig(_ context.Context, name string) ([]byte, error) {
+	since, err := strconv.ParseUint(name, 10, 64)
+	if err != nil {
+		return nil, errors.Wrapf(err, "revision %q", name)
+	}
+	message, err := p.config.Message(ident.Revision(since))
+	if err != nil {
+		return nil, err
+	}
+	if message == nil {
+		return nil, gossip.ErrNotFound
+	}
+	return message, nil
+}
+
+// fromPeers asks members for what leads from a revision to a higher one.
+func (p *peers) fromPeers(ctx context.Context, since ident.Revision) ([]byte, error) {
+	var last error
+	for _, m := range append(p.Local(), p.Delegates()...) {
+		message, err := p.gossip.FetchFrom(ctx, m.Address, kindConfig, strconv.FormatUint(uint64(since), 10))
+		switch {
+		case err == nil:
+			return message, nil
+		case !errors.Is(err, gossip.ErrNotFound):
+			last = err
+		}
+	}
+	return nil, last
+}
+
+// catchUp fetches an announced revision from the peers, unless this node has it.
+func (p *peers) catchUp(r ident.Revision) {
+	if p.config.Revision() >= r {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), catchUpTimeout)
+	defer cancel()
+	if err := p.config.CatchUpFromPeers(ctx); err != nil {
+		p.log.Warn("config: Announced revision can't be fetched.", "revision", uint64(r), "error", err)
+	}
+}
+
+// catchUpTimeout bounds the fetch of an announced revision.
+const catchUpTimeout = 5 * time.Second
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -8,6 +8,8 @@
 	"github.com/jujubeshed/jujubeshed/internal/config"
 	"github.com/jujubeshed/jujubeshed/internal/discovery"
 	"github.com/jujubeshed/jujubeshed/internal/operator"
+	"github.com/jujubeshed/jujubeshed/internal/peer"
+	"github.com/jujubeshed/jujubeshed/internal/peer/gossip"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
 	"github.com/jujubeshed/jujubeshed/internal/route/balancer"
 )
@@ -21,6 +23,7 @@
 	config   *configService
 	hosts    *discovery.Watcher
 	balancer *balancer.Balancer
+	gossip   *gossip.Service
 }
 
 var _ operator.Source = (*statusSource)(nil)
@@ -31,13 +34,43 @@
 		Node:       string(s.opts.ID),
 		DataCentre: string(s.opts.DataCentre),
 		Revision:   int64(s.config.Revision()),
-		Members:    []operators.Member{},
+		Members:    s.members(),
 		Endpoints:  s.endpoints(),
 		Files:      s.files(ctx),
 	}
+	st.Everywhere = s.everywhere()
 	return st, nil
 }
 
+// members returns the nodes of this data centre.
+func (s *statusSource) members() []operators.Member {
+	out := []operators.Member{}
+	for _, m := range s.gossip.Members() {
+		om := operators.Member{
+			Node: string(m.ID), DataCentre: string(m.DataCentre), State: m.State.String(), Revision: int64(m.Revision),
+		}
+		om.Address.SetTo(m.Address)
+		out = append(out, om)
+	}
+	return out
+}
+
+// everywhere tells whether every live node is known to hold this node's revision.
+func (s *statusSource) everywhere() bool {
+	own := s.config.Revision()
+	for _, m := range s.gossip.Members() {
+		if m.State == peer.StateAlive && m.Revision != own {
+			return false
+		}
+	}
+	for _, dc := range s.gossip.DataCentres() {
+		if dc.Alive > 0 && (dc.MinRevision != own || dc.MaxRevision != own) {
+			return false
+		}
+	}
+	return own > 0
+}
+
 func (s *statusSource) endpoints() []operators.Endpoint {
 	out := []operators.Endpoint{}
 	for _, h := range s.hosts.Hosts() {
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -24,6 +24,8 @@
 	"github.com/jujubeshed/jujubeshed/internal/once"
 	"github.com/jujubeshed/jujubeshed/internal/once/committer"
 	"github.com/jujubeshed/jujubeshed/internal/operator"
+	"github.com/jujubeshed/jujubeshed/internal/peer"
+	"github.com/jujubeshed/jujubeshed/internal/peer/gossip"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
 	"github.com/jujubeshed/jujubeshed/internal/route"
 	"github.com/jujubeshed/jujubeshed/internal/route/balancer"
@@ -62,6 +64,10 @@
 	observer  *observe.Observer
 	answers   *answer.Table
 	entry     *entry.Server
+	remote    *handover.Remote
+	capacity  *capacityUpdater
+	gossip    *gossip.Service
+	peers     *peers
 	rejected  prometheus.Counter
 }
 
@@ -74,6 +80,9 @@
 	}
 	w.buildRouting()
 	w.buildConfig()
+	if err := w.buildPeers(); err != nil {
+		return err
+	}
 	w.buildEntry()
 	return w.register()
 }
@@ -81,7 +90,7 @@
 func (w *wiring) buildMetrics() {
 	w.metrics = prometheus.NewRegistry()
 	w.rejected = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "peer_calls_rejected_total", Help: "Calls of peers or operators without the shared key.",
+		Name: "operator_calls_rejected_total", Help: "Calls of operators without the shared key.",
 	})
 	w.metrics.MustRegister(w.rejected, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -106,41 +115,68 @@
 	w.endpoints = endpoint.NewClient()
 	w.balancer = balancer.New(route.Options{Node: w.opts.ID, DataCentre: w.opts.DataCentre}, uint64(w.life))
 	w.gate = gate.New(gate.Options{})
-	w.observer = observe.New(observe.Options{Node: w.opts.ID, DataCentre: w.opts.DataCentre}, w.log, w.endpoints, w.balancer)
+	w.peers = &peers{opts: w.opts, log: w.log, balancer: w.balancer, ledger: w.ledger}
+	w.observer = observe.New(observe.Options{Node: w.opts.ID, DataCentre: w.opts.DataCentre}, w.log, w.endpoints, w.balancer, w.peers)
+	w.peers.observer = w.observer
 	w.hosts.OnHosts(w.balancer.SetHosts)
 	w.hosts.OnHosts(w.observer.SetHosts)
 	w.hosts.OnNotice(w.balancer.MarkHost)
+	w.hosts.OnNotice(w.peers.markHost)
 }
 
 func (w *wiring) buildConfig() {
 	w.config = newConfigService(syncer.New(syncer.Options{
-		Store:    w.store,
-		OnChange: w.configChanged,
-		Seed:     uint64(w.life),
-		Metrics:  syncer.NewMetrics(w.metrics),
-		Log:      w.log,
+		Store:     w.store,
+		OnChange:  w.configChanged,
+		FromPeers: w.peers.fromPeers,
+		Seed:      uint64(w.life),
+		Metrics:   syncer.NewMetrics(w.metrics),
+		Log:       w.log,
 	}))
-	capacity := &capacityUpdater{gate: w.gate, balancer: w.balancer, config: w.config, live: len(w.opts.Seeds) + 1}
-	w.hosts.OnHosts(func([]platform.HostInfo) { capacity.update() })
+	w.capacity = &capacityUpdater{gate: w.gate, balancer: w.balancer, config: w.config}
+	w.hosts.OnHosts(func([]platform.HostInfo) { w.capacity.update() })
+	w.peers.config = w.config
+	w.peers.capacity = w.capacity
 }
 
 func (w *wiring) configChanged(c *config.Config) {
 	w.balancer.SetConfig(c)
 	w.gate.SetWorkspaces(c.Workspaces)
+	w.capacity.update()
+	w.peers.announce(c)
 	w.log.Info("config: In force.", "revision", uint64(c.Revision))
 }
 
+func (w *wiring) buildPeers() error {
+	g, err := gossip.New(gossip.Options{
+		Peer: peer.Options{
+			ID: w.opts.ID, DataCentre: w.opts.DataCentre, Address: w.opts.Advertise,
+			Incarnation: w.life, Seeds: w.opts.Seeds,
+		},
+		Key:        []byte(w.opts.Key),
+		Registerer: w.metrics,
+		Log:        w.log,
+	})
+	if err != nil {
+		return err
+	}
+	w.gossip = g
+	w.peers.gossip = g
+	w.peers.connect()
+	return nil
+}
+
 func (w *wiring) buildEntry() {
 	w.answers = answer.NewTable()
-	client := &http.Client{Transport: w.opts.Key.Transport(http.DefaultTransport)}
-	w.entry = entry.New(entry.Options{Node: w.opts.ID, Incarnation: w.life}, entry.Parts{
+	w.remote = handover.NewRemote(w.log, w.peers, w.gossip.HTTPClient())
+	w.entry = entry.New(entry.Options{Node: w.opts.ID, DataCentre: w.opts.DataCentre, Incarnation: w.life}, entry.Parts{
 		Log:     w.log,
 		Config:  w.config,
 		Gate:    admission{w.gate},
 		Sender:  dispatch.New(w.endpoints, w.balancer, versions{w.config}),
 		Ledger:  dispatch.NewOrders(w.ledger),
 		Answers: w.answers,
-		Remote:  handover.NewRemote(w.log, staticMembers(w.opts.Seeds), client),
+		Remote:  w.remote,
 		Metrics: entry.NewMetrics(w.metrics),
 	})
 }
@@ -161,6 +197,7 @@
 		{serviceConfig, w.config},
 		{serviceDiscovery, w.hosts},
 		{serviceObserver, w.observer},
+		{gossip.Name, w.gossip},
 		{servicePeers, newListener("peers", w.opts.Peers, w.peersHandler(), w.log)},
 		{serviceOperators, newListener("operators", w.opts.Operators, operators, w.log)},
 		{serviceCallers, newCallers(w.opts, w.entry, w.log)},
@@ -175,12 +212,14 @@
 
 func (w *wiring) peersHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(handover.NewServer(w.log, w.config, w.answers, w.entry).Handler())
-	return w.opts.Key.Handler(mux, w.rejected.Inc)
+	mux.Handle(w.gossip.Handler())
+	path, h := handover.NewServer(w.log, w.config, w.answers, w.entry, w.remote).Handler()
+	mux.Handle(path, w.gossip.Authenticate(h))
+	return mux
 }
 
 func (w *wiring) operatorsHandler() (http.Handler, error) {
-	api, err := operator.New(&statusSource{opts: w.opts, config: w.config, hosts: w.hosts, balancer: w.balancer})
+	api, err := operator.New(&statusSource{opts: w.opts, config: w.config, hosts: w.hosts, balancer: w.balancer, gossip: w.gossip})
 	if err != nil {
 		return nil, err
 	}
