Start a node while the platform is down, and add experiments

Change: the host list comes from peers where the platform does not answer; readiness needs a list. Experiments run a whole deployment in this process under reclaim waves, planned stops, store outages and overload.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -74,5 +74,6 @@
 		movesCommand(),
 		standinCommand(),
 		loadCommand(),
+		experimentCommand(),
 	}
 }
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -30,6 +30,12 @@
 // readyTimeout bounds the start of a site.
 const readyTimeout = 20 * time.Second
 
+// A site's nodes drain fast, since nobody waits for a balancer.
+const (
+	drainDelay   = 100 * time.Millisecond
+	drainTimeout = 500 * time.Millisecond
+)
+
 // siteKey is the shared key of a site's nodes.
 const siteKey = "demo-key-of-16-bytes"
 
@@ -52,19 +58,30 @@
 	Callers   []string
 	Operators []string
 
-	controls     []string // of engines, then of plain services
+	engineAddrs  []string
+	deskAddrs    []string
+	engineHosts  []engineHost
+	engineSerial int // number of the latest engine started
+	peers        []string
 	platformAddr string
+	ctx          context.Context // of all that runs
 	cancel       context.CancelFunc
 	wg           sync.WaitGroup
 }
 
+// engineHost is a running engine stand-in.
+type engineHost struct {
+	name ident.Host
+	dc   ident.DataCentre
+}
+
 // StartSite starts a deployment and waits until every node can serve.
 func StartSite(ctx context.Context, opts SiteOptions) (*Site, error) {
 	if opts.Speed == 0 {
 		opts.Speed = 1
 	}
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	s := &Site{opts: opts, cancel: cancel}
+	s := &Site{opts: opts, ctx: run, cancel: cancel}
 	if err := s.start(run); err != nil {
 		return nil, errors.CombineErrors(err, s.Stop(ctx))
 	}
@@ -76,6 +93,7 @@
 		return err
 	}
 	for i := range s.opts.Shape.Engines {
+		s.engineSerial = i
 		if err := s.startEngine(ctx, i); err != nil {
 			return err
 		}
@@ -138,6 +156,7 @@
 	name := fmt.Sprintf("gpu-%d", i)
 	e := engine.New(engine.Options{ID: ident.EndpointID(name), Version: "v1", Speed: s.opts.Speed, Seed: uint64(i), ChecksFence: true})
 	s.Engines = append(s.Engines, e)
+	s.engineHosts = append(s.engineHosts, engineHost{ident.Host(name), s.dataCentre(i)})
 	return s.startEndpoint(ctx, i, name, platform.KindEngine, s.opts.Shape.Engine, e.Handler(), e.SetLeaving)
 }
 
@@ -153,7 +172,11 @@
 	if err != nil {
 		return err
 	}
-	s.controls = append(s.controls, ln.Addr().String())
+	addrs := &s.engineAddrs
+	if kind == platform.KindPlain {
+		addrs = &s.deskAddrs
+	}
+	*addrs = append(*addrs, ln.Addr().String())
 	s.run(ctx, process.Options{
 		Listener: ln, Handler: h, Platform: s.platformAddr, SetLeaving: leaving, Log: s.opts.Log,
 		Host: platform.HostInfo{
@@ -166,7 +189,6 @@
 }
 
 func (s *Site) startNodes(ctx context.Context) error {
-	var peers []string
 	for range s.opts.Shape.Nodes {
 		var addrs [3]string
 		for i := range addrs {
@@ -178,25 +200,30 @@
 		}
 		s.Callers = append(s.Callers, addrs[0])
 		s.Operators = append(s.Operators, addrs[1])
-		peers = append(peers, addrs[2])
+		s.peers = append(s.peers, addrs[2])
 	}
 	for i := range s.opts.Shape.Nodes {
-		n, err := node.New(node.Options{
-			ID: ident.NodeID(fmt.Sprintf("entry-%d", i)), DataCentre: s.dataCentre(i),
-			Callers: s.Callers[i], Operators: s.Operators[i], Peers: peers[i], Seeds: others(peers, i),
-			Platform: s.platformAddr, Key: siteKey, DrainTimeout: time.Second,
-		}, s.opts.Log)
+		n, err := s.startNode(ctx, i)
 		if err != nil {
 			return err
 		}
-		if err := n.Start(ctx); err != nil {
-			return err
-		}
 		s.Nodes = append(s.Nodes, n)
 	}
 	return nil
 }
 
+func (s *Site) startNode(ctx context.Context, i int) (*node.Node, error) {
+	n, err := node.New(node.Options{
+		ID: ident.NodeID(fmt.Sprintf("entry-%d", i)), DataCentre: s.dataCentre(i),
+		Callers: s.Callers[i], Operators: s.Operators[i], Peers: s.peers[i], Seeds: others(s.peers, i),
+		Platform: s.platformAddr, Key: siteKey, DrainDelay: drainDelay, DrainTimeout: drainTimeout,
+	}, s.opts.Log)
+	if err != nil {
+		return nil, err
+	}
+	return n, n.Start(ctx)
+}
+
 func others(all []string, i int) []string {
 	out := append([]string(nil), all[:i]...)
 	return append(out, all[i+1:]...)
@@ -249,12 +276,12 @@
 
 // EngineControls returns the addresses of the engines' control pages.
 func (s *Site) EngineControls() []string {
-	return s.controls[:len(s.Engines)]
+	return s.engineAddrs
 }
 
 // DeskControls returns the addresses of the plain services' control pages.
 func (s *Site) DeskControls() []string {
-	return s.controls[len(s.Engines):]
+	return s.deskAddrs
 }
 
 // Stop stops the nodes, then the stand-ins.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -23,6 +23,9 @@
 	Interval time.Duration
 	// Cloud gives reclaim notices; nil for none.
 	Cloud platform.Cloud
+	// FromPeers gives the list that another node read last, for a node that starts
+	// while the platform is down; nil for none.
+	FromPeers func(ctx context.Context) ([]platform.HostInfo, error)
 }
 
 // Watcher polls the host list and the reclaim notices.
@@ -66,7 +69,7 @@
 	w.mu.onNotice = append(w.mu.onNotice, f)
 }
 
-// Hosts returns the last list.
+// Hosts returns the last list; nil before the first.
 func (w *Watcher) Hosts() []platform.HostInfo {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -112,8 +115,27 @@
 	list, err := w.hosts.ListHosts(ctx)
 	w.noteState(err)
 	if err != nil {
-		return
+		list = w.fromPeers(ctx)
+	}
+	if list != nil {
+		w.put(list)
+	}
+}
+
+// fromPeers asks the peers for a list where this node has none.
+func (w *Watcher) fromPeers(ctx context.Context) []platform.HostInfo {
+	if w.opts.FromPeers == nil || w.Hosts() != nil {
+		return nil
 	}
+	list, err := w.opts.FromPeers(context.WithoutCancel(ctx))
+	if err != nil {
+		w.log.Warn("discovery: No peer has a host list.", "error", err)
+		return nil
+	}
+	return list
+}
+
+func (w *Watcher) put(list []platform.HostInfo) {
 	w.mu.Lock()
 	w.mu.list = list
 	callbacks := w.mu.onHosts
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -9,6 +10,9 @@
 	"testing"
 	"time"
 
+	"github.com/jujubeshed/jujubeshed/internal/standin/control"
+	"github.com/jujubeshed/jujubeshed/internal/standin/memstore"
+	standinplatform "github.com/jujubeshed/jujubeshed/internal/standin/platform"
 	"github.com/jujubeshed/jujubeshed/internal/standin/service"
 )
 
@@ -189,3 +193,27 @@
 		}
 	}
 }
+
+// TestStartWithPlatformDown starts a node while the platform is down: it takes
+// configuration and hosts from its peers, and serves chats; an order is refused
+// as not run.
+func TestStartWithPlatformDown(t *testing.T) {
+	s := newSite(t)
+	s.nodeProc[1].kill()
+	if err := control.Post(context.Background(), s.platform, control.Path, standinplatform.Faults{Store: memstore.Faults{Down: true}}); err != nil {
+		t.Fatal(err)
+	}
+	s.startNode(t, 1)
+	eventually(t, "node 1", ready(s.nodes[1]))
+	c := chat{prompt: "a line for Eleni", seed: 3, tokens: 8}
+	if got, _, err := c.stream("/chat", s.nodes[1:2]); err != nil || got != c.want() {
+		t.Errorf("chat = %q, error %v", got, err)
+	}
+	status, body, err := order(s.nodes[1], "order-1", `{"plaque":"oak"}`)
+	if err != nil || status != http.StatusServiceUnavailable || !strings.Contains(body, `"verdict":"not-run"`) {
+		t.Errorf("order: status %d, body %s, error %v", status, body, err)
+	}
+	if n := s.effects(t).ByKey["order-1"]; n != 0 {
+		t.Errorf("an order refused as not run took effect %d times", n)
+	}
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -31,6 +31,8 @@
 	Incarnation ident.Incarnation
 	// MaxBodyBytes bounds a request's body. Default: 2 MiB.
 	MaxBodyBytes int64
+	// Ready tells whether the node knows its endpoints. Default: always.
+	Ready func() bool
 }
 
 // ConfigSource gives the configuration in force; nil before the first one.
@@ -103,6 +105,9 @@
 	if opts.MaxBodyBytes == 0 {
 		opts.MaxBodyBytes = DefaultMaxBodyBytes
 	}
+	if opts.Ready == nil {
+		opts.Ready = func() bool { return true }
+	}
 	return &Server{
 		opts: opts, log: p.Log, config: p.Config, gate: p.Gate, sender: p.Sender,
 		ledger: p.Ledger, answers: p.Answers, remote: p.Remote, metrics: p.Metrics,
@@ -137,7 +142,7 @@
 }
 
 func (s *Server) serveReady(w http.ResponseWriter) {
-	if s.unready.Load() || s.config.Current() == nil {
+	if s.unready.Load() || s.config.Current() == nil || !s.opts.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- /dev/null
+++ b/internal/experiment/experiment.go
@@ -0,0 +1,195 @@
+// Package experiment measures the system under faults: a whole deployment in this
+// process, a seeded load, and one kind of fault injected on a schedule.
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jujubeshed/jujubeshed/internal/demo"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/load"
+)
+
+// Options are the settings of a run.
+type Options struct {
+	Seed uint64
+	// Duration of the arrivals. Default: 20s.
+	Duration time.Duration
+	// Rate of requests a second. Default: 20; an overload multiplies it.
+	Rate float64
+	Log  *slog.Logger
+}
+
+func (o Options) withDefaults() Options {
+	if o.Duration == 0 {
+		o.Duration = 20 * time.Second
+	}
+	if o.Rate == 0 {
+		o.Rate = 20
+	}
+	return o
+}
+
+// Experiment is one kind of fault under load.
+type Experiment struct {
+	Name  string
+	Usage string
+	// Sizes of the deployment; zero fields are those of the example.
+	Engines, Nodes int
+	// Speed divides the engines' simulated times.
+	Speed float64
+	// RateFactor multiplies the rate; zero means one.
+	RateFactor float64
+	// Mix of the load; nil means the default.
+	Mix []load.Share
+	// Inject causes the faults until ctx ends.
+	Inject func(ctx context.Context, s *demo.Site) error
+}
+
+// All returns the experiments, ordered by name.
+func All() []Experiment {
+	all := []Experiment{calm(), waves(), stops(), store(), overload("overload-2", 2), overload("overload-10", 10)}
+	slices.SortFunc(all, func(a, b Experiment) int { return strings.Compare(a.Name, b.Name) })
+	return all
+}
+
+// ByName returns the experiment of that name.
+func ByName(name string) (Experiment, error) {
+	var names []string
+	for _, e := range All() {
+		if e.Name == name {
+			return e, nil
+		}
+		names = append(names, e.Name)
+	}
+	return Experiment{}, errors.Newf("experiment %q is not one of %s", name, strings.Join(names, ", "))
+}
+
+// Run runs one experiment and returns the report of its load.
+func Run(ctx context.Context, w io.Writer, e Experiment, opts Options) (report *load.Report, err error) {
+	opts = opts.withDefaults()
+	shape := demo.Shapes()[0]
+	if e.Engines > 0 {
+		shape.Engines = e.Engines
+	}
+	if e.Nodes > 0 {
+		shape.Nodes = e.Nodes
+	}
+	site, err := demo.StartSite(ctx, demo.SiteOptions{Shape: shape, Speed: e.Speed, Log: opts.Log})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.CombineErrors(err, site.Stop(context.WithoutCancel(ctx))) }()
+	fmt.Fprintf(w, "== %s: %s (%d engines, %d nodes)\n", e.Name, e.Usage, shape.Engines, shape.Nodes)
+
+	injecting, stop := context.WithTimeout(ctx, opts.Duration)
+	defer stop()
+	injected := make(chan error, 1)
+	go func() { injected <- e.Inject(injecting, site) }()
+	report, err = load.Run(ctx, loadOptions(site, shape, e, opts))
+	return report, errors.CombineErrors(err, <-injected)
+}
+
+func loadOptions(site *demo.Site, shape demo.Shape, e Experiment, opts Options) load.Options {
+	factor := e.RateFactor
+	if factor == 0 {
+		factor = 1
+	}
+	return load.Options{
+		Entries:  site.Callers,
+		Keys:     []string{shape.LargeKey, shape.SmallKey},
+		Rate:     opts.Rate * factor,
+		Duration: opts.Duration,
+		Seed:     opts.Seed,
+		Mix:      e.Mix,
+		Paths:    load.Paths{Long: shape.LongPath},
+		Model:    string(shape.Engine),
+		Verify:   true,
+		Services: site.DeskControls(),
+		Platform: site.PlatformAddress(),
+	}
+}
+
+// every calls f on a schedule until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func(round int) error) error {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for round := 0; ; round++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			if err := f(round); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func calm() Experiment {
+	return Experiment{
+		Name: "calm", Usage: "no fault", Speed: 2,
+		Inject: func(context.Context, *demo.Site) error { return nil },
+	}
+}
+
+// waves reclaims the engine hosts of one data centre after the other, with short
+// notice, and brings up others in their place.
+func waves() Experiment {
+	return Experiment{
+		Name: "waves", Usage: "a data centre's engine hosts are reclaimed every 3s with 2s notice", Engines: 8, Speed: 2,
+		Inject: func(ctx context.Context, s *demo.Site) error {
+			return every(ctx, 3*time.Second, func(round int) error {
+				return s.ReclaimEngines(ctx, round, 2*time.Second)
+			})
+		},
+	}
+}
+
+// stops stops the nodes in turn while they serve, and starts them again.
+func stops() Experiment {
+	return Experiment{
+		Name: "stops", Usage: "a node is stopped as planned and started again every 4s", Nodes: 4, Speed: 1,
+		Inject: func(ctx context.Context, s *demo.Site) error {
+			return every(ctx, 4*time.Second, func(round int) error {
+				return s.RestartNode(context.WithoutCancel(ctx), round%len(s.Nodes))
+			})
+		},
+	}
+}
+
+// store takes the platform's store away for a while, again and again.
+func store() Experiment {
+	return Experiment{
+		Name: "store", Usage: "the store is down for 2s of every 4s, and loses one answer in ten else", Speed: 2,
+		Mix: []load.Share{{Class: ident.ClassOrder, Weight: 6}, {Class: ident.ClassQuick, Weight: 2}, {Class: ident.ClassLookup, Weight: 2}},
+		Inject: func(ctx context.Context, s *demo.Site) error {
+			defer s.SetStoreFaults(false, 0)
+			return every(ctx, 2*time.Second, func(round int) error {
+				s.SetStoreFaults(round%2 == 0, lostAnswers)
+				return nil
+			})
+		},
+	}
+}
+
+// lostAnswers is the share of writes whose answer is lost.
+const lostAnswers = 0.1
+
+// overload sends a multiple of what the engines can serve.
+func overload(name string, factor float64) Experiment {
+	return Experiment{
+		Name: name, Usage: fmt.Sprintf("%g times the capacity arrives", factor), Engines: 2, Speed: 1,
+		RateFactor: factor,
+		Mix:        []load.Share{{Class: ident.ClassQuick, Weight: 8}, {Class: ident.ClassLong, Weight: 2}},
+		Inject:     func(context.Context, *demo.Site) error { return nil },
+	}
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"encoding/json"
 	"log/slog"
 	"slices"
 	"strconv"
@@ -13,6 +14,7 @@
 
 	observev1 "github.com/jujubeshed/jujubeshed/api/gen/observe/v1"
 	"github.com/jujubeshed/jujubeshed/internal/config"
+	"github.com/jujubeshed/jujubeshed/internal/discovery"
 	"github.com/jujubeshed/jujubeshed/internal/endpoint"
 	"github.com/jujubeshed/jujubeshed/internal/handover"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
@@ -26,8 +28,10 @@
 )
 
 const (
-	// kindConfig is the kind of bytes that peers fetch to catch up on configuration.
+	// kindConfig and kindHosts are the kinds of bytes that peers fetch: what leads
+	// to a newer configuration, and the host list.
 	kindConfig = "config"
+	kindHosts  = "hosts"
 	// relayDelay is how long a load report is on its way between nodes.
 	relayDelay = time.Second
 	// watchAlone is how long after its start a node watches the store, whether or
@@ -42,6 +46,7 @@
 	gossip   *gossip.Service
 	balancer *balancer.Balancer
 	observer *observe.Observer
+	hosts    *discovery.Watcher
 	config   *configService
 	capacity *capacityUpdater
 	ledger   *committer.Committer
@@ -57,6 +62,7 @@
 func (p *peers) connect() {
 	p.started = time.Now()
 	p.gossip.Provide(kindConfig, p.provideConfig)
+	p.gossip.Provide(kindHosts, p.provideHosts)
 	p.gossip.OnChange(p.changed)
 }
 
@@ -285,6 +291,34 @@
 	return nil, last
 }
 
+// provideHosts returns the host list that this node read last.
+func (p *peers) provideHosts(context.Context, string) ([]byte, error) {
+	list := p.hosts.Hosts()
+	if list == nil {
+		return nil, gossip.ErrNotFound
+	}
+	return json.Marshal(list)
+}
+
+// hostsFromPeers asks members for their host list.
+func (p *peers) hostsFromPeers(ctx context.Context) ([]platform.HostInfo, error) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	err := errors.New("no other node is known")
+	for _, m := range append(p.Local(), p.Delegates()...) {
+		var raw []byte
+		raw, err = p.gossip.FetchFrom(ctx, m.Address, kindHosts, "")
+		if err != nil {
+			continue
+		}
+		var list []platform.HostInfo
+		if err = json.Unmarshal(raw, &list); err == nil {
+			return list, nil
+		}
+	}
+	return nil, err
+}
+
 // catchUp fetches an announced revision from the peers, unless this node has it.
 func (p *peers) catchUp(r ident.Revision) {
 	if p.config.Revision() >= r {
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -38,10 +38,10 @@
 	serviceLedger    kernel.Name = "once.ledger"
 	serviceEndpoints kernel.Name = "endpoint.client"
 	serviceAdmission kernel.Name = "admit.gate"
+	servicePeers     kernel.Name = "listener.peers" // the peer service starts after it
 	serviceConfig    kernel.Name = "config.syncer"
 	serviceDiscovery kernel.Name = "discovery.hosts"
 	serviceObserver  kernel.Name = "observe.endpoints"
-	servicePeers     kernel.Name = "listener.peers"
 	serviceOperators kernel.Name = "listener.operators"
 	serviceCallers   kernel.Name = "listener.callers"
 )
@@ -107,7 +107,9 @@
 		Log:     w.log,
 		Metrics: committer.NewMetrics(w.metrics),
 	})
-	w.hosts = discovery.New(discovery.Options{Cloud: store}, w.log, store)
+	w.peers = &peers{opts: w.opts, log: w.log, ledger: w.ledger}
+	w.hosts = discovery.New(discovery.Options{Cloud: store, FromPeers: w.peers.hostsFromPeers}, w.log, store)
+	w.peers.hosts = w.hosts
 	return nil
 }
 
@@ -115,7 +117,7 @@
 	w.endpoints = endpoint.NewClient()
 	w.balancer = balancer.New(route.Options{Node: w.opts.ID, DataCentre: w.opts.DataCentre}, uint64(w.life))
 	w.gate = gate.New(gate.Options{})
-	w.peers = &peers{opts: w.opts, log: w.log, balancer: w.balancer, ledger: w.ledger}
+	w.peers.balancer = w.balancer
 	w.observer = observe.New(observe.Options{Node: w.opts.ID, DataCentre: w.opts.DataCentre}, w.log, w.endpoints, w.balancer, w.peers)
 	w.peers.observer = w.observer
 	w.hosts.OnHosts(w.balancer.SetHosts)
@@ -169,7 +171,10 @@
 func (w *wiring) buildEntry() {
 	w.answers = answer.NewTable()
 	w.remote = handover.NewRemote(w.log, w.peers, w.gossip.HTTPClient())
-	w.entry = entry.New(entry.Options{Node: w.opts.ID, DataCentre: w.opts.DataCentre, Incarnation: w.life}, entry.Parts{
+	w.entry = entry.New(entry.Options{
+		Node: w.opts.ID, DataCentre: w.opts.DataCentre, Incarnation: w.life,
+		Ready: func() bool { return w.hosts.Hosts() != nil },
+	}, entry.Parts{
 		Log:     w.log,
 		Config:  w.config,
 		Gate:    admission{w.gate},
@@ -194,11 +199,11 @@
 		{serviceLedger, stopFunc(w.ledger.Stop)},
 		{serviceEndpoints, stopFunc(w.endpoints.Close)},
 		{serviceAdmission, stopFunc(w.gate.Close)},
+		{servicePeers, newListener("peers", w.opts.Peers, w.peersHandler(), w.log)},
+		{gossip.Name, w.gossip},
 		{serviceConfig, w.config},
 		{serviceDiscovery, w.hosts},
 		{serviceObserver, w.observer},
-		{gossip.Name, w.gossip},
-		{servicePeers, newListener("peers", w.opts.Peers, w.peersHandler(), w.log)},
 		{serviceOperators, newListener("operators", w.opts.Operators, operators, w.log)},
 		{serviceCallers, newCallers(w.opts, w.entry, w.log)},
 	}
