--- a/internal/peer/aggregate.go
+++ b/internal/peer/aggregate.go
@@ -10,10 +10,6 @@
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 )
 
-// retiredKey names the counters of lives that are over, kept so that sums over a
-// data centre don't fall.
-type retiredKey string
-
 // electDelegates returns the delegates of the data centre as this node sees it.
 func (n *Node) electDelegates() []ident.NodeID {
 	var ids []ident.NodeID
--- a/internal/peer/evidence.go
+++ b/internal/peer/evidence.go
@@ -11,11 +11,19 @@
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 )
 
+// counterKey names the counters of one process. Those of processes that are over
+// are kept, so that sums over a data centre don't fall.
+type counterKey struct {
+	owner ident.NodeID
+	life  uint64
+	key   string
+}
+
 // SetEvidence publishes this node's counters of a key, merged by maximum.
 func (n *Node) SetEvidence(key string, c Counters) error {
 	old, _ := n.own[scopeLocal].value(TopicEvidence, key)
 	merged := maxOf(slices.Clone(c), decodeCounters(old))
-	return n.Set(TopicEvidence, key, encode(&peerv1.Counters{Values: merged}))
+	return n.Set(TopicEvidence, key, encode(&peerv1.Counters{Values: merged, Life: uint64(n.o.Incarnation)}))
 }
 
 // Evidence returns the counters of a key summed over all nodes that are known:
@@ -54,12 +62,15 @@
 // localSums returns the sums over the data centre, lives that are over included,
 // ordered by key. A delegate that knew more lives may have published a greater one.
 func (n *Node) localSums() []evidenceSum {
-	sums := make(map[string]Counters)
-	for k, c := range n.retired {
-		sums[string(k)] = slices.Clone(c)
+	byProcess := maps.Clone(n.retired)
+	for _, r := range n.logs.order {
+		for _, e := range r.entries {
+			merge(byProcess, r.owner, e)
+		}
 	}
-	for _, e := range n.Entries(TopicEvidence) {
-		sums[e.Key] = add(sums[e.Key], decodeCounters(e.Value))
+	sums := make(map[string]Counters)
+	for k, c := range byProcess {
+		sums[k.key] = add(sums[k.key], c)
 	}
 	for _, e := range n.Entries(TopicEvidenceSum) {
 		if dc, k, _ := strings.Cut(e.Key, evidenceSeparator); dc == string(n.o.DataCentre) {
@@ -73,19 +84,26 @@
 	return out
 }
 
-// retire keeps the counters of a life that is over.
+// retire keeps the counters of a log that is dropped or begins a new life.
 func (n *Node) retire(r *replica) {
 	for _, e := range r.entries {
-		if e.topic == TopicEvidence && !e.deleted {
-			k := retiredKey(e.key)
-			n.retired[k] = add(n.retired[k], decodeCounters(e.value))
-		}
+		merge(n.retired, r.owner, e)
+	}
+}
+
+// merge takes the counters of an entry into a set, by maximum.
+func merge(set map[counterKey]Counters, owner ident.NodeID, e *entry) {
+	c := new(peerv1.Counters)
+	if e.topic != TopicEvidence || e.deleted || proto.Unmarshal(e.value, c) != nil {
+		return
 	}
+	k := counterKey{owner, c.GetLife(), e.key}
+	set[k] = maxOf(slices.Clone(set[k]), c.GetValues())
 }
 
 // ForgetEvidence drops what is kept of a key whose move has ended.
 func (n *Node) ForgetEvidence(key string) {
-	delete(n.retired, retiredKey(key))
+	maps.DeleteFunc(n.retired, func(k counterKey, _ Counters) bool { return k.key == key })
 	n.Delete(TopicEvidence, key)
 	n.Delete(TopicEvidenceSum, evidenceKey(n.o.DataCentre, key))
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -25,7 +25,7 @@
 	logs    replicas
 	marks   markSet
 	tombs   map[ident.NodeID]tombstone
-	retired map[retiredKey]Counters
+	retired map[counterKey]Counters
 
 	salts     []uint32 // of recent digests
 	delegates []ident.NodeID
@@ -49,7 +49,7 @@
 		logs:    replicas{byKey: make(map[logKey]*replica)},
 		marks:   markSet{byKey: make(map[markKey]*mark)},
 		tombs:   make(map[ident.NodeID]tombstone),
-		retired: make(map[retiredKey]Counters),
+		retired: make(map[counterKey]Counters),
 	}
 	for _, s := range []scope{scopeLocal, scopeFleet} {
 		r := newReplica(logKey{o.ID, s}, o.Incarnation)
--- a/internal/peer/script_test.go
+++ b/internal/peer/script_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -70,6 +71,16 @@
 		s.net.Do(p, p.Node.Leave)
 	case "entry": // entry a1 key=e1 value=x, or without a value to delete
 		s.entry(t, d)
+	case "count": // count a1 5
+		c, err := strconv.ParseUint(d.CmdArgs[1].Key, 10, 64)
+		if err != nil {
+			d.Fatalf(t, "%v", err)
+		}
+		if err := s.proc(t, d).Node.SetEvidence(evidenceKey, peer.Counters{c}); err != nil {
+			d.Fatalf(t, "%v", err)
+		}
+	case "counts":
+		return s.views(func(n *peer.Node) string { return fmt.Sprint(n.Evidence(evidenceKey)) })
 	case "members":
 		return s.views(members)
 	case "centres":
