--- /dev/null
+++ b/internal/attempt/sim_test.go
@@ -0,0 +1,424 @@
+package attempt_test
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/attempt"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/invariant"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
+)
+
+type simEvent struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	if c := q[i].at.Compare(q[j].at); c != 0 {
+		return c < 0
+	}
+	return q[i].seq < q[j].seq
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// simRates are the chances of faults in percent.
+type simRates struct {
+	notRun, reset, cut, cross, duplicate, swap, drop, stop, gone int
+	reclaims, everywhere                                         bool
+}
+
+const (
+	simEndpoints = 6
+	simTokenGap  = 20 * time.Millisecond
+	simNotice    = 3 * time.Second
+)
+
+// sim runs many requests over endpoints with faults on a clock of its own.
+type sim struct {
+	rng       *rand.Rand
+	rates     simRates
+	now       time.Time
+	queue     simQueue
+	seq       int
+	budget    *attempt.Budget
+	endpoints []*simEndpoint
+	clients   []*simClient
+	stats     attempt.Stats
+	prompt    int // tokens of each prompt
+	costs     attempt.Costs
+}
+
+type simEndpoint struct {
+	id       ident.EndpointID
+	gone     bool
+	leaving  bool
+	deadline time.Time
+}
+
+// simClient is one request and what its caller got.
+type simClient struct {
+	req     attempt.Request
+	m       *attempt.Machine
+	tickAt  time.Time
+	total   int // tokens of its answer
+	got     []string
+	effects int
+	ended   bool
+	err     *verdict.Error
+	streams map[ident.AttemptID]bool // those not cancelled
+}
+
+func (s *sim) after(d time.Duration, f func()) {
+	s.seq++
+	heap.Push(&s.queue, simEvent{s.now.Add(d), s.seq, f})
+}
+
+func (s *sim) chance(percent int) bool              { return s.rng.IntN(100) < percent }
+func (s *sim) within(d time.Duration) time.Duration { return time.Duration(s.rng.Int64N(int64(d))) }
+
+func (s *sim) step(c *simClient, ev attempt.Event) {
+	for _, a := range c.m.Step(s.now, ev) {
+		s.do(c, a)
+	}
+	m, next := c.m, c.m.Next()
+	if next.IsZero() || (next.Equal(c.tickAt)) {
+		return
+	}
+	c.tickAt = next
+	s.after(max(next.Sub(s.now), 0), func() {
+		if c.m == m && !m.Done() && next.Equal(c.tickAt) {
+			c.tickAt = time.Time{}
+			s.step(c, attempt.Tick{})
+		}
+	})
+}
+
+func (s *sim) do(c *simClient, a attempt.Action) {
+	switch a := a.(type) {
+	case attempt.Dispatch:
+		c.streams[a.Attempt] = true
+		s.after(s.within(2*time.Millisecond), func() { s.dispatch(c, a) })
+	case attempt.Cancel:
+		s.after(s.within(time.Millisecond), func() { delete(c.streams, a.Attempt) })
+	case attempt.Emit:
+		invariant.Check(a.Offset == len(c.got), invariant.OffsetsContiguous, "%s got %d after %d", c.req.ID, a.Offset, len(c.got))
+		c.got = append(c.got, a.Tokens...)
+	case attempt.GiveUp:
+		c.ended, c.err = true, a.Err
+		invariant.Check(a.Err.Verdict != verdict.NotRun || c.effects == 0, invariant.NotRunDidNotRun, "%s ran", c.req.ID)
+		s.add(c.m.Stats())
+	case attempt.Finish:
+		c.ended = true
+		s.add(c.m.Stats())
+	case attempt.HandOver: // a peer goes on
+		s.add(c.m.Stats())
+		c.req.Resume = a.State
+		s.after(s.within(50*time.Millisecond), func() { s.begin(c) })
+	}
+}
+
+func (s *sim) add(o attempt.Stats) {
+	s.stats.Attempts += o.Attempts
+	s.stats.Resumes += o.Resumes
+	s.stats.RecomputedTokens += o.RecomputedTokens
+	s.stats.Crossed += o.Crossed
+	s.stats.Duplicates += o.Duplicates
+	s.stats.Gaps += o.Gaps
+	s.stats.Hedges += o.Hedges
+}
+
+func (s *sim) begin(c *simClient) {
+	c.m = attempt.New(c.req, attempt.Options{HedgeAfter: 30 * time.Millisecond, Costs: s.costs}, s.budget)
+	for _, e := range s.endpoints {
+		if e.leaving {
+			s.step(c, attempt.Leaving{Endpoint: e.id, Deadline: e.deadline})
+		}
+	}
+	s.step(c, attempt.Start{})
+}
+
+// deliver passes an event of an attempt on to the machine that made it.
+func (s *sim) deliver(c *simClient, m *attempt.Machine, d time.Duration, ev attempt.Event) {
+	s.after(d, func() {
+		if c.m == m {
+			s.step(c, ev)
+		}
+	})
+}
+
+func (s *sim) dispatch(c *simClient, d attempt.Dispatch) {
+	m := c.m
+	var free []*simEndpoint
+	for _, e := range s.endpoints {
+		if !e.gone && !slices.Contains(d.Exclude, e.id) {
+			free = append(free, e)
+		}
+	}
+	if len(free) == 0 {
+		s.deliver(c, m, 0, attempt.NotDispatched{Attempt: d.Attempt, NoEndpoint: true, Cause: errors.New("no endpoint")})
+		return
+	}
+	e := free[s.rng.IntN(len(free))]
+	s.step(c, attempt.Picked{Attempt: d.Attempt, Endpoint: e.id})
+	if !c.streams[d.Attempt] || c.m != m {
+		return
+	}
+	if s.chance(s.rates.notRun) {
+		s.deliver(c, m, time.Millisecond, attempt.NotDispatched{Attempt: d.Attempt, Cause: errors.New("refused")})
+		return
+	}
+	if s.chance(s.rates.reset) && s.chance(50) { // lost on the way there
+		s.deliver(c, m, time.Millisecond, attempt.Failed{Attempt: d.Attempt, Cause: errors.New("reset")})
+		return
+	}
+	s.after(time.Millisecond, func() { s.arrive(c, m, d, e) })
+}
+
+// arrive runs an attempt at an endpoint.
+func (s *sim) arrive(c *simClient, m *attempt.Machine, d attempt.Dispatch, e *simEndpoint) {
+	if e.gone {
+		s.deliver(c, m, time.Millisecond, attempt.Failed{Attempt: d.Attempt, Cause: errors.New("gone")})
+		return
+	}
+	c.effects++
+	invariant.Check(c.req.Idempotent || c.effects == 1, invariant.OrderEffectAtMostOnce, "%s ran %d times", c.req.ID, c.effects)
+	invariant.Check(d.PrefixText == strings.Join(c.got[:d.ResumeOffset], ""), invariant.OffsetsContiguous, "%s prefix", c.req.ID)
+	echo := attempt.Echo{Request: c.req.ID, Attempt: d.Attempt}
+	switch {
+	case s.chance(s.rates.reset):
+		s.deliver(c, m, s.within(time.Second), attempt.Failed{Attempt: d.Attempt, Cause: errors.New("reset")})
+	case !c.req.Stream:
+		if s.chance(s.rates.cross) {
+			echo.Request = "another"
+		}
+		s.deliver(c, m, s.within(60*time.Millisecond), attempt.Response{Attempt: d.Attempt, Echo: echo, Status: 200})
+	default:
+		s.after(s.within(100*time.Millisecond), func() { s.token(c, m, d.Attempt, echo, d.ResumeOffset, e) })
+	}
+}
+
+func tokenOf(c *simClient, i int) string { return fmt.Sprintf("%s/%d ", c.req.ID, i) }
+
+// token sends one token of a stream, with faults, and goes on with the next.
+func (s *sim) token(c *simClient, m *attempt.Machine, id ident.AttemptID, echo attempt.Echo, at int, e *simEndpoint) {
+	if !c.streams[id] || c.m != m {
+		return
+	}
+	if e.gone || s.chance(s.rates.cut) {
+		s.deliver(c, m, 0, attempt.Truncated{Attempt: id})
+		return
+	}
+	chunk := attempt.Chunk{Attempt: id, Echo: echo, Offset: at}
+	if at < c.total {
+		chunk.Tokens = []string{tokenOf(c, at)}
+	} else {
+		chunk.Finish, chunk.Total = "stop", c.total
+	}
+	delay := time.Duration(0)
+	if s.chance(s.rates.swap) {
+		delay = s.within(3 * simTokenGap)
+	}
+	if !s.chance(s.rates.drop) {
+		s.deliver(c, m, delay, chunk)
+	}
+	if s.chance(s.rates.duplicate) {
+		s.deliver(c, m, s.within(time.Second), chunk)
+	}
+	if s.chance(s.rates.cross) {
+		other := chunk
+		other.Echo, other.Tokens = attempt.Echo{Request: "another", Attempt: "another.1"}, []string{"another's "}
+		s.deliver(c, m, 0, other)
+	}
+	if at == c.total {
+		s.deliver(c, m, delay+time.Millisecond, attempt.End{Attempt: id})
+		return
+	}
+	s.after(simTokenGap, func() { s.token(c, m, id, echo, at+1, e) })
+}
+
+// reclaim announces that an endpoint goes, and replaces it then.
+func (s *sim) reclaim(e *simEndpoint) {
+	e.leaving, e.deadline = true, s.now.Add(simNotice)
+	for _, c := range s.clients {
+		if c.m != nil && !c.ended {
+			s.step(c, attempt.Leaving{Endpoint: e.id, Deadline: e.deadline})
+		}
+	}
+	s.after(simNotice, func() { e.gone = true })
+	s.after(simNotice+s.within(3*time.Second), func() {
+		s.endpoints = append(s.endpoints, &simEndpoint{id: e.id + "+"})
+		s.endpoints = slices.DeleteFunc(s.endpoints, func(o *simEndpoint) bool { return o == e })
+	})
+}
+
+func newSim(seed uint64, rates simRates, requests, tokens int) *sim {
+	s := &sim{
+		rng: rand.New(rand.NewPCG(seed, 2)), rates: rates, now: time.Unix(1_700_000_000, 0),
+		budget: attempt.NewBudget(attempt.BudgetOptions{}), prompt: 500,
+	}
+	for i := range simEndpoints {
+		s.endpoints = append(s.endpoints, &simEndpoint{id: ident.EndpointID(fmt.Sprintf("e%d", i))})
+	}
+	classes := []ident.Class{ident.ClassLong, ident.ClassQuick, ident.ClassOrder, ident.ClassLookup}
+	for i := range requests {
+		class := classes[i%len(classes)]
+		if tokens > 0 {
+			class = ident.ClassLong
+		}
+		c := &simClient{total: max(tokens, 1+s.rng.IntN(400)), streams: make(map[ident.AttemptID]bool)}
+		c.req = attempt.Request{
+			ID: ident.RequestID(fmt.Sprintf("r%d", i)), Class: class, Idempotent: class != ident.ClassOrder,
+			Stream: class == ident.ClassLong || class == ident.ClassQuick, PromptTokens: s.prompt, MaxTokens: c.total,
+		}
+		s.clients = append(s.clients, c)
+		s.after(s.within(10*time.Second), func() {
+			c.req.Deadline = s.now.Add(5 * time.Minute)
+			s.begin(c)
+		})
+	}
+	return s
+}
+
+func (s *sim) run() {
+	for i := 0; s.rates.reclaims && i < 4; i++ { // waves of half the endpoints or all
+		s.after(time.Duration(i)*8*time.Second, func() {
+			n := simEndpoints / 2
+			if s.rates.everywhere {
+				n = simEndpoints
+			}
+			for _, e := range slices.Clone(s.endpoints)[:min(n, len(s.endpoints))] {
+				if !e.leaving {
+					s.reclaim(e)
+				}
+			}
+		})
+	}
+	if s.rates.stop > 0 {
+		for _, c := range s.clients {
+			if s.chance(s.rates.gone) {
+				s.after(s.within(15*time.Second), func() {
+					if c.m != nil && !c.ended {
+						s.step(c, attempt.CallerGone{})
+					}
+				})
+			}
+			if s.chance(s.rates.stop) {
+				s.after(s.within(15*time.Second), func() {
+					if c.m != nil && !c.ended {
+						s.step(c, attempt.Stop{})
+					}
+				})
+			}
+		}
+	}
+	for len(s.queue) > 0 {
+		ev := heap.Pop(&s.queue).(simEvent)
+		s.now = ev.at
+		ev.do()
+	}
+	for _, c := range s.clients {
+		s.check(c)
+	}
+}
+
+// check checks what a caller got in the end.
+func (s *sim) check(c *simClient) {
+	invariant.Check(c.ended, invariant.AcceptedFinishes, "%s has no end", c.req.ID)
+	for i, tok := range c.got {
+		invariant.Check(tok == tokenOf(c, i), invariant.AnswerMatchesRequest, "%s got %q at %d", c.req.ID, tok, i)
+	}
+	whole := !c.req.Stream || len(c.got) == c.total
+	invariant.Check(c.err != nil || whole, invariant.AcceptedFinishes, "%s ended after %d of %d", c.req.ID, len(c.got), c.total)
+}
+
+func seeds(def int) int {
+	if n, err := strconv.Atoi(os.Getenv("JUJUBESHED_SEEDS")); err == nil {
+		return n
+	}
+	return def
+}
+
+// runSeeds runs f for each seed and names the seed of a failure.
+func runSeeds(t *testing.T, f func(seed uint64)) {
+	t.Helper()
+	defer invariant.SetFatal(invariant.SetFatal(true))
+	seed := uint64(0)
+	defer func() {
+		if r := recover(); r != nil {
+			t.Fatalf("seed %d: %v", seed, r)
+		}
+	}()
+	for ; seed < uint64(seeds(300)); seed++ {
+		f(seed)
+	}
+}
+
+func TestRandomFaults(t *testing.T) {
+	var all attempt.Stats
+	ends := make(map[string]int)
+	runSeeds(t, func(seed uint64) {
+		s := newSim(seed, simRates{
+			notRun: 10, reset: 5, cut: 1, cross: 2, duplicate: 5, swap: 1, drop: 1, stop: 20, gone: 20, reclaims: seed%2 == 0,
+		}, 8, 0)
+		s.run()
+		all.Attempts += s.stats.Attempts
+		all.Crossed += s.stats.Crossed
+		all.Duplicates += s.stats.Duplicates
+		all.Gaps += s.stats.Gaps
+		for _, c := range s.clients {
+			if c.err == nil {
+				ends["whole"]++
+			} else {
+				ends[c.err.Verdict.String()]++
+			}
+		}
+	})
+	if all.Crossed == 0 || all.Duplicates == 0 || all.Gaps == 0 || ends["not-run"] == 0 || ends["may-have-run"] == 0 {
+		t.Errorf("a fault was not met: %+v %v", all, ends)
+	}
+	t.Logf("%+v %v", all, ends)
+}
+
+// TestReclaimCutsNothing runs waves of announced reclaims and node stops without
+// other faults: every request ends whole, unless it found no endpoint at all when
+// it came and was refused as not run.
+func TestReclaimCutsNothing(t *testing.T) {
+	total, cut, refused, moved := 0, 0, 0, 0
+	runSeeds(t, func(seed uint64) {
+		s := newSim(seed, simRates{stop: 20, reclaims: true, everywhere: seed%3 == 0}, 16, 0)
+		s.run()
+		moved += s.stats.Resumes
+		for _, c := range s.clients {
+			total++
+			switch {
+			case c.err == nil:
+			case s.rates.everywhere && c.err.Verdict == verdict.NotRun:
+				refused++
+			default:
+				cut++
+				invariant.Check(false, invariant.AcceptedFinishes, "%s: %v", c.req.ID, c.err)
+			}
+		}
+	})
+	t.Logf("%d of %d requests cut, %d refused, %d resumes", cut, total, refused, moved)
+}
