Send a prefix that no endpoint holds to its home

A home was one more candidate: where no endpoint was known to hold the prefix, all cost the same, and nodes sent it to as many endpoints as there are nodes. With cache events that is soon put right; without them it never was.

The home of a prefix without a known holder may now have a queue longer by half of the prefill.

--- /dev/null
+++ b/internal/route/model_test.go
@@ -0,0 +1,457 @@
+package route
+
+import (
+	"container/heap"
+	"container/list"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/jujubeshed/jujubeshed/internal/endpoint"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+)
+
+// The model: engines with a serial prefill queue, slots and an LRU prefix cache;
+// nodes that see their load late. It runs in virtual time.
+
+type event struct {
+	at  time.Time
+	seq int
+	f   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any     { o := *e; x := o[len(o)-1]; *e = o[:len(o)-1]; return x }
+
+// prompt is one request of the workload.
+type prompt struct {
+	class  ident.Class
+	chain  []uint64
+	output int // tokens
+}
+
+func (p prompt) tokens() int { return len(p.chain) * blockTokens }
+
+// chooser is a way of choosing an engine on one node.
+type chooser interface {
+	choose(now time.Time, p prompt) int
+	report(now time.Time, r endpoint.LoadReport)
+	cacheEvents(now time.Time, id ident.EndpointID, e endpoint.CacheEvents)
+	done(now time.Time, a ident.AttemptID)
+}
+
+type modelOptions struct {
+	seed                uint64
+	nodes, engines, dcs int
+	slots, cacheBlocks  int
+	prefill             float64 // tokens a second
+	perToken            time.Duration
+	reportEvery, lag    time.Duration
+	gapEvery            int // one in that many polls of cache events has a gap
+	noEvents            bool
+	rate                float64
+	length, warmup      time.Duration
+	workload            func(rng *rand.Rand) func() prompt
+	choosers            func(m *model, node int) chooser
+}
+
+func defaults() modelOptions {
+	return modelOptions{
+		seed: 1, nodes: 8, engines: 20, dcs: 4, slots: 16, cacheBlocks: 2048,
+		prefill: 8000, perToken: 30 * time.Millisecond, reportEvery: time.Second, lag: time.Second,
+		gapEvery: 20, rate: 30, length: 4 * time.Minute, warmup: time.Minute,
+	}
+}
+
+type model struct {
+	modelOptions
+	rng      *rand.Rand
+	now      time.Time
+	queue    events
+	seq      int
+	engs     []*engine
+	nodeList []chooser
+	seen     map[uint64]bool // blocks computed anywhere
+
+	ttft              *hdrhistogram.Histogram // microseconds
+	quick             *hdrhistogram.Histogram
+	computed, again   int
+	requests, attempt int
+	perEngine         []int
+}
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newModel(o modelOptions) *model {
+	m := &model{modelOptions: o, rng: rand.New(rand.NewPCG(o.seed, 7)), now: epoch, seen: map[uint64]bool{},
+		ttft: hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3), perEngine: make([]int, o.engines)}
+	m.quick = hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)
+	for i := range o.engines {
+		m.engs = append(m.engs, &engine{m: m, id: engineID(i), cache: map[uint64]*list.Element{}, lru: list.New()})
+	}
+	for i := range o.nodes {
+		m.nodeList = append(m.nodeList, o.choosers(m, i))
+	}
+	return m
+}
+
+func engineID(i int) ident.EndpointID { return ident.EndpointID(fmt.Sprintf("e%03d", i)) }
+
+func dcName(i int) ident.DataCentre { return ident.DataCentre(fmt.Sprintf("dc%d", i)) }
+
+func (m *model) hosts() []platform.HostInfo {
+	var hs []platform.HostInfo
+	for i := range m.engines {
+		hs = append(hs, platform.HostInfo{Host: ident.Host(fmt.Sprint("h", i)), DataCentre: dcName(i % m.dcs),
+			Incarnation: 1, State: platform.HostLive, PricePerHour: 1, Endpoints: []platform.EndpointInfo{
+				{ID: engineID(i), Kind: platform.KindEngine, Service: "s", Version: "v1"}}})
+	}
+	return hs
+}
+
+func (m *model) after(d time.Duration, f func()) {
+	m.seq++
+	heap.Push(&m.queue, event{m.now.Add(d), m.seq, f})
+}
+
+func (m *model) run() *model {
+	next := m.workload(m.rng)
+	var arrive func()
+	arrive = func() {
+		m.send(m.rng.IntN(m.nodes), next())
+		m.after(seconds(m.rng.ExpFloat64()/m.rate), arrive)
+	}
+	arrive()
+	for _, e := range m.engs {
+		m.after(seconds(m.rng.Float64()*m.reportEvery.Seconds()), e.report)
+	}
+	for end := epoch.Add(m.length); m.now.Before(end) && len(m.queue) > 0; {
+		e := heap.Pop(&m.queue).(event)
+		m.now = e.at
+		e.f()
+	}
+	return m
+}
+
+// send dispatches from a node; the network takes 0.1 ms within a data centre and
+// 1 ms across, one way.
+func (m *model) send(node int, p prompt) {
+	i := m.nodeList[node].choose(m.now, p)
+	m.attempt++
+	net := 100 * time.Microsecond
+	if i%m.dcs != node%m.dcs {
+		net = time.Millisecond
+	}
+	j := &job{prompt: p, at: m.now, net: net, node: node, attempt: ident.AttemptID(fmt.Sprint(m.attempt))}
+	if t, ok := m.nodeList[node].(*tableChooser); ok {
+		t.dispatched(m.now, j.attempt, p)
+	}
+	m.after(net, func() { m.engs[i].arrive(j) })
+	if m.now.Sub(epoch) > m.warmup {
+		m.requests++
+		m.perEngine[i]++
+	}
+}
+
+type job struct {
+	prompt
+	at      time.Time
+	net     time.Duration
+	node    int
+	attempt ident.AttemptID
+}
+
+type engine struct {
+	m          *model
+	id         ident.EndpointID
+	queue      []*job
+	running    int
+	prefilling bool
+	cache      map[uint64]*list.Element
+	lru        *list.List // front: used last
+	evs        []endpoint.CacheEvent
+	seq        uint64
+}
+
+func (e *engine) arrive(j *job) {
+	e.queue = append(e.queue, j)
+	e.step()
+}
+
+// step begins the next prefill where the engine is free for one.
+func (e *engine) step() {
+	if e.prefilling || e.running >= e.m.slots || len(e.queue) == 0 {
+		return
+	}
+	j := e.queue[0]
+	e.queue = e.queue[1:]
+	e.running++
+	e.prefilling = true
+	uncached := len(j.chain) - e.cached(j.chain)
+	m := e.m
+	if m.now.Sub(epoch) > m.warmup {
+		for _, b := range j.chain[len(j.chain)-uncached:] {
+			m.computed += blockTokens
+			if m.seen[b] {
+				m.again += blockTokens
+			}
+		}
+	}
+	m.after(seconds(float64(max(1, uncached*blockTokens))/m.prefill), func() { e.firstToken(j) })
+}
+
+func (e *engine) firstToken(j *job) {
+	m := e.m
+	e.prefilling = false
+	e.store(j.chain)
+	if j.at.Sub(epoch) > m.warmup {
+		t := (m.now.Sub(j.at) + j.net).Microseconds()
+		_ = m.ttft.RecordValue(t)
+		if j.class == ident.ClassQuick {
+			_ = m.quick.RecordValue(t)
+		}
+	}
+	m.after(time.Duration(j.output)*m.perToken, func() {
+		e.running--
+		m.after(j.net, func() { m.nodeList[j.node].done(m.now, j.attempt) })
+		e.step()
+	})
+	e.step()
+}
+
+func (e *engine) cached(chain []uint64) int {
+	for i, b := range chain {
+		if e.cache[b] == nil {
+			return i
+		}
+	}
+	return len(chain)
+}
+
+// store caches a chain; the blocks used least recently make room, leaves first.
+func (e *engine) store(chain []uint64) {
+	for i := len(chain) - 1; i >= 0; i-- {
+		b := chain[i]
+		e.m.seen[b] = true
+		if el := e.cache[b]; el != nil {
+			e.lru.MoveToFront(el)
+			continue
+		}
+		e.cache[b] = e.lru.PushFront(b)
+		e.event(b, true)
+	}
+	for e.lru.Len() > e.m.cacheBlocks {
+		el := e.lru.Back()
+		b := e.lru.Remove(el).(uint64)
+		delete(e.cache, b)
+		e.event(b, false)
+	}
+}
+
+func (e *engine) event(b uint64, added bool) {
+	e.seq++
+	e.evs = append(e.evs, endpoint.CacheEvent{Seq: e.seq, Block: b, Added: added})
+}
+
+// report sends load and cache events to all nodes, after the lag.
+func (e *engine) report() {
+	m := e.m
+	r := endpoint.LoadReport{Endpoint: e.id, Version: "v1", Running: e.running, Queued: len(e.queue),
+		MaxRunning: m.slots, PrefillPerSec: m.prefill}
+	for _, j := range e.queue {
+		r.QueuedTokens += (len(j.chain) - e.cached(j.chain)) * blockTokens
+	}
+	ce := endpoint.CacheEvents{Events: e.evs}
+	e.evs = nil
+	if m.rng.IntN(m.gapEvery) == 0 {
+		ce.Gap, ce.Events = true, ce.Events[len(ce.Events)/2:]
+	}
+	m.after(m.lag, func() {
+		r.Age = m.lag
+		for _, n := range m.nodeList {
+			n.report(m.now, r)
+			if !m.noEvents {
+				n.cacheEvents(m.now, e.id, ce)
+			}
+		}
+	})
+	m.after(m.reportEvery, e.report)
+}
+
+// tableChooser is the package's own way.
+type tableChooser struct {
+	t    *Table
+	rng  *rand.Rand
+	last Choice
+}
+
+func tables(opts Options) func(*model, int) chooser {
+	return func(m *model, node int) chooser {
+		o := opts
+		o.Node, o.DataCentre = ident.NodeID(fmt.Sprint("n", node)), dcName(node%m.dcs)
+		t := New(o)
+		t.SetNodes(Nodes{Live: m.nodes})
+		t.SetHosts(epoch, m.hosts())
+		return &tableChooser{t: t, rng: rand.New(rand.NewPCG(m.seed, uint64(node)))}
+	}
+}
+
+var onlyV1 = []Share{{Version: "v1", Weight: 1}}
+
+func (c *tableChooser) choose(now time.Time, p prompt) int {
+	ch, err := c.t.Pick(now, c.rng, Request{Service: "s", Class: p.class, Shares: onlyV1, Chain: p.chain, PromptTokens: p.tokens()})
+	if err != nil {
+		panic(err)
+	}
+	c.last = ch
+	var i int
+	_, _ = fmt.Sscanf(string(ch.Endpoint), "e%d", &i)
+	return i
+}
+
+func (c *tableChooser) dispatched(now time.Time, a ident.AttemptID, p prompt) {
+	c.t.Dispatched(now, Dispatch{Attempt: a, Endpoint: c.last.Endpoint, Chain: p.chain,
+		PromptTokens: p.tokens(), CachedTokens: c.last.Estimate.CachedTokens})
+}
+
+func (c *tableChooser) report(now time.Time, r endpoint.LoadReport) { c.t.Report(now, r) }
+func (c *tableChooser) cacheEvents(now time.Time, id ident.EndpointID, e endpoint.CacheEvents) {
+	c.t.CacheEvents(now, id, e)
+}
+func (c *tableChooser) done(now time.Time, a ident.AttemptID) {
+	c.t.Finished(now, Finish{Attempt: a, Outcome: OutcomeOK})
+}
+
+// The naive ways.
+type roundRobin struct{ next, n int }
+
+func (c *roundRobin) choose(time.Time, prompt) int                                  { c.next++; return c.next % c.n }
+func (c *roundRobin) report(time.Time, endpoint.LoadReport)                         {}
+func (c *roundRobin) cacheEvents(time.Time, ident.EndpointID, endpoint.CacheEvents) {}
+func (c *roundRobin) done(time.Time, ident.AttemptID)                               {}
+
+type leastReported struct {
+	roundRobin
+	load []int
+}
+
+func (c *leastReported) choose(time.Time, prompt) int {
+	best := 0
+	for i, l := range c.load {
+		if l < c.load[best] {
+			best = i
+		}
+	}
+	return best
+}
+
+func (c *leastReported) report(_ time.Time, r endpoint.LoadReport) {
+	var i int
+	_, _ = fmt.Sscanf(string(r.Endpoint), "e%d", &i)
+	c.load[i] = r.Running + r.Queued
+}
+
+func roundRobins(m *model, node int) chooser { return &roundRobin{next: node * 3, n: m.engines} }
+func leastReporteds(m *model, _ int) chooser { return &leastReported{load: make([]int, m.engines)} }
+
+// Workloads.
+
+// text appends blocks of n tokens that no other text has.
+func text(rng *rand.Rand, prefix []uint64, n int) []uint64 {
+	chain := append([]uint64(nil), prefix...)
+	for range n / blockTokens {
+		chain = append(chain, rng.Uint64())
+	}
+	return chain
+}
+
+// customers holds five workspaces, two of them large, each with a style guide.
+func customers(rng *rand.Rand) (guides [][]uint64, draw func() int) {
+	for i := range 5 {
+		guides = append(guides, text(rng, nil, 1500+300*i))
+	}
+	return guides, func() int {
+		switch x := rng.IntN(100); {
+		case x < 40:
+			return 0
+		case x < 80:
+			return 1
+		default:
+			return 2 + x%3
+		}
+	}
+}
+
+// letters: drafts from long family letters, quick wording questions, order tags.
+func letters(rng *rand.Rand) func() prompt {
+	guides, who := customers(rng)
+	return func() prompt {
+		g := guides[who()]
+		switch x := rng.IntN(100); {
+		case x < 25:
+			return prompt{ident.ClassLong, text(rng, g, 1500+rng.IntN(2500)), 250}
+		case x < 90:
+			return prompt{ident.ClassQuick, text(rng, g, 64+rng.IntN(200)), 60}
+		default:
+			return prompt{ident.ClassQuick, text(rng, g, 400), 8}
+		}
+	}
+}
+
+// designs: design sessions and fit chats of several turns, each turn after all
+// of those before it.
+func designs(rng *rand.Rand) func() prompt {
+	guides, who := customers(rng)
+	type session struct {
+		chain []uint64
+		turns int
+		class ident.Class
+	}
+	var open []*session
+	return func() prompt {
+		const wanted = 150 // sessions open at once
+		if len(open) < wanted {
+			s := &session{chain: guides[who()], turns: 3 + rng.IntN(4), class: ident.ClassQuick}
+			if rng.IntN(100) < 35 {
+				s.turns, s.class = 8+rng.IntN(6), ident.ClassLong
+			}
+			open = append(open, s)
+		}
+		i := rng.IntN(len(open))
+		s := open[i]
+		turn, out := 100, 60
+		if s.class == ident.ClassLong {
+			turn, out = 400, 200
+		}
+		s.chain = text(rng, s.chain, turn)
+		p := prompt{s.class, s.chain, out}
+		s.chain = text(rng, s.chain, out)
+		if s.turns--; s.turns == 0 {
+			open = append(open[:i], open[i+1:]...)
+		}
+		return p
+	}
+}
+
+// many: quick requests of 120 workspaces, whose style guides together are six
+// times what one engine caches.
+func many(rng *rand.Rand) func() prompt {
+	var guides [][]uint64
+	for range 120 {
+		guides = append(guides, text(rng, nil, 1600))
+	}
+	zipf := rand.NewZipf(rng, 1.1, 4, uint64(len(guides)-1))
+	return func() prompt {
+		return prompt{ident.ClassQuick, text(rng, guides[zipf.Uint64()], 64+rng.IntN(200)), 60}
+	}
+}
--- a/internal/route/options.go
+++ b/internal/route/options.go
@@ -30,12 +30,12 @@
 	Concurrency int
 	// ServiceTime is the assumed time of a request until some have finished. Default: 1s.
 	ServiceTime time.Duration
-	// Homes is the number of rendezvous-hash homes of a prefix. Default: 2.
+	// Homes is the number of rendezvous-hash homes of a prefix. Default: 1.
 	Homes int
 	// HomeBlocks is the number of leading blocks that name a prefix's homes. Default: 16.
 	HomeBlocks int
 	// LoadBound limits the load of homes and holders, as a multiple of the pool's
-	// mean load. Default: 1.5.
+	// mean load. Default: 3.
 	LoadBound float64
 	// HerdCorrelation is how far other nodes are assumed to choose as this one
 	// does; the rest of their work is spread evenly. Default: 0.5.
@@ -75,9 +75,9 @@
 	o.PrefillPerSec = orDefault(o.PrefillPerSec, 8000)
 	o.Concurrency = orDefault(o.Concurrency, 16)
 	o.ServiceTime = orDefault(o.ServiceTime, time.Second)
-	o.Homes = orDefault(o.Homes, 2)
+	o.Homes = orDefault(o.Homes, 1)
 	o.HomeBlocks = orDefault(o.HomeBlocks, 16)
-	o.LoadBound = orDefault(o.LoadBound, 1.5)
+	o.LoadBound = orDefault(o.LoadBound, 3)
 	o.HerdCorrelation = orDefault(o.HerdCorrelation, 0.5)
 	o.PrefixBlocks = orDefault(o.PrefixBlocks, 1<<17)
 	o.PrefixDecay = orDefault(o.PrefixDecay, 5*time.Minute)
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -17,6 +17,9 @@
 	maxHolders = 2
 	// minSlowStart is the part of draws that an endpoint takes at its very start.
 	minSlowStart = 0.1
+	// homePreference is the part of a prompt's prefill that a longer queue at the
+	// home may cost, where no endpoint is known to hold the prefix.
+	homePreference = 0.5
 	// slotCost is the time that a full batch adds to the first token.
 	slotCost = 5 * time.Millisecond
 	// meanLoadAge is how long the mean load of a pool is used.
@@ -28,10 +31,19 @@
 	shares []Share
 }
 
+// candidates are the slots compared for one request.
+type candidates struct {
+	slots uint64
+	// homes of a prompt that no endpoint is known to hold; they are preferred, as
+	// other nodes send the same prefix there.
+	homes uint64
+}
+
 // candidate is an endpoint compared for one request.
 type candidate struct {
 	m        *member
 	estimate Estimate
+	rank     time.Duration // the estimate, less the preference for a home
 }
 
 // Pick returns the endpoint with the least estimated time to first token among a
@@ -128,25 +140,33 @@
 
 // candidates returns the slots to compare: random ones, and those homes and
 // holders of the prompt's prefix whose load is bounded.
-func (t *Table) candidates(now time.Time, rng *rand.Rand, p *pool, r Request, eligible uint64) uint64 {
-	if bits.OnesCount64(eligible) <= randomChoices {
-		return eligible
+func (t *Table) candidates(now time.Time, rng *rand.Rand, p *pool, r Request, eligible uint64) candidates {
+	if bits.OnesCount64(eligible) <= randomChoices && len(r.Chain) == 0 {
+		return candidates{slots: eligible}
 	}
-	chosen := t.drawSlots(now, rng, p, eligible)
+	c := candidates{slots: t.drawSlots(now, rng, p, eligible)}
 	if len(r.Chain) == 0 {
-		return chosen
+		return c
+	}
+	homes := t.bounded(now, p, t.homes(p, r.Chain, eligible))
+	n, holders := p.index.match(r.Chain, eligible)
+	c.slots |= homes | t.bounded(now, p, sample(rng, holders, maxHolders))
+	if n < min(len(r.Chain), t.opts.HomeBlocks) {
+		c.homes = homes
 	}
-	near := t.homes(p, r.Chain, eligible)
-	_, holders := p.index.match(r.Chain, eligible)
-	near |= sample(rng, holders, maxHolders)
+	return c
+}
+
+// bounded returns those of slots whose load is not far above the pool's mean.
+func (t *Table) bounded(now time.Time, p *pool, slots uint64) uint64 {
 	bound := t.opts.LoadBound*t.mean(now, p) + t.loadSlack()
-	for s := near &^ chosen; s != 0; s &= s - 1 {
+	for s := slots; s != 0; s &= s - 1 {
 		i := bits.TrailingZeros64(s)
-		if t.loadOf(now, p, p.subset[i]) <= bound {
-			chosen |= 1 << i
+		if t.loadOf(now, p, p.subset[i]) > bound {
+			slots &^= 1 << i
 		}
 	}
-	return chosen
+	return slots
 }
 
 // loadSlack is the share of slots that a home may have in use whatever the mean.
@@ -202,11 +222,15 @@
 
 // best compares candidates by their estimates; within the tie window the cheaper
 // one wins.
-func (t *Table) best(now time.Time, p *pool, r Request, slots uint64) candidate {
+func (t *Table) best(now time.Time, p *pool, r Request, cs candidates) candidate {
 	var best candidate
-	for s := slots; s != 0; s &= s - 1 {
-		m := p.subset[bits.TrailingZeros64(s)]
-		c := candidate{m: m, estimate: t.estimate(now, p, m, r)}
+	for s := cs.slots; s != 0; s &= s - 1 {
+		i := bits.TrailingZeros64(s)
+		c := candidate{m: p.subset[i], estimate: t.estimate(now, p, p.subset[i], r)}
+		c.rank = c.estimate.Total()
+		if cs.homes>>i&1 != 0 {
+			c.rank -= time.Duration(homePreference * float64(c.estimate.Prefill))
+		}
 		if best.m == nil || t.better(c, best) {
 			best = c
 		}
@@ -215,7 +239,7 @@
 }
 
 func (t *Table) better(a, b candidate) bool {
-	d := a.estimate.Total() - b.estimate.Total()
+	d := a.rank - b.rank
 	if d.Abs() <= t.opts.TieWindow && a.m.price != b.m.price {
 		return a.m.price < b.m.price
 	}
