--- /dev/null
+++ b/internal/route/compare_test.go
@@ -0,0 +1,95 @@
+package route
+
+import (
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+)
+
+// firstToken is the target for 95 of 100 quick requests.
+const firstToken = 530 * time.Millisecond
+
+// result sums the runs of one way of choosing.
+type result struct {
+	p95, quickP95   time.Duration // the worst of the seeds
+	computed, again int           // prompt tokens
+	requests        int
+}
+
+// seeds is the number of seeds of JUJUBESHED_SEEDS, or one.
+func seeds() uint64 {
+	n, _ := strconv.Atoi(os.Getenv("JUJUBESHED_SEEDS"))
+	return uint64(max(n, 1))
+}
+
+func compare(t *testing.T, name string, o modelOptions, choosers func(*model, int) chooser) result {
+	var r result
+	o.choosers = choosers
+	for seed := range seeds() {
+		o.seed = seed + 1
+		m := newModel(o).run()
+		r.p95 = max(r.p95, time.Duration(m.ttft.ValueAtQuantile(95))*time.Microsecond)
+		r.quickP95 = max(r.quickP95, time.Duration(m.quick.ValueAtQuantile(95))*time.Microsecond)
+		r.computed += m.computed
+		r.again += m.again
+		r.requests += m.requests
+	}
+	n := r.requests
+	t.Logf("%-14s p95 %8v quick p95 %8v; tokens a request: computed %5d, recomputed %5d", name,
+		r.p95.Round(time.Millisecond), r.quickP95.Round(time.Millisecond), r.computed/n, r.again/n)
+	return r
+}
+
+// TestAgainstNaive compares with round robin and least reported load on the shapes
+// of both deployments, and on one with many workspaces.
+func TestAgainstNaive(t *testing.T) {
+	for _, shape := range []struct {
+		name     string
+		workload func(*rand.Rand) func() prompt
+		rate     float64
+	}{{"letters", letters, 30}, {"designs", designs, 30}, {"many", many, 30}} {
+		t.Run(shape.name, func(t *testing.T) {
+			o := defaults()
+			o.workload, o.rate, o.length = shape.workload, shape.rate, 90*time.Second
+			o.warmup = 30 * time.Second
+			rr := compare(t, "round robin", o, roundRobins)
+			least := compare(t, "least reported", o, leastReporteds)
+			own := compare(t, "estimate", o, tables(Options{}))
+			if own.quickP95 > firstToken {
+				t.Errorf("quick p95 %v", own.quickP95)
+			}
+			if own.again > min(rr.again, least.again) || own.quickP95 > min(rr.quickP95, least.quickP95) {
+				t.Error("a naive way did better")
+			}
+		})
+	}
+}
+
+// TestHerding makes the reports three seconds old, with prompts that share nothing.
+// The least reported load sends everything to one endpoint, and so does the
+// estimate of a node that does not know of the other nodes.
+func TestHerding(t *testing.T) {
+	o := defaults()
+	o.warmup, o.length, o.reportEvery, o.lag, o.rate = 10*time.Second, 60*time.Second, 2*time.Second, 2*time.Second, 40
+	o.workload = func(rng *rand.Rand) func() prompt {
+		return func() prompt { return prompt{ident.ClassQuick, text(rng, nil, 1600), 40} }
+	}
+	least := compare(t, "least reported", o, leastReporteds)
+	compare(t, "round robin", o, roundRobins)
+	own := compare(t, "estimate", o, tables(Options{}))
+	alone := compare(t, "no correction", o, func(m *model, node int) chooser {
+		c := tables(Options{})(m, node).(*tableChooser)
+		c.t.SetNodes(Nodes{Live: 1})
+		return c
+	})
+	if least.quickP95 < firstToken {
+		t.Errorf("no herding caused: p95 %v", least.quickP95)
+	}
+	if own.quickP95 > firstToken || own.quickP95 > alone.quickP95 {
+		t.Errorf("herding: p95 %v, without correction %v", own.quickP95, alone.quickP95)
+	}
+}
--- a/internal/route/doc.go
+++ b/internal/route/doc.go
@@ -18,7 +18,8 @@
 //     saying "live" does not clear it. Only a higher incarnation is unmarked.
 //   - A leaving, ejected or excluded endpoint is never picked.
 //   - At most Options.MaxEjected of a pool's endpoints are ejected at once, so
-//     that a wave of failures leaves endpoints to serve.
+//     that a wave of failures leaves endpoints to serve. Where a pool shrinks below
+//     that, its ejections don't count.
 //   - A version is picked by its share. A version without endpoints passes its
 //     work on only to one marked as a fallback.
 //   - State does not grow with the fleet: load, prefix and ejection state are kept
--- a/internal/route/eject.go
+++ b/internal/route/eject.go
@@ -46,7 +46,11 @@
 	}
 }
 
-func (w *window) sum() tally {
+// sum returns the outcomes of the last one to two windows.
+func (w *window) sum(now time.Time) tally {
+	if now.Sub(w.start) >= 2*outcomeWindow {
+		return tally{}
+	}
 	return tally{w.now.requests + w.last.requests, w.now.faults + w.last.faults}
 }
 
@@ -61,7 +65,7 @@
 	switch o {
 	case OutcomeOK:
 		h.faults = 0
-		if !h.ejected(now) && h.requests.sum().faults == 0 {
+		if !h.ejected(now) && h.requests.sum(now).faults == 0 {
 			h.inARow = 0
 		}
 	case OutcomeFault:
@@ -70,25 +74,25 @@
 		return
 	}
 	h.requests.add(now, o == OutcomeFault)
-	if o == OutcomeFault && !h.ejected(now) && t.outlier(m) {
+	if o == OutcomeFault && !h.ejected(now) && t.outlier(now, m) {
 		t.eject(now, m)
 	}
 }
 
 // outlier tells whether a member fails in a row, or much more often than the rest
 // of its pool.
-func (t *Table) outlier(m *member) bool {
+func (t *Table) outlier(now time.Time, m *member) bool {
 	if m.health.faults >= t.opts.FaultsInRow {
 		return true
 	}
-	own := m.health.requests.sum()
+	own := m.health.requests.sum(now)
 	if own.requests < outlierRequests {
 		return false
 	}
 	var rest tally
 	for _, o := range t.poolOf(m).subset {
 		if o != nil && o != m {
-			s := o.health.requests.sum()
+			s := o.health.requests.sum(now)
 			rest.requests += s.requests
 			rest.faults += s.faults
 		}
@@ -116,7 +120,7 @@
 			out++
 		}
 	}
-	if out+1 > int(t.opts.MaxEjected*float64(usable)) {
+	if out+1 > t.ejectable(usable) {
 		t.stats.EjectSpared++
 		return
 	}
@@ -129,6 +133,11 @@
 	t.stats.Ejections++
 }
 
+// ejectable returns how many of a pool's usable endpoints may be ejected at once.
+func (t *Table) ejectable(usable int) int {
+	return int(t.opts.MaxEjected * float64(usable))
+}
+
 func (t *Table) poolOf(m *member) *pool {
 	if p := t.pools[poolKey{m.service, m.version}]; p != nil {
 		return p
--- a/internal/route/model_test.go
+++ b/internal/route/model_test.go
@@ -346,10 +346,11 @@
 }
 
 func (c *leastReported) choose(time.Time, prompt) int {
-	best := 0
-	for i, l := range c.load {
-		if l < c.load[best] {
-			best = i
+	c.next++
+	best := c.next % len(c.load)
+	for i := range c.load {
+		if j := (c.next + i) % len(c.load); c.load[j] < c.load[best] {
+			best = j
 		}
 	}
 	return best
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -37,6 +37,7 @@
 	// homes of a prompt that no endpoint is known to hold; they are preferred, as
 	// other nodes send the same prefix there.
 	homes uint64
+	salt  uint64 // orders equal candidates
 }
 
 // candidate is an endpoint compared for one request.
@@ -44,6 +45,7 @@
 	m        *member
 	estimate Estimate
 	rank     time.Duration // the estimate, less the preference for a home
+	tie      uint64
 }
 
 // Pick returns the endpoint with the least estimated time to first token among a
@@ -129,26 +131,33 @@
 		return nil, 0
 	}
 	t.refresh(now, p)
-	var mask uint64
+	var usable, ejected, excluded uint64
 	for i, m := range p.subset {
-		if m != nil && m.usable() && !m.health.ejected(now) && !slices.Contains(r.Exclude, m.id) {
-			mask |= 1 << i
+		if m == nil || !m.usable() {
+			continue
 		}
+		usable |= 1 << i
+		if m.health.ejected(now) {
+			ejected |= 1 << i
+		}
+		if slices.Contains(r.Exclude, m.id) {
+			excluded |= 1 << i
+		}
+	}
+	if bits.OnesCount64(ejected) > t.ejectable(bits.OnesCount64(usable)) {
+		ejected = 0 // the pool has shrunk since
 	}
-	return p, mask
+	return p, usable &^ ejected &^ excluded
 }
 
 // candidates returns the slots to compare: random ones, and those homes and
 // holders of the prompt's prefix whose load is bounded.
 func (t *Table) candidates(now time.Time, rng *rand.Rand, p *pool, r Request, eligible uint64) candidates {
-	if bits.OnesCount64(eligible) <= randomChoices && len(r.Chain) == 0 {
-		return candidates{slots: eligible}
-	}
-	c := candidates{slots: t.drawSlots(now, rng, p, eligible)}
+	c := candidates{slots: t.drawSlots(now, rng, p, eligible), salt: rng.Uint64()}
 	if len(r.Chain) == 0 {
 		return c
 	}
-	homes := t.bounded(now, p, t.homes(p, r.Chain, eligible))
+	homes := t.bounded(now, p, t.warm(now, rng, p, t.homes(p, r.Chain, eligible)))
 	n, holders := p.index.match(r.Chain, eligible)
 	c.slots |= homes | t.bounded(now, p, sample(rng, holders, maxHolders))
 	if n < min(len(r.Chain), t.opts.HomeBlocks) {
@@ -178,20 +187,32 @@
 // chance that falls as it warms.
 func (t *Table) drawSlots(now time.Time, rng *rand.Rand, p *pool, eligible uint64) uint64 {
 	var chosen uint64
-	for n, tries := 0, 0; n < randomChoices && tries < 4*randomChoices; tries++ {
-		left := eligible &^ chosen
-		i := nthBit(left, rng.IntN(bits.OnesCount64(left)))
-		if rng.Float64() < t.warmth(now, p.subset[i]) {
-			chosen |= 1 << i
+	left := eligible
+	for n := 0; n < randomChoices && left != 0; {
+		bit := uint64(1) << nthBit(left, rng.IntN(bits.OnesCount64(left)))
+		left &^= bit
+		if t.warm(now, rng, p, bit) != 0 {
+			chosen |= bit
 			n++
 		}
 	}
 	if chosen == 0 {
-		chosen = 1 << nthBit(eligible, rng.IntN(bits.OnesCount64(eligible)))
+		return eligible
 	}
 	return chosen
 }
 
+// warm returns those of slots that are not passed over for their slow start.
+func (t *Table) warm(now time.Time, rng *rand.Rand, p *pool, slots uint64) uint64 {
+	for s := slots; s != 0; s &= s - 1 {
+		i := bits.TrailingZeros64(s)
+		if w := t.warmth(now, p.subset[i]); w < 1 && rng.Float64() >= w {
+			slots &^= 1 << i
+		}
+	}
+	return slots
+}
+
 // warmth returns the part of its draws that an endpoint takes.
 func (t *Table) warmth(now time.Time, m *member) float64 {
 	left := m.warmAt.Sub(now)
@@ -227,7 +248,7 @@
 	for s := cs.slots; s != 0; s &= s - 1 {
 		i := bits.TrailingZeros64(s)
 		c := candidate{m: p.subset[i], estimate: t.estimate(now, p, p.subset[i], r)}
-		c.rank = c.estimate.Total()
+		c.rank, c.tie = c.estimate.Total(), mix(c.m.hash^cs.salt)
 		if cs.homes>>i&1 != 0 {
 			c.rank -= time.Duration(homePreference * float64(c.estimate.Prefill))
 		}
@@ -246,7 +267,7 @@
 	if d != 0 {
 		return d < 0
 	}
-	return a.m.id < b.m.id
+	return a.tie < b.tie
 }
 
 // sample returns n random bits of set, or all of them where they are fewer.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -80,8 +80,12 @@
 
 // SetHosts takes the platform's lagging list. A host that says "live" stays
 // leaving where its incarnation is marked. An endpoint that is no longer listed
-// gets no new work and is forgotten once its work has ended.
+// gets no new work and is forgotten once its work has ended. An empty list is taken
+// for a failure of the platform where endpoints are known, and changes nothing.
 func (t *Table) SetHosts(now time.Time, hosts []platform.HostInfo) {
+	if len(hosts) == 0 {
+		return
+	}
 	seen := make(map[ident.EndpointID]bool, len(t.endpoints))
 	for i := range hosts {
 		h := &hosts[i]
