Drain a dispatch from its own time, and forget old faults

The work since a report was summed and the speed times the report's age taken off: with reports some seconds old nothing was ever left, and the choice fell back to chance. Each dispatch is now added to the backlog at its own time.

A fault's penalty never ended where an endpoint got no further request.

--- a/internal/route/eject.go
+++ b/internal/route/eject.go
@@ -7,6 +7,7 @@
 // health is an endpoint's record of faults.
 type health struct {
 	faults   int // in a row
+	faultAt  time.Time
 	until    time.Time
 	inARow   int // ejections without a success between
 	requests window
@@ -58,6 +59,15 @@
 	return now.Before(h.until)
 }
 
+// penalty returns the faults in a row while the last is recent. It ends, as an
+// endpoint that gets no requests can't prove that it has recovered.
+func (h *health) penalty(now time.Time) int {
+	if now.Sub(h.faultAt) >= outcomeWindow {
+		return 0
+	}
+	return h.faults
+}
+
 // outcome records how an attempt ended and ejects the endpoint where it is an
 // outlier and the floor allows it.
 func (t *Table) outcome(now time.Time, m *member, o Outcome) {
@@ -70,6 +80,7 @@
 		}
 	case OutcomeFault:
 		h.faults++
+		h.faultAt = now
 	default:
 		return
 	}
--- a/internal/route/estimate.go
+++ b/internal/route/estimate.go
@@ -9,11 +9,13 @@
 // blockTokens is the number of prompt tokens in one block of the prefix cache.
 const blockTokens = endpoint.BlockBytes / endpoint.BytesPerToken
 
-// arrivals is the work that other nodes have likely sent to an endpoint since its
-// report, and the requests of theirs that have likely ended.
+// minDrain is the least part of its speed by which a backlog is taken to fall.
+const minDrain = 0.1
+
+// arrivals are the requests that other nodes have likely sent to an endpoint since
+// its report, and those of theirs that have likely ended.
 type arrivals struct {
 	requests float64
-	tokens   float64
 	ended    float64
 }
 
@@ -32,20 +34,33 @@
 	theirs := n / (n + 1) * float64(l.report.Running)
 	return arrivals{
 		requests: n * (same*float64(l.sinceCount) + even*p.rate.requests),
-		tokens:   n * (same*l.sinceTokens + even*p.rate.tokens),
 		ended:    theirs * min(1, age/p.serviceTime),
 	}
 }
 
+// drift returns how the backlog of m changes, other nodes' dispatches included. It
+// always falls by a part of the endpoint's speed, as an estimate that only grew
+// would shut the endpoint out until its next report.
+func (t *Table) drift(now time.Time, p *pool, m *member) drift {
+	n := t.sharers(p) - 1
+	p.rate.decay(now)
+	perSec := m.prefillPerSec(t.opts.PrefillPerSec)
+	same := t.opts.HerdCorrelation
+	others := n * (1 - same) * p.rate.tokens / float64(max(1, p.count))
+	return drift{
+		perSec:      max(perSec-others, minDrain*perSec),
+		perDispatch: 1 + n*same,
+	}
+}
+
 // estimate returns the expected time to first token of r at m.
 func (t *Table) estimate(now time.Time, p *pool, m *member, r Request) Estimate {
-	others := t.others(now, p, m)
 	perSec := m.prefillPerSec(t.opts.PrefillPerSec)
-	wait := m.backlog(now, others.tokens, perSec) / perSec
-	wait += t.slotWait(p, m, m.running(others))
+	wait := m.backlog(now, t.drift(now, p, m)) / perSec
+	wait += t.slotWait(p, m, m.running(t.others(now, p, m)))
 	cached := t.cachedTokens(p, m, r)
 	e := Estimate{
-		Wait:         seconds(wait) + time.Duration(m.health.faults)*t.opts.FaultPenalty,
+		Wait:         seconds(wait) + time.Duration(m.health.penalty(now))*t.opts.FaultPenalty,
 		Prefill:      seconds(float64(r.PromptTokens-cached) / perSec),
 		CachedTokens: cached,
 	}
--- a/internal/route/member.go
+++ b/internal/route/member.go
@@ -40,9 +40,11 @@
 	report   endpoint.LoadReport
 	reported bool
 	at       time.Time // when the report was true; before any, the first dispatch
-	// Of this node's dispatches after at.
-	sinceCount  int
-	sinceTokens float64
+	// This node's dispatches after at.
+	sinceCount int
+	// Prompt tokens estimated to wait at backlogAt.
+	backlog   float64
+	backlogAt time.Time
 	// Own attempts that the report counts and that have ended since.
 	ended int
 }
@@ -89,27 +91,33 @@
 }
 
 // setReport takes a load report and counts own work anew from its time.
-func (m *member) setReport(now time.Time, r endpoint.LoadReport) {
+func (m *member) setReport(now time.Time, r endpoint.LoadReport, d drift) {
 	at := now.Add(-r.Age)
 	if m.load.reported && at.Before(m.load.at) {
 		return
 	}
-	m.load = load{report: r, reported: true, at: at}
+	m.load = load{report: r, reported: true, at: at, backlog: float64(r.QueuedTokens), backlogAt: at}
 	for _, w := range m.inflight {
 		if w.at.After(at) {
 			m.load.sinceCount++
-			m.load.sinceTokens += w.tokens
+			m.addTokens(w, d)
 		}
 	}
 }
 
-func (m *member) dispatched(w *work) {
+func (m *member) dispatched(w *work, d drift) {
 	m.inflight = append(m.inflight, w)
 	if m.load.at.IsZero() {
 		m.load.at = w.at
 	}
 	m.load.sinceCount++
-	m.load.sinceTokens += w.tokens
+	m.addTokens(w, d)
+}
+
+// addTokens adds a dispatch to the backlog, and what other nodes send along with it.
+func (m *member) addTokens(w *work, d drift) {
+	m.load.backlog = m.backlog(w.at, d) + w.tokens*d.perDispatch
+	m.load.backlogAt = w.at
 }
 
 func (m *member) finished(w *work) {
@@ -150,12 +158,17 @@
 	return max(n, float64(len(m.inflight)))
 }
 
+// drift is how an endpoint's backlog changes.
+type drift struct {
+	perSec      float64 // tokens worked off, less those that other nodes send
+	perDispatch float64 // tokens added for each of this node's, with other nodes'
+}
+
 // backlog estimates the prompt tokens that wait at the endpoint at now.
-func (m *member) backlog(now time.Time, others, perSec float64) float64 {
-	l := &m.load
-	n := float64(l.report.QueuedTokens) + l.sinceTokens + others
-	if age := now.Sub(l.at); age > 0 {
-		n -= perSec * age.Seconds()
+func (m *member) backlog(now time.Time, d drift) float64 {
+	n := m.load.backlog
+	if dt := now.Sub(m.load.backlogAt); dt > 0 && n > 0 {
+		n -= d.perSec * dt.Seconds()
 	}
 	return max(n, 0)
 }
--- a/internal/route/options.go
+++ b/internal/route/options.go
@@ -38,7 +38,7 @@
 	// mean load. Default: 3.
 	LoadBound float64
 	// HerdCorrelation is how far other nodes are assumed to choose as this one
-	// does; the rest of their work is spread evenly. Default: 0.5.
+	// does; the rest of their work is spread evenly. Default: 0.25.
 	HerdCorrelation float64
 	// PrefixBlocks bounds the prefix index of each service and version. Default: 131072.
 	PrefixBlocks int
@@ -56,8 +56,8 @@
 	// MaxEjected is the largest part of a pool's usable endpoints that may be
 	// ejected at once. Default: 0.3.
 	MaxEjected float64
-	// FaultPenalty is added to the estimate for each fault in a row, so that an
-	// endpoint that fails fast does not look idle. Default: 250ms.
+	// FaultPenalty is added to the estimate for each recent fault in a row, so that
+	// an endpoint that fails fast does not look idle. Default: 250ms.
 	FaultPenalty time.Duration
 	// TieWindow is the difference of two estimates within which the price decides.
 	// Default: 2ms.
@@ -78,7 +78,7 @@
 	o.Homes = orDefault(o.Homes, 1)
 	o.HomeBlocks = orDefault(o.HomeBlocks, 16)
 	o.LoadBound = orDefault(o.LoadBound, 3)
-	o.HerdCorrelation = orDefault(o.HerdCorrelation, 0.5)
+	o.HerdCorrelation = orDefault(o.HerdCorrelation, 0.25)
 	o.PrefixBlocks = orDefault(o.PrefixBlocks, 1<<17)
 	o.PrefixDecay = orDefault(o.PrefixDecay, 5*time.Minute)
 	o.SlowStart = orDefault(o.SlowStart, 30*time.Second)
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -229,7 +229,7 @@
 // dropped.
 func (t *Table) Report(now time.Time, r endpoint.LoadReport) {
 	if m := t.endpoints[r.Endpoint]; m != nil {
-		m.setReport(now, r)
+		m.setReport(now, r, t.drift(now, t.poolOf(m), m))
 	}
 }
 
--- a/internal/route/work.go
+++ b/internal/route/work.go
@@ -23,8 +23,8 @@
 		tokens:  float64(max(0, d.PromptTokens-d.CachedTokens)),
 	}
 	t.work[d.Attempt] = w
-	m.dispatched(w)
 	p := t.poolOf(m)
+	m.dispatched(w, t.drift(now, p, m))
 	p.rate.add(now, w.tokens)
 	if m.slot == noSlot {
 		return
