--- a/internal/route/eject.go
+++ b/internal/route/eject.go
@@ -7,6 +7,7 @@
 // health is an endpoint's record of faults.
 type health struct {
 	faults   int // in a row
+	faultAt  time.Time
 	until    time.Time
 	inARow   int // ejections without a success between
 	requests window
@@ -46,7 +47,11 @@
 	}
 }
 
-func (w *window) sum() tally {
+// sum returns the outcomes of the last one to two windows.
+func (w *window) sum(now time.Time) tally {
+	if now.Sub(w.start) >= 2*outcomeWindow {
+		return tally{}
+	}
 	return tally{w.now.requests + w.last.requests, w.now.faults + w.last.faults}
 }
 
@@ -54,6 +59,15 @@
 	return now.Before(h.until)
 }
 
+// penalty returns the faults in a row while the last is recent. It ends, as an
+// endpoint that gets no requests can't prove that it has recovered.
+func (h *health) penalty(now time.Time) int {
+	if now.Sub(h.faultAt) >= outcomeWindow {
+		return 0
+	}
+	return h.faults
+}
+
 // outcome records how an attempt ended and ejects the endpoint where it is an
 // outlier and the floor allows it.
 func (t *Table) outcome(now time.Time, m *member, o Outcome) {
@@ -61,34 +75,35 @@
 	switch o {
 	case OutcomeOK:
 		h.faults = 0
-		if !h.ejected(now) && h.requests.sum().faults == 0 {
+		if !h.ejected(now) && h.requests.sum(now).faults == 0 {
 			h.inARow = 0
 		}
 	case OutcomeFault:
 		h.faults++
+		h.faultAt = now
 	default:
 		return
 	}
 	h.requests.add(now, o == OutcomeFault)
-	if o == OutcomeFault && !h.ejected(now) && t.outlier(m) {
+	if o == OutcomeFault && !h.ejected(now) && t.outlier(now, m) {
 		t.eject(now, m)
 	}
 }
 
 // outlier tells whether a member fails in a row, or much more often than the rest
 // of its pool.
-func (t *Table) outlier(m *member) bool {
+func (t *Table) outlier(now time.Time, m *member) bool {
 	if m.health.faults >= t.opts.FaultsInRow {
 		return true
 	}
-	own := m.health.requests.sum()
+	own := m.health.requests.sum(now)
 	if own.requests < outlierRequests {
 		return false
 	}
 	var rest tally
 	for _, o := range t.poolOf(m).subset {
 		if o != nil && o != m {
-			s := o.health.requests.sum()
+			s := o.health.requests.sum(now)
 			rest.requests += s.requests
 			rest.faults += s.faults
 		}
@@ -116,7 +131,7 @@
 			out++
 		}
 	}
-	if out+1 > int(t.opts.MaxEjected*float64(usable)) {
+	if out+1 > t.ejectable(usable) {
 		t.stats.EjectSpared++
 		return
 	}
@@ -129,6 +144,11 @@
 	t.stats.Ejections++
 }
 
+// ejectable returns how many of a pool's usable endpoints may be ejected at once.
+func (t *Table) ejectable(usable int) int {
+	return int(t.opts.MaxEjected * float64(usable))
+}
+
 func (t *Table) poolOf(m *member) *pool {
 	if p := t.pools[poolKey{m.service, m.version}]; p != nil {
 		return p
--- a/internal/route/options.go
+++ b/internal/route/options.go
@@ -30,15 +30,15 @@
 	Concurrency int
 	// ServiceTime is the assumed time of a request until some have finished. Default: 1s.
 	ServiceTime time.Duration
-	// Homes is the number of rendezvous-hash homes of a prefix. Default: 2.
+	// Homes is the number of rendezvous-hash homes of a prefix. Default: 1.
 	Homes int
 	// HomeBlocks is the number of leading blocks that name a prefix's homes. Default: 16.
 	HomeBlocks int
 	// LoadBound limits the load of homes and holders, as a multiple of the pool's
-	// mean load. Default: 1.5.
+	// mean load. Default: 3.
 	LoadBound float64
 	// HerdCorrelation is how far other nodes are assumed to choose as this one
-	// does; the rest of their work is spread evenly. Default: 0.5.
+	// does; the rest of their work is spread evenly. Default: 0.25.
 	HerdCorrelation float64
 	// PrefixBlocks bounds the prefix index of each service and version. Default: 131072.
 	PrefixBlocks int
@@ -56,8 +56,8 @@
 	// MaxEjected is the largest part of a pool's usable endpoints that may be
 	// ejected at once. Default: 0.3.
 	MaxEjected float64
-	// FaultPenalty is added to the estimate for each fault in a row, so that an
-	// endpoint that fails fast does not look idle. Default: 250ms.
+	// FaultPenalty is added to the estimate for each recent fault in a row, so that
+	// an endpoint that fails fast does not look idle. Default: 250ms.
 	FaultPenalty time.Duration
 	// TieWindow is the difference of two estimates within which the price decides.
 	// Default: 2ms.
@@ -75,10 +75,10 @@
 	o.PrefillPerSec = orDefault(o.PrefillPerSec, 8000)
 	o.Concurrency = orDefault(o.Concurrency, 16)
 	o.ServiceTime = orDefault(o.ServiceTime, time.Second)
-	o.Homes = orDefault(o.Homes, 2)
+	o.Homes = orDefault(o.Homes, 1)
 	o.HomeBlocks = orDefault(o.HomeBlocks, 16)
-	o.LoadBound = orDefault(o.LoadBound, 1.5)
-	o.HerdCorrelation = orDefault(o.HerdCorrelation, 0.5)
+	o.LoadBound = orDefault(o.LoadBound, 3)
+	o.HerdCorrelation = orDefault(o.HerdCorrelation, 0.25)
 	o.PrefixBlocks = orDefault(o.PrefixBlocks, 1<<17)
 	o.PrefixDecay = orDefault(o.PrefixDecay, 5*time.Minute)
 	o.SlowStart = orDefault(o.SlowStart, 30*time.Second)
