Run requests by their state machine, and version moves on every node

Cause: the thin sender retried in a loop of its own, cut streams off leaving endpoints only when they broke, and gave all work to one version. Change: dispatch joins the runner, the balancer and the answer; it tells running streams of leaving endpoints, moves KV caches where the estimate says so, and reads the first 64 KiB of a plain response before any of it goes out, so that a cut one can be asked for again. Moves run on every node; evidence goes as grow-only sums, marks and records as marks between peers. The gate's capacity is the balancer's own part of the free slots: dividing it by the nodes once more halved it. The end-to-end test imports what it builds, as go test took its old result for a new binary.

--- a/api/gen/operators/oas_json_gen.go
+++ b/api/gen/operators/oas_json_gen.go
@@ -259,33 +259,13 @@
 // encodeFields encodes fields.
 func (s *Evidence) encodeFields(e *jx.Encoder) {
 	{
-		e.FieldStart("route")
-		e.Str(s.Route)
-	}
-	{
-		e.FieldStart("version")
-		e.Str(s.Version)
-	}
-	{
-		e.FieldStart("requests")
-		e.Int64(s.Requests)
-	}
-	{
-		e.FieldStart("failures")
-		e.Int64(s.Failures)
-	}
-	{
-		e.FieldStart("slow")
-		e.Int64(s.Slow)
+		e.FieldStart("finding")
+		e.Str(s.Finding)
 	}
 }
 
-var jsonFieldsNameOfEvidence = [5]string{
-	0: "route",
-	1: "version",
-	2: "requests",
-	3: "failures",
-	4: "slow",
+var jsonFieldsNameOfEvidence = [1]string{
+	0: "finding",
 }
 
 // Decode decodes Evidence from json.
@@ -297,65 +277,17 @@
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
-		case "route":
+		case "finding":
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
 				v, err := d.Str()
-				s.Route = string(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"route\"")
-			}
-		case "version":
-			requiredBitSet[0] |= 1 << 1
-			if err := func() error {
-				v, err := d.Str()
-				s.Version = string(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"version\"")
-			}
-		case "requests":
-			requiredBitSet[0] |= 1 << 2
-			if err := func() error {
-				v, err := d.Int64()
-				s.Requests = int64(v)
+				s.Finding = string(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"requests\"")
-			}
-		case "failures":
-			requiredBitSet[0] |= 1 << 3
-			if err := func() error {
-				v, err := d.Int64()
-				s.Failures = int64(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"failures\"")
-			}
-		case "slow":
-			requiredBitSet[0] |= 1 << 4
-			if err := func() error {
-				v, err := d.Int64()
-				s.Slow = int64(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"slow\"")
+				return errors.Wrap(err, "decode field \"finding\"")
 			}
 		default:
 			return d.Skip()
@@ -367,7 +299,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00011111,
+		0b00000001,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/api/gen/operators/oas_schemas_gen.go
+++ b/api/gen/operators/oas_schemas_gen.go
@@ -143,61 +143,18 @@
 
 // Ref: #/components/schemas/Evidence
 type Evidence struct {
-	Route    string `json:"route"`
-	Version  string `json:"version"`
-	Requests int64  `json:"requests"`
-	Failures int64  `json:"failures"`
-	Slow     int64  `json:"slow"`
+	// A comparison of both versions on one route, in numbers.
+	Finding string `json:"finding"`
 }
 
-// GetRoute returns the value of Route.
-func (s *Evidence) GetRoute() string {
-	return s.Route
+// GetFinding returns the value of Finding.
+func (s *Evidence) GetFinding() string {
+	return s.Finding
 }
 
-// GetVersion returns the value of Version.
-func (s *Evidence) GetVersion() string {
-	return s.Version
-}
-
-// GetRequests returns the value of Requests.
-func (s *Evidence) GetRequests() int64 {
-	return s.Requests
-}
-
-// GetFailures returns the value of Failures.
-func (s *Evidence) GetFailures() int64 {
-	return s.Failures
-}
-
-// GetSlow returns the value of Slow.
-func (s *Evidence) GetSlow() int64 {
-	return s.Slow
-}
-
-// SetRoute sets the value of Route.
-func (s *Evidence) SetRoute(val string) {
-	s.Route = val
-}
-
-// SetVersion sets the value of Version.
-func (s *Evidence) SetVersion(val string) {
-	s.Version = val
-}
-
-// SetRequests sets the value of Requests.
-func (s *Evidence) SetRequests(val int64) {
-	s.Requests = val
-}
-
-// SetFailures sets the value of Failures.
-func (s *Evidence) SetFailures(val int64) {
-	s.Failures = val
-}
-
-// SetSlow sets the value of Slow.
-func (s *Evidence) SetSlow(val int64) {
-	s.Slow = val
+// SetFinding sets the value of Finding.
+func (s *Evidence) SetFinding(val string) {
+	s.Finding = val
 }
 
 // Ref: #/components/schemas/FileStatus
--- a/internal/attempt/runner/runner.go
+++ b/internal/attempt/runner/runner.go
@@ -13,6 +13,7 @@
 
 // PickRequest asks for an endpoint.
 type PickRequest struct {
+	Attempt ident.AttemptID
 	Request attempt.Request
 	// Exclude lists the endpoints that must not be chosen.
 	Exclude []ident.EndpointID
@@ -30,7 +31,8 @@
 
 // Report tells a Picker how an attempt at its choice ended.
 type Report struct {
-	Choice Choice
+	Attempt ident.AttemptID
+	Choice  Choice
 	// Err is the fault of the attempt; nil where it ended well or was cancelled
 	// without fault.
 	Err error
--- a/internal/attempt/runner/try.go
+++ b/internal/attempt/runner/try.go
@@ -67,7 +67,7 @@
 		defer t.source.cancel()
 	}
 	choice, err := t.run.picker.Pick(t.ctx, PickRequest{
-		Request: t.call.Request, Exclude: t.call.Dispatch.Exclude, Prefer: t.call.Dispatch.Prefer, Hedge: t.call.Dispatch.Hedge,
+		Attempt: t.call.Dispatch.Attempt, Request: t.call.Request, Exclude: t.call.Dispatch.Exclude, Prefer: t.call.Dispatch.Prefer, Hedge: t.call.Dispatch.Hedge,
 	})
 	if err != nil {
 		t.send(message{event: t.notDispatched(err, true)})
@@ -79,7 +79,7 @@
 
 // report tells the picker how the attempt ended.
 func (t *try) report(choice Choice, err error) {
-	r := Report{Choice: choice, Err: err, Status: t.status, Took: time.Since(t.start)}
+	r := Report{Attempt: t.call.Dispatch.Attempt, Choice: choice, Err: err, Status: t.status, Took: time.Since(t.start)}
 	if !t.first.IsZero() {
 		r.FirstByte = t.first.Sub(t.start)
 	}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -107,7 +107,7 @@
 	for _, m := range moves {
 		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%.1f%%\t%s\t%s\n", m.Name, m.Service, m.From, m.To, m.State, 100*m.Share, m.Reason, m.Next)
 		for _, e := range m.Evidence {
-			fmt.Fprintf(t, "\t\t\t\t\t\troute %s, %s: %d requests, %d failed, %d slow\t\n", e.Route, e.Version, e.Requests, e.Failures, e.Slow)
+			fmt.Fprintf(t, "\t\t\t\t\t\t%s\t\n", e.Finding)
 		}
 	}
 	return t.Flush()
--- /dev/null
+++ b/internal/dispatch/chat.go
@@ -0,0 +1,117 @@
+package dispatch
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/answer"
+	"github.com/jujubeshed/jujubeshed/internal/attempt"
+	"github.com/jujubeshed/jujubeshed/internal/attempt/runner"
+	"github.com/jujubeshed/jujubeshed/internal/endpoint"
+	"github.com/jujubeshed/jujubeshed/internal/entry"
+)
+
+// moveTimeout bounds the export and import of a KV cache.
+const moveTimeout = 3 * time.Second
+
+// chatRun is a chat completion on its way: it opens streams at engines and takes
+// their tokens into the answer.
+type chatRun struct {
+	work work
+	job  *entry.ChatJob
+	last atomic.Pointer[endpoint.Usage] // of the last finished attempt
+}
+
+var (
+	_ runner.Dialer = (*chatRun)(nil)
+	_ runner.Sink   = (*chatRun)(nil)
+)
+
+// Open sends an attempt to an engine.
+func (c *chatRun) Open(ctx context.Context, call runner.Call) (runner.Stream, error) {
+	c.job.Attempts.Add(1)
+	if call.Import.Endpoint != "" {
+		c.moveCache(ctx, call)
+	}
+	body := c.job.Body
+	body.Stream = true
+	body.ResumeOffset = call.Dispatch.ResumeOffset
+	body.PrefixText = call.Dispatch.PrefixText
+	s, err := c.work.sender.client.Chat(ctx, call.Choice.Address, c.work.meta(call.Dispatch.Attempt), &body)
+	if err != nil {
+		return nil, err
+	}
+	return &chatStream{run: c, stream: s}, nil
+}
+
+// moveCache moves the KV cache of an earlier attempt. Where that fails the engine
+// computes it again.
+func (c *chatRun) moveCache(ctx context.Context, call runner.Call) {
+	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
+	defer cancel()
+	client := c.work.sender.client
+	blob, err := client.ExportKV(ctx, call.Import.Address, endpoint.KVExportRequest{Attempt: call.Dispatch.ImportFrom})
+	if err == nil {
+		_ = client.ImportKV(ctx, call.Choice.Address, blob)
+	}
+}
+
+// Tokens takes tokens in order.
+func (c *chatRun) Tokens(offset int, tokens []string) error {
+	if offset == 0 && c.job.FirstToken != nil {
+		c.job.FirstToken()
+	}
+	for i, tok := range tokens {
+		c.job.Answer.Append(offset+i, []byte(tok))
+	}
+	return nil
+}
+
+// Response is not called: engines answer in streams.
+func (c *chatRun) Response(int, any) error { return nil }
+
+func (c *chatRun) usage(tokens int) answer.Usage {
+	u := answer.Usage{CompletionTokens: tokens}
+	if last := c.last.Load(); last != nil {
+		u.PromptTokens, u.CachedTokens = last.PromptTokens, last.CachedTokens
+	}
+	return u
+}
+
+// chatStream turns an engine's chunks into frames.
+type chatStream struct {
+	run    *chatRun
+	stream *endpoint.ChatStream
+	chunk  endpoint.Chunk
+}
+
+// Recv returns the next frame.
+func (s *chatStream) Recv() (runner.Frame, error) {
+	if err := s.stream.Next(&s.chunk); err != nil {
+		return runner.Frame{}, err
+	}
+	if s.chunk.Done {
+		return runner.Frame{End: true}, nil
+	}
+	c := &attempt.Chunk{
+		Echo:   attempt.Echo{Request: s.chunk.Request, Attempt: s.chunk.Attempt},
+		Offset: s.chunk.Offset,
+		Finish: s.chunk.FinishReason,
+	}
+	if len(s.chunk.Content) > 0 || s.chunk.FinishReason == "" {
+		c.Tokens = []string{string(s.chunk.Content)}
+	}
+	if s.chunk.FinishReason != "" {
+		s.run.last.Store(&s.chunk.Usage)
+		s.run.work.size.Store(int64(s.chunk.Usage.CompletionTokens))
+		c.Total = s.chunk.Usage.CompletionTokens
+	}
+	return runner.Frame{Chunk: c}, nil
+}
+
+// Close ends the stream; the engine sees that its caller has gone.
+func (s *chatStream) Close() error {
+	s.stream.Close()
+	return nil
+}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -51,6 +51,7 @@
 		o.finish(ctx, g, once.Outcome{Verdict: verdict.NotRun})
 		return nil, verdict.New(verdict.NotRun, verdict.CodeStore, "the order was recorded too late to be sent").After(time.Second)
 	}
+	r.DispatchBy = g.DispatchBy
 	rec, err := run(ctx)
 	o.finish(ctx, g, outcome(rec, err))
 	return rec, err
--- /dev/null
+++ b/internal/dispatch/plain.go
@@ -0,0 +1,105 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jujubeshed/jujubeshed/internal/attempt"
+	"github.com/jujubeshed/jujubeshed/internal/attempt/runner"
+	"github.com/jujubeshed/jujubeshed/internal/endpoint"
+	"github.com/jujubeshed/jujubeshed/internal/entry"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
+)
+
+// wholeBytes is how much of a response is read before any of it goes to the
+// caller: a response of this size that is cut can still be asked for again.
+const wholeBytes = 64 << 10
+
+// plainRun is a request to a plain service on its way.
+type plainRun struct {
+	work work
+	in   *http.Request
+	body []byte
+	take func(*http.Response) error
+	err  error // of take
+}
+
+var (
+	_ runner.Dialer = (*plainRun)(nil)
+	_ runner.Sink   = (*plainRun)(nil)
+)
+
+// Open sends an attempt and reads the beginning of its response.
+func (p *plainRun) Open(ctx context.Context, call runner.Call) (runner.Stream, error) {
+	url := "http://" + call.Choice.Address + p.in.URL.RequestURI()
+	req, err := http.NewRequestWithContext(ctx, p.in.Method, url, io.NopCloser(bytes.NewReader(p.body)))
+	if err != nil {
+		return nil, verdict.Wrap(verdict.NotRun, verdict.CodeBadRequest, err)
+	}
+	req.ContentLength = int64(len(p.body))
+	req.Header = entry.OutgoingHeader(p.in.Header)
+	m := p.work.meta(call.Dispatch.Attempt)
+	m.Apply(req.Header, time.Now())
+	resp, err := p.work.sender.client.Do(ctx, req, m)
+	if err != nil {
+		return nil, err
+	}
+	head, err := io.ReadAll(io.LimitReader(resp.Body, wholeBytes))
+	if err != nil {
+		_ = resp.Body.Close()
+		return nil, verdict.Wrap(verdict.MayHaveRun, verdict.CodeUpstream, errors.Wrapf(err, "response of %s was cut", call.Choice.Endpoint))
+	}
+	p.work.size.Store(max(int64(len(head)), resp.ContentLength))
+	echo := attempt.Echo{Request: p.work.request.ID, Attempt: call.Dispatch.Attempt}
+	if id := resp.Header.Get(endpoint.HeaderRequestID); id != "" {
+		echo.Request = ident.RequestID(id)
+	}
+	resp.Body = &replayBody{Reader: io.MultiReader(bytes.NewReader(head), resp.Body), Closer: resp.Body}
+	return &plainStream{resp: resp, echo: echo}, nil
+}
+
+// replayBody is a response's body whose beginning was read already.
+type replayBody struct {
+	io.Reader
+	io.Closer
+}
+
+// Tokens is not called: plain services answer in one piece.
+func (p *plainRun) Tokens(int, []string) error { return nil }
+
+// Response gives the response to the request's taker.
+func (p *plainRun) Response(_ int, body any) error {
+	resp, ok := body.(*http.Response)
+	if !ok {
+		return errors.Newf("body of a plain response is a %T", body)
+	}
+	p.err = p.take(resp)
+	return p.err
+}
+
+// plainStream is a response as a stream of one frame.
+type plainStream struct {
+	resp *http.Response
+	echo attempt.Echo
+	sent bool
+}
+
+// Recv returns the response, once.
+func (s *plainStream) Recv() (runner.Frame, error) {
+	if s.sent {
+		return runner.Frame{}, io.EOF
+	}
+	s.sent = true
+	return runner.Frame{Response: &attempt.Response{Echo: s.echo, Status: s.resp.StatusCode}, Body: s.resp}, nil
+}
+
+// Close closes the response's body.
+func (s *plainStream) Close() error {
+	return s.resp.Body.Close()
+}
--- a/internal/e2e/processes_test.go
+++ b/internal/e2e/processes_test.go
@@ -14,6 +14,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	// The processes are built from it: go test runs anew where it has changed.
+	_ "github.com/jujubeshed/jujubeshed/internal/cli"
 )
 
 const (
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,6 +21,10 @@
 	Request *Request
 	Body    endpoint.ChatRequest
 	Answer  *answer.Answer
+	// Attempts made so far, at whatever node; it keeps attempt IDs unique.
+	Attempts atomic.Int32
+	// FirstToken is called when the first token is there; nil for nobody.
+	FirstToken func()
 }
 
 // serveChat handles a chat completion: decode, admit, start, and follow the answer.
@@ -44,6 +49,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), job.Request.Deadline)
 	s.jobs.add(job, cancel)
 	s.metrics.accepted(job.Request)
+	job.FirstToken = func() { s.metrics.firstToken(job.Request) }
 	go func() {
 		defer cancel()
 		defer release()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -47,13 +47,13 @@
 	job.Answer.Close(time.Now(), f.end)
 }
 
-func (f *fakeSender) Forward(_ context.Context, r *Request, in *http.Request, body []byte) (*http.Response, error) {
+func (f *fakeSender) Forward(_ context.Context, r *Request, in *http.Request, body []byte, take func(*http.Response) error) error {
 	rec := httptest.NewRecorder()
 	rec.Header().Set("Connection", "X-Secret")
 	rec.Header().Set("X-Secret", "hop")
 	rec.Header().Set("X-Kept", "yes")
 	_, _ = io.WriteString(rec, string(r.Route.Name)+" "+in.Method+" "+string(body))
-	return rec.Result(), nil
+	return take(rec.Result())
 }
 
 type passLedger struct{}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -60,7 +60,7 @@
 	m.seconds.WithLabelValues(string(r.Workspace), class).Observe(time.Since(r.Arrived).Seconds())
 }
 
-// FirstToken records that the first token of a request is there.
-func (m *Metrics) FirstToken(r *Request) {
+// firstToken records that the first token of a request is there.
+func (m *Metrics) firstToken(r *Request) {
 	m.first.WithLabelValues(string(r.Workspace), r.Route.Class.String()).Observe(time.Since(r.Arrived).Seconds())
 }
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -50,19 +50,24 @@
 
 // forward streams the endpoint's response to the caller.
 func (s *Server) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, req *Request, body []byte) error {
-	resp, err := s.sender.Forward(ctx, req, r, body)
-	if err != nil {
-		writeProblem(w, verdict.From(err))
+	begun := false
+	err := s.sender.Forward(ctx, req, r, body, func(resp *http.Response) error {
+		begun = true
+		copyHeader(w.Header(), resp.Header)
+		w.WriteHeader(resp.StatusCode)
+		_, err := io.Copy(w, resp.Body)
 		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	copyHeader(w.Header(), resp.Header)
-	w.WriteHeader(resp.StatusCode)
-	if _, err := io.Copy(w, resp.Body); err != nil {
+	})
+	switch {
+	case err == nil:
+		return nil
+	case begun:
 		// The head is out: only a broken connection tells the caller of the cut.
 		panic(http.ErrAbortHandler)
+	default:
+		writeProblem(w, verdict.From(err))
+		return err
 	}
-	return nil
 }
 
 // order runs a non-idempotent request at most once and returns its recorded answer.
@@ -87,11 +92,16 @@
 
 // record sends a request once and reads the whole response.
 func (s *Server) record(ctx context.Context, r *http.Request, req *Request, body []byte) (*Recorded, error) {
-	resp, err := s.sender.Forward(ctx, req, r, body)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = resp.Body.Close() }()
+	var rec *Recorded
+	err := s.sender.Forward(ctx, req, r, body, func(resp *http.Response) error {
+		var err error
+		rec, err = readRecorded(resp)
+		return err
+	})
+	return rec, err
+}
+
+func readRecorded(resp *http.Response) (*Recorded, error) {
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxRecordedBytes+1))
 	if err != nil {
 		return nil, verdict.Wrap(verdict.MayHaveRun, verdict.CodeUnconfirmed, errors.Wrap(err, "the endpoint's answer was cut"))
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -48,6 +48,9 @@
 	Service   config.Service
 	Arrived   time.Time
 	Deadline  time.Time
+	// DispatchBy bounds the dispatch of a request that the ledger granted; zero for
+	// none.
+	DispatchBy time.Time
 	// Key is the caller's Idempotency-Key; empty where there is none.
 	Key string
 }
@@ -61,9 +64,10 @@
 type Sender interface {
 	// Chat produces the job's answer, from its present length on, and closes it.
 	Chat(ctx context.Context, job *ChatJob)
-	// Forward sends a plain request and returns the response. The error is a
-	// *verdict.Error.
-	Forward(ctx context.Context, r *Request, in *http.Request, body []byte) (*http.Response, error)
+	// Forward sends a plain request and gives its response to take, once; take
+	// reads all of the body that it wants. The error is a *verdict.Error where there
+	// was no response, and else what take returned.
+	Forward(ctx context.Context, r *Request, in *http.Request, body []byte, take func(*http.Response) error) error
 }
 
 // Ledger runs a non-idempotent request at most once for its key.
--- a/internal/handover/convert.go
+++ b/internal/handover/convert.go
@@ -33,6 +33,7 @@
 		Body:           body.Bytes(),
 		Text:           text,
 		TokenEnds:      ends,
+		Attempts:       job.Attempts.Load(),
 	}, nil
 }
 
@@ -57,6 +58,7 @@
 	if err := json.Unmarshal(in.GetBody(), &job.Body); err != nil {
 		return nil, errors.Wrapf(err, "decode the body of %s", in.GetRequestId())
 	}
+	job.Attempts.Store(in.GetAttempts())
 	job.Answer = answer.New(job.Request.ID, job.Request.Workspace, job.Body.Model, job.Body.Stream)
 	return job, appendTokens(job.Answer, 0, in.GetText(), in.GetTokenEnds())
 }
--- a/internal/move/mover/exchange.go
+++ b/internal/move/mover/exchange.go
@@ -34,7 +34,17 @@
 }
 
 func (m *Mover) encodeLocked(entries []move.Entry) ([]byte, error) {
-	x := exchange{Entries: entries}
+	x := m.decisionsLocked()
+	x.Entries = entries
+	if len(x.Entries)+len(x.Marks)+len(x.Records) == 0 {
+		return nil, nil
+	}
+	return json.Marshal(x)
+}
+
+// decisionsLocked returns all marks and records.
+func (m *Mover) decisionsLocked() exchange {
+	var x exchange
 	for _, name := range slices.Sorted(maps.Keys(m.mu.controllers)) {
 		c := m.mu.controllers[name]
 		if mark, ok := c.Mark(); ok {
@@ -45,10 +55,40 @@
 			x.Records = append(x.Records, r)
 		}
 	}
-	if len(x.Entries)+len(x.Marks)+len(x.Records) == 0 {
-		return nil, nil
-	}
-	return json.Marshal(x)
+	return x
+}
+
+// Own returns the evidence that this node counted itself, ordered by key.
+func (m *Mover) Own() []move.Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	self := move.Source{Node: m.opts.Self.Node, Incarnation: m.opts.Self.Incarnation}
+	return slices.DeleteFunc(m.mu.evidence.All(), func(e move.Entry) bool { return e.Key.Source != self })
+}
+
+// Decisions returns the marks and records that this node knows, ordered by move.
+func (m *Mover) Decisions() ([]move.Mark, []move.Record) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	x := m.decisionsLocked()
+	return x.Marks, x.Records
+}
+
+// MergeEvidence takes evidence of other nodes.
+func (m *Mover) MergeEvidence(entries []move.Entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.mu.evidence.Merge(entries)
+}
+
+// MergeMark takes a mark of another node; it is in force when MergeMark returns.
+func (m *Mover) MergeMark(mark move.Mark) {
+	m.merge(exchange{Marks: []move.Mark{mark}})
+}
+
+// MergeRecord takes a record that another node knows.
+func (m *Mover) MergeRecord(r move.Record) {
+	m.merge(exchange{Records: []move.Record{r}})
 }
 
 // Receive merges what another node sent. Marks are in force when it returns.
@@ -57,6 +97,11 @@
 	if err := json.Unmarshal(b, &x); err != nil {
 		return errors.Wrap(err, "decode evidence of a peer")
 	}
+	m.merge(x)
+	return nil
+}
+
+func (m *Mover) merge(x exchange) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.mu.evidence.Merge(x.Entries)
@@ -69,5 +114,4 @@
 	if cfg := m.opts.Config(); cfg != nil {
 		m.publishLocked(cfg)
 	}
-	return nil
 }
--- /dev/null
+++ b/internal/node/moves.go
@@ -0,0 +1,202 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/dispatch"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/move"
+	"github.com/jujubeshed/jujubeshed/internal/move/mover"
+	"github.com/jujubeshed/jujubeshed/internal/peer"
+	"github.com/jujubeshed/jujubeshed/internal/route"
+)
+
+const (
+	// exchangeInterval is the time between two exchanges of evidence with peers.
+	exchangeInterval = time.Second
+	// evidenceSeparator stands between service, version and route in the key of
+	// shared evidence.
+	evidenceSeparator = "\x1f"
+	// othersNode stands for all other nodes as the source of evidence.
+	othersNode ident.NodeID = "*"
+)
+
+// moves runs the version moves on this node and exchanges evidence, marks and
+// records with the peers.
+type moves struct {
+	mover  *mover.Mover
+	peers  *peers
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+var _ dispatch.Versions = (*moves)(nil)
+
+func newMoves(p *peers, opts mover.Options) *moves {
+	return &moves{mover: mover.New(opts), peers: p, done: make(chan struct{})}
+}
+
+// Start drives the moves in the background.
+func (m *moves) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	go func() {
+		defer close(m.done)
+		exchanged := make(chan struct{})
+		go func() {
+			defer close(exchanged)
+			m.exchangeLoop(ctx)
+		}()
+		_ = m.mover.Run(ctx) // ends only with ctx
+		<-exchanged
+	}()
+	return nil
+}
+
+// Stop ends that.
+func (m *moves) Stop(context.Context) error {
+	m.cancel()
+	<-m.done
+	return nil
+}
+
+// Shares returns the versions that may get new work of a service. Only the version
+// that serves takes the work of the other where that has no endpoints.
+func (m *moves) Shares(service ident.Service) []route.Share {
+	split, ok := m.mover.Split(service)
+	if !ok {
+		return m.configured(service)
+	}
+	from := route.Share{Version: split.From, Weight: float64(move.FullShare - split.Share), Fallback: true}
+	if split.To == "" {
+		return []route.Share{from}
+	}
+	return []route.Share{from, {Version: split.To, Weight: float64(split.Share)}}
+}
+
+// configured returns the version of the configuration, before the moves are known.
+func (m *moves) configured(service ident.Service) []route.Share {
+	cfg := m.peers.config.Current()
+	if cfg == nil {
+		return nil
+	}
+	return []route.Share{{Version: cfg.Services[service].Version, Weight: 1}}
+}
+
+// Record counts how an attempt ended.
+func (m *moves) Record(o move.Outcome) {
+	m.mover.Record(o)
+}
+
+func (m *moves) exchangeLoop(ctx context.Context) {
+	tick := time.NewTicker(exchangeInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			m.publish()
+			m.collect()
+		}
+	}
+}
+
+// publish shares this node's evidence, and the marks and records that it knows.
+func (m *moves) publish() {
+	for _, e := range m.mover.Own() {
+		if err := m.peers.gossip.SetEvidence(evidenceKey(e.Key), e.Counter.Flatten()); err != nil {
+			m.peers.log.Warn("move: Evidence can't be shared.", "service", string(e.Key.Service), "error", err)
+		}
+	}
+	marks, records := m.mover.Decisions()
+	for _, mark := range marks {
+		m.share(peer.MarkBadVersion, mark.Move, 1, mark)
+	}
+	for _, r := range records {
+		m.share(peer.MarkMoveRecord, r.Move, r.Sequence, r)
+	}
+}
+
+func (m *moves) share(kind peer.MarkKind, name ident.MoveName, number uint64, v any) {
+	if known, ok := m.peers.gossip.Marked(kind, string(name)); ok && known >= number {
+		return
+	}
+	raw, err := json.Marshal(v)
+	if err != nil {
+		m.peers.log.Error("move: Decision can't be encoded.", "move", string(name), "error", err)
+		return
+	}
+	m.peers.gossip.Mark(peer.Mark{Kind: kind, Subject: string(name), Number: number, Value: raw})
+}
+
+// marked takes a mark or record that a peer shared.
+func (m *moves) marked(pm peer.Mark) {
+	var err error
+	switch pm.Kind {
+	case peer.MarkBadVersion:
+		var mark move.Mark
+		if err = json.Unmarshal(pm.Value, &mark); err == nil {
+			m.mover.MergeMark(mark)
+		}
+	case peer.MarkMoveRecord:
+		var r move.Record
+		if err = json.Unmarshal(pm.Value, &r); err == nil {
+			m.mover.MergeRecord(r)
+		}
+	}
+	if err != nil {
+		m.peers.log.Warn("move: Decision of a peer is malformed.", "move", pm.Subject, "error", err)
+	}
+}
+
+// collect gives the mover what all other nodes counted, as one source.
+func (m *moves) collect() {
+	own := make(map[move.Key][]uint64)
+	for _, e := range m.mover.Own() {
+		own[withoutSource(e.Key)] = e.Counter.Flatten()
+	}
+	var entries []move.Entry
+	for _, key := range m.keys() {
+		sum := m.peers.gossip.Evidence(evidenceKey(key))
+		if len(sum) == 0 {
+			continue
+		}
+		e := move.Entry{Key: key, Counter: move.Unflatten(sum, own[key])}
+		e.Key.Source.Node = othersNode
+		entries = append(entries, e)
+	}
+	m.mover.MergeEvidence(entries)
+}
+
+// keys returns the evidence that the moves of the configuration may have.
+func (m *moves) keys() []move.Key {
+	cfg := m.peers.config.Current()
+	if cfg == nil {
+		return nil
+	}
+	var keys []move.Key
+	for _, mv := range cfg.Moves {
+		for name, r := range cfg.Routes {
+			if r.Service != mv.Service {
+				continue
+			}
+			for _, v := range []ident.Version{mv.From, mv.To} {
+				keys = append(keys, move.Key{Service: mv.Service, Version: v, Route: name})
+			}
+		}
+	}
+	return keys
+}
+
+func withoutSource(k move.Key) move.Key {
+	k.Source = move.Source{}
+	return k
+}
+
+func evidenceKey(k move.Key) string {
+	return strings.Join([]string{string(k.Service), string(k.Version), string(k.Route)}, evidenceSeparator)
+}
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -2,15 +2,17 @@
 
 import (
 	"context"
-	"sync"
+	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/admit"
 	"github.com/jujubeshed/jujubeshed/internal/admit/gate"
 	"github.com/jujubeshed/jujubeshed/internal/config/syncer"
+	"github.com/jujubeshed/jujubeshed/internal/discovery"
 	"github.com/jujubeshed/jujubeshed/internal/entry"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/kernel"
-	"github.com/jujubeshed/jujubeshed/internal/route"
+	"github.com/jujubeshed/jujubeshed/internal/move"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
 	"github.com/jujubeshed/jujubeshed/internal/route/balancer"
 )
 
@@ -72,54 +74,79 @@
 	})
 }
 
-// overcommit is how far all nodes' capacities together exceed the endpoints'
-// slots, so that uneven arrivals leave none idle. The rest waits at endpoints.
-const overcommit = 1.5
+// capacityInterval is the time between two updates of the gate's capacity.
+const capacityInterval = 200 * time.Millisecond
 
-// capacityUpdater gives the gate this node's share of each service's slots.
+// capacityUpdater gives the gate this node's part of each service's free slots.
 type capacityUpdater struct {
 	gate     *gate.Gate
 	balancer *balancer.Balancer
+	hosts    *discovery.Watcher
 	config   entry.ConfigSource
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
 
-	mu struct {
-		sync.Mutex
-		live int // nodes, this one included; zero before the first membership
-	}
+// Start updates the capacity in the background.
+func (u *capacityUpdater) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	u.cancel = cancel
+	go func() {
+		defer close(u.done)
+		tick := time.NewTicker(capacityInterval)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+				u.update()
+			}
+		}
+	}()
+	return nil
 }
 
-// setLive takes the number of live nodes.
-func (u *capacityUpdater) setLive(n int) {
-	u.mu.Lock()
-	u.mu.live = n
-	u.mu.Unlock()
-	u.update()
+// Stop ends the updates.
+func (u *capacityUpdater) Stop(context.Context) error {
+	u.cancel()
+	<-u.done
+	return nil
 }
 
-// update gives the gate the present shares.
+// update gives the gate the present capacity. A service without endpoints keeps
+// one slot, so that its requests get the balancer's refusal and not a wait.
 func (u *capacityUpdater) update() {
 	cfg := u.config.Current()
 	if cfg == nil {
 		return
 	}
-	u.mu.Lock()
-	live := max(u.mu.live, 1)
-	u.mu.Unlock()
-	u.gate.SetLiveNodes(live)
 	for name := range cfg.Services {
-		share := float64(u.balancer.Slots(name)) * overcommit / float64(live)
-		u.gate.SetCapacity(name, max(1, int(share)))
+		u.gate.SetCapacity(name, max(1, u.balancer.Slots(name)))
 	}
 }
 
-// versions gives all new work of a service to its configured version.
-type versions struct{ config entry.ConfigSource }
-
-// Shares returns the versions that may get new work of the service.
-func (v versions) Shares(service ident.Service) []route.Share {
-	cfg := v.config.Current()
-	if cfg == nil {
-		return nil
+// of returns the share of a service's requests that the ready endpoints of a
+// version can take.
+func (u *capacityUpdater) of(service ident.Service, version ident.Version) move.Share {
+	all, ready := 0, 0
+	for _, h := range u.hosts.Hosts() {
+		for _, e := range h.Endpoints {
+			if e.Service != service || h.State != platform.HostLive || u.balancer.IsLeaving(e.ID) {
+				continue
+			}
+			all++
+			if e.Version == version {
+				ready++
+			}
+		}
 	}
-	return []route.Share{{Version: cfg.Services[service].Version, Weight: 1}}
+	if ready == 0 {
+		return 0
+	}
+	return min(move.FullShare, capacityHeadroom*move.FullShare*move.Share(ready)/move.Share(all))
 }
+
+// capacityHeadroom is how many times its part of the endpoints a version may get
+// of the requests: a fleet is sized for a peak and for the loss of a data centre.
+const capacityHeadroom = 2
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	observev1 "github.com/jujubeshed/jujubeshed/api/gen/observe/v1"
+	"github.com/jujubeshed/jujubeshed/internal/admit/gate"
 	"github.com/jujubeshed/jujubeshed/internal/config"
 	"github.com/jujubeshed/jujubeshed/internal/discovery"
 	"github.com/jujubeshed/jujubeshed/internal/endpoint"
@@ -48,7 +49,8 @@
 	observer *observe.Observer
 	hosts    *discovery.Watcher
 	config   *configService
-	capacity *capacityUpdater
+	moves    *moves
+	gate     *gate.Gate
 	ledger   *committer.Committer
 	started  time.Time
 }
@@ -99,7 +101,7 @@
 	live := p.liveNodes(len(local))
 	p.balancer.SetNodes(route.Nodes{Live: live, Local: local})
 	p.observer.SetNodes(local)
-	p.capacity.setLive(live)
+	p.gate.SetLiveNodes(live)
 	p.config.SetWatching(p.gossip.IsDelegate() || time.Since(p.started) < watchAlone)
 }
 
@@ -239,7 +241,8 @@
 		})
 	case peer.MarkRevision:
 		go p.catchUp(ident.Revision(m.Number))
-	case peer.MarkBadVersion:
+	case peer.MarkBadVersion, peer.MarkMoveRecord:
+		p.moves.marked(m)
 	}
 }
 
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -7,6 +7,7 @@
 	"github.com/jujubeshed/jujubeshed/api/gen/operators"
 	"github.com/jujubeshed/jujubeshed/internal/config"
 	"github.com/jujubeshed/jujubeshed/internal/discovery"
+	"github.com/jujubeshed/jujubeshed/internal/move"
 	"github.com/jujubeshed/jujubeshed/internal/operator"
 	"github.com/jujubeshed/jujubeshed/internal/peer"
 	"github.com/jujubeshed/jujubeshed/internal/peer/gossip"
@@ -24,6 +25,7 @@
 	hosts    *discovery.Watcher
 	balancer *balancer.Balancer
 	gossip   *gossip.Service
+	moves    *moves
 }
 
 var _ operator.Source = (*statusSource)(nil)
@@ -120,5 +122,16 @@
 
 // Moves returns the version moves.
 func (s *statusSource) Moves(context.Context) ([]operators.Move, error) {
-	return nil, nil
+	out := []operators.Move{}
+	for _, st := range s.moves.mover.Statuses() {
+		m := operators.Move{
+			Name: string(st.Move), Service: string(st.Service), From: string(st.From), To: string(st.To),
+			State: string(st.State), Share: float64(st.Share) / float64(move.FullShare), Reason: st.Reason, Next: st.Next,
+		}
+		for _, f := range st.Evidence {
+			m.Evidence = append(m.Evidence, operators.Evidence{Finding: f.String()})
+		}
+		out = append(out, m)
+	}
+	return out, nil
 }
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -20,6 +20,8 @@
 	"github.com/jujubeshed/jujubeshed/internal/handover"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/kernel"
+	"github.com/jujubeshed/jujubeshed/internal/lease"
+	"github.com/jujubeshed/jujubeshed/internal/move/mover"
 	"github.com/jujubeshed/jujubeshed/internal/observe"
 	"github.com/jujubeshed/jujubeshed/internal/once"
 	"github.com/jujubeshed/jujubeshed/internal/once/committer"
@@ -38,6 +40,9 @@
 	serviceLedger    kernel.Name = "once.ledger"
 	serviceEndpoints kernel.Name = "endpoint.client"
 	serviceAdmission kernel.Name = "admit.gate"
+	serviceCapacity  kernel.Name = "admit.capacity"
+	serviceMoves     kernel.Name = "move.mover"
+	serviceSender    kernel.Name = "dispatch.sender"
 	servicePeers     kernel.Name = "listener.peers" // the peer service starts after it
 	serviceConfig    kernel.Name = "config.syncer"
 	serviceDiscovery kernel.Name = "discovery.hosts"
@@ -64,6 +69,8 @@
 	observer  *observe.Observer
 	answers   *answer.Table
 	entry     *entry.Server
+	sender    *dispatch.Sender
+	moves     *moves
 	remote    *handover.Remote
 	capacity  *capacityUpdater
 	gossip    *gossip.Service
@@ -120,6 +127,7 @@
 	w.peers.balancer = w.balancer
 	w.observer = observe.New(observe.Options{Node: w.opts.ID, DataCentre: w.opts.DataCentre}, w.log, w.endpoints, w.balancer, w.peers)
 	w.peers.observer = w.observer
+	w.peers.gate = w.gate
 	w.hosts.OnHosts(w.balancer.SetHosts)
 	w.hosts.OnHosts(w.observer.SetHosts)
 	w.hosts.OnNotice(w.balancer.MarkHost)
@@ -135,10 +143,9 @@
 		Metrics:   syncer.NewMetrics(w.metrics),
 		Log:       w.log,
 	}))
-	w.capacity = &capacityUpdater{gate: w.gate, balancer: w.balancer, config: w.config}
+	w.capacity = &capacityUpdater{gate: w.gate, balancer: w.balancer, hosts: w.hosts, config: w.config, done: make(chan struct{})}
 	w.hosts.OnHosts(func([]platform.HostInfo) { w.capacity.update() })
 	w.peers.config = w.config
-	w.peers.capacity = w.capacity
 }
 
 func (w *wiring) configChanged(c *config.Config) {
@@ -164,12 +171,23 @@
 	}
 	w.gossip = g
 	w.peers.gossip = g
+	w.moves = newMoves(w.peers, mover.Options{
+		Store:    w.store,
+		Self:     lease.Owner{Node: w.opts.ID, Incarnation: w.life},
+		Config:   w.config.Current,
+		Members:  w.peers.localIDs,
+		Capacity: w.capacity.of,
+		Metrics:  mover.NewMetrics(w.metrics),
+		Log:      w.log,
+	})
+	w.peers.moves = w.moves
 	w.peers.connect()
 	return nil
 }
 
 func (w *wiring) buildEntry() {
 	w.answers = answer.NewTable()
+	w.sender = dispatch.New(dispatch.Options{}, w.endpoints, w.balancer, w.moves)
 	w.remote = handover.NewRemote(w.log, w.peers, w.gossip.HTTPClient())
 	w.entry = entry.New(entry.Options{
 		Node: w.opts.ID, DataCentre: w.opts.DataCentre, Incarnation: w.life,
@@ -178,7 +196,7 @@
 		Log:     w.log,
 		Config:  w.config,
 		Gate:    admission{w.gate},
-		Sender:  dispatch.New(w.endpoints, w.balancer, versions{w.config}),
+		Sender:  w.sender,
 		Ledger:  dispatch.NewOrders(w.ledger),
 		Answers: w.answers,
 		Remote:  w.remote,
@@ -204,6 +222,9 @@
 		{serviceConfig, w.config},
 		{serviceDiscovery, w.hosts},
 		{serviceObserver, w.observer},
+		{serviceCapacity, w.capacity},
+		{serviceMoves, w.moves},
+		{serviceSender, w.sender},
 		{serviceOperators, newListener("operators", w.opts.Operators, operators, w.log)},
 		{serviceCallers, newCallers(w.opts, w.entry, w.log)},
 	}
@@ -224,7 +245,7 @@
 }
 
 func (w *wiring) operatorsHandler() (http.Handler, error) {
-	api, err := operator.New(&statusSource{opts: w.opts, config: w.config, hosts: w.hosts, balancer: w.balancer, gossip: w.gossip})
+	api, err := operator.New(&statusSource{opts: w.opts, config: w.config, hosts: w.hosts, balancer: w.balancer, gossip: w.gossip, moves: w.moves})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -153,7 +153,7 @@
 	switch k {
 	case MarkRevision:
 		return 0
-	case MarkBadVersion:
+	case MarkBadVersion, MarkMoveRecord:
 		return n.o.BadFor
 	default:
 		return n.o.LeavingFor
--- a/internal/peer/types.go
+++ b/internal/peer/types.go
@@ -96,8 +96,9 @@
 const (
 	MarkEndpointLeaving MarkKind = iota + 1 // subject EndpointID, number Incarnation
 	MarkHostLeaving                         // subject Host, number Incarnation
-	MarkBadVersion                          // subject service and version, number 1
+	MarkBadVersion                          // subject move, number 1
 	MarkRevision                            // subject empty, number Revision
+	MarkMoveRecord                          // subject move, number the sequence of its record
 )
 
 // Mark is a grow-only register: the highest number of a subject wins, and among
