Compare the ledger with the naive one and measure both

The naive ledger keeps an object for each key. Over random claims, outcomes and restarts at two nodes both give the same answers (rapid, fixed seed).

The answers of ended orders have to leave the part that is rewritten.

--- a/internal/attempt/sim_test.go
+++ b/internal/attempt/sim_test.go
@@ -422,3 +422,32 @@
 	})
 	t.Logf("%d of %d requests cut, %d refused, %d resumes", cut, total, refused, moved)
 }
+
+// TestMeasureRecompute prints the tokens computed again over waves of reclaims
+// with long streams in flight, against a restart from the prompt.
+func TestMeasureRecompute(t *testing.T) {
+	const runs, requests, tokens = 20, 50, 600
+	for _, costs := range []attempt.Costs{{}, {PrefillPerSec: 5000, KVBytesPerToken: 128 << 10, LinkBytesPerSec: 1.25e9, MoveOverhead: 20 * time.Millisecond}} {
+		resumes, again, prompt, cut := 0, 0, 0, 0
+		for seed := range uint64(runs) {
+			s := newSim(seed, simRates{reclaims: true}, requests, tokens)
+			s.costs, prompt = costs, s.prompt
+			s.run()
+			resumes += s.stats.Resumes
+			again += s.stats.RecomputedTokens
+			for _, c := range s.clients {
+				if c.err != nil {
+					cut++
+				}
+			}
+		}
+		t.Logf("moved KV: %t; %d streams of %d tokens, %d resumed, %d cut; prompt and prefix tokens computed again: %d",
+			costs.PrefillPerSec > 0, runs*requests, tokens, resumes, cut, again)
+		if costs.PrefillPerSec == 0 {
+			t.Logf("a restart from the prompt computes %d prompt tokens and generates %d tokens again", resumes*prompt, again-resumes*prompt)
+		}
+		if cut > 0 {
+			t.Errorf("%d streams cut", cut)
+		}
+	}
+}
--- /dev/null
+++ b/internal/once/committer/committer_test.go
@@ -0,0 +1,230 @@
+package committer_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/invariant"
+	"github.com/jujubeshed/jujubeshed/internal/once"
+	"github.com/jujubeshed/jujubeshed/internal/once/committer"
+	"github.com/jujubeshed/jujubeshed/internal/once/naive"
+	"github.com/jujubeshed/jujubeshed/internal/once/oncetest"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
+)
+
+func TestMain(m *testing.M) {
+	invariant.SetFatal(true)
+	goleak.VerifyTestMain(m)
+}
+
+func start(store *oncetest.Store, node string, buckets int) *committer.Committer {
+	return committer.New(store, committer.Options{
+		Ledger: once.Options{Node: ident.NodeID(node), Incarnation: 1, Buckets: buckets},
+		Log:    slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+}
+
+func claimOf(key, attempt string) once.Claim {
+	return once.Claim{
+		Key: once.Key{Workspace: "w", Name: key}, Attempt: ident.AttemptID(attempt),
+		Body: once.DigestOf([]byte("order")), Deadline: time.Now().Add(30 * time.Second),
+	}
+}
+
+func answer(body string) once.Outcome {
+	return once.Outcome{Verdict: verdict.Ran, Answer: once.Answer{Status: 201, Body: []byte(body)}}
+}
+
+// TestManyCallers has the callers of few keys at two nodes over a store that
+// loses answers: each key runs once, and all get the answer of that run.
+func TestManyCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := oncetest.New(1)
+		store.Delay, store.Lost = 5*time.Millisecond, 0.1
+		nodes := []*committer.Committer{start(store, "a", 2), start(store, "b", 2)}
+		var mu sync.Mutex
+		ran, got := make(map[string]int), make(map[string]map[string]int)
+		var wg sync.WaitGroup
+		for i := range 128 {
+			key := fmt.Sprintf("k%d", i%16)
+			wg.Go(func() {
+				c := nodes[i%3%2]
+				g, err := c.Claim(t.Context(), claimOf(key, fmt.Sprint(i)))
+				if err != nil {
+					t.Errorf("claim %s: %v", key, err)
+					return
+				}
+				body := fmt.Sprintf("run %d", i)
+				if g.Replay == nil {
+					time.Sleep(20 * time.Millisecond)
+					if err := c.Finish(t.Context(), g, answer(body)); err != nil {
+						t.Errorf("finish %s: %v", key, err)
+					}
+				} else {
+					body = string(g.Replay.Body)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				if g.Replay == nil {
+					ran[key]++
+				}
+				if got[key] == nil {
+					got[key] = make(map[string]int)
+				}
+				got[key][body]++
+			})
+		}
+		wg.Wait()
+		for key, bodies := range got {
+			if ran[key] != 1 || len(bodies) != 1 {
+				t.Errorf("key %s ran %d times, answers %v", key, ran[key], bodies)
+			}
+		}
+		for _, c := range nodes {
+			c.Stop()
+		}
+	})
+}
+
+func TestGivingUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := oncetest.New(1)
+		store.Delay = 5 * time.Millisecond
+		c := start(store, "a", 1)
+		defer c.Stop()
+		verdictOf := func(ctx context.Context, key, attempt string) (string, time.Duration) {
+			begin := time.Now()
+			_, err := c.Claim(ctx, claimOf(key, attempt))
+			if err == nil {
+				return "granted", time.Since(begin)
+			}
+			return verdict.Of(err).String(), time.Since(begin)
+		}
+		// A caller that goes while its claim is being written leaves none behind.
+		short, cancel := context.WithTimeout(t.Context(), 7*time.Millisecond)
+		defer cancel()
+		if v, _ := verdictOf(short, "k", "1"); v != "not-run" {
+			t.Errorf("withdrawn claim: %s", v)
+		}
+		g, err := c.Claim(t.Context(), claimOf("k", "2"))
+		if err != nil || !g.MayDispatch(time.Now()) || g.MayDispatch(time.Now().Add(time.Minute)) {
+			t.Fatalf("grant %+v: %v", g, err)
+		}
+		// A repeat that goes while the first runs learns that it may have run.
+		short2, cancel2 := context.WithTimeout(t.Context(), time.Second)
+		defer cancel2()
+		if v, _ := verdictOf(short2, "k", "3"); v != "may-have-run" {
+			t.Errorf("waiting repeat: %s", v)
+		}
+		// Proved not to have run: the next caller may.
+		if err := c.Abandon(t.Context(), g); err != nil {
+			t.Error(err)
+		}
+		if v, _ := verdictOf(t.Context(), "k", "4"); v != "granted" {
+			t.Errorf("after abandon: %s", v)
+		}
+		// Store down: refused in the time of three calls, then at once.
+		store.SetDown(true)
+		if v, took := verdictOf(t.Context(), "k2", "5"); v != "not-run" || took > time.Second {
+			t.Errorf("store down: %s after %s", v, took)
+		}
+		if v, took := verdictOf(t.Context(), "k3", "6"); v != "not-run" || took > 0 {
+			t.Errorf("store known to be down: %s after %s", v, took)
+		}
+		// The outcome is kept until the store is back.
+		done := make(chan error, 1)
+		go func() {
+			done <- c.Finish(t.Context(), committer.Grant{Key: claimOf("k", "4").Key, Attempt: "4"}, answer("late"))
+		}()
+		time.Sleep(3 * time.Minute)
+		store.SetDown(false)
+		if err := <-done; err != nil {
+			t.Errorf("outcome over an outage: %v", err)
+		}
+		if g, err := c.Claim(t.Context(), claimOf("k", "7")); err != nil || g.Replay == nil || string(g.Replay.Body) != "late" {
+			t.Errorf("repeat got %+v, %v", g, err)
+		}
+	})
+}
+
+// load has callers order in a closed loop and returns the store calls and the
+// time added to an order by the ledger.
+func load(callers, orders int, one func(i int)) (added time.Duration) {
+	var wg sync.WaitGroup
+	begin := time.Now()
+	for w := range callers {
+		wg.Go(func() {
+			for i := range orders / callers {
+				one(w*orders + i)
+			}
+		})
+	}
+	wg.Wait()
+	return time.Since(begin) * time.Duration(callers) / time.Duration(orders)
+}
+
+const (
+	measuredOrders = 1024
+	storeTime      = 5 * time.Millisecond
+	serviceTime    = 20 * time.Millisecond
+)
+
+// TestMeasureWrites prints store writes for each order and the latency that an
+// order gains, against the naive ledger, on a clock of its own.
+func TestMeasureWrites(t *testing.T) {
+	for _, callers := range []int{1, 8, 64} {
+		for _, buckets := range []int{1, 4, 64} {
+			synctest.Test(t, func(t *testing.T) {
+				store := oncetest.New(1)
+				store.Delay = storeTime
+				c := start(store, "a", buckets)
+				defer c.Stop()
+				took := load(callers, measuredOrders, func(i int) {
+					g, err := c.Claim(t.Context(), claimOf(fmt.Sprint(i), fmt.Sprint(i)))
+					if err != nil {
+						t.Error(err)
+					}
+					time.Sleep(serviceTime)
+					if err := c.Finish(t.Context(), g, answer("thank you for your order")); err != nil {
+						t.Error(err)
+					}
+				})
+				n := store.Counts()
+				t.Logf("%2d callers, %2d buckets: %.2f writes, %.2f reads, %5d bytes written an order; %s added",
+					callers, buckets, float64(n.Puts)/measuredOrders, float64(n.Gets)/measuredOrders, n.Bytes/measuredOrders, took-serviceTime)
+				if n.Puts > 2*measuredOrders {
+					t.Errorf("%d writes for %d orders", n.Puts, measuredOrders)
+				}
+			})
+		}
+		synctest.Test(t, func(t *testing.T) {
+			store := oncetest.New(1)
+			store.Delay = storeTime
+			l := &naive.Ledger{Store: store, Node: "a", Incarnation: 1}
+			took := load(callers, measuredOrders, func(i int) {
+				claim := claimOf(fmt.Sprint(i), fmt.Sprint(i))
+				if _, _, err := l.Claim(t.Context(), claim); err != nil {
+					t.Error(err)
+				}
+				time.Sleep(serviceTime)
+				o := answer("thank you for your order")
+				o.Key, o.Attempt = claim.Key, claim.Attempt
+				if err := l.Finish(t.Context(), o); err != nil {
+					t.Error(err)
+				}
+			})
+			n := store.Counts()
+			t.Logf("%2d callers, naive     : %.2f writes, %.2f reads, %5d bytes written an order; %s added",
+				callers, float64(n.Puts)/measuredOrders, float64(n.Gets)/measuredOrders, n.Bytes/measuredOrders, took-serviceTime)
+		})
+	}
+}
--- /dev/null
+++ b/internal/once/measure_test.go
@@ -0,0 +1,68 @@
+package once_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/once"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
+)
+
+// settle carries out an event with all of its store calls.
+func settle(l *once.Ledger, store objects, now time.Time, ev once.Event) {
+	queue := []once.Event{ev}
+	for len(queue) > 0 {
+		acts := l.Step(now, queue[0])
+		queue = queue[1:]
+		for _, a := range acts {
+			switch a.(type) {
+			case once.StoreGet, once.StorePut:
+				queue = append(queue, store.do(a))
+			}
+		}
+	}
+}
+
+// order claims and finishes one order with an answer of that many bytes.
+func order(l *once.Ledger, store objects, now time.Time, i, size int) {
+	key := once.Key{Workspace: "kaptaan", Name: fmt.Sprintf("2f1b7c1e-9a55-4a0b-8f6e-%012d", i)}
+	attempt := ident.AttemptID(fmt.Sprintf("node-1/1/%d", i))
+	settle(l, store, now, once.Claim{Key: key, Attempt: attempt, Deadline: now.Add(30 * time.Second)})
+	settle(l, store, now, once.Outcome{Key: key, Attempt: attempt, Verdict: verdict.Ran, Answer: once.Answer{Status: 201, Body: make([]byte, size)}})
+}
+
+// TestMeasureMemory prints the ledger's memory and the stored bytes of orders.
+func TestMeasureMemory(t *testing.T) {
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	const orders = 5000
+	for _, size := range []int{32, 512} {
+		now := time.Unix(1_700_000_000, 0)
+		store := make(objects)
+		before := heap()
+		l := once.New(once.Options{Node: "node-1", Incarnation: 1, Buckets: 64})
+		for i := range orders {
+			order(l, store, now, i, size)
+		}
+		stored := 0
+		for _, o := range store {
+			stored += len(o.Value)
+		}
+		total := heap()
+		settle(l, store, now, once.Tick{})
+		settle(l, store, now.Add(time.Hour), once.Tick{}) // drops idle buckets
+		idle := heap()
+		t.Logf("answers of %d bytes: %d bytes stored and %d bytes of memory for 1,000 orders", size, stored/(orders/1000), int(total-idle)/(orders/1000))
+		if idle > total || before > idle {
+			t.Log("the heap shrank meanwhile")
+		}
+		runtime.KeepAlive(store)
+	}
+}
--- /dev/null
+++ b/internal/once/naive/naive_test.go
@@ -0,0 +1,150 @@
+package naive_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/invariant"
+	"github.com/jujubeshed/jujubeshed/internal/once"
+	"github.com/jujubeshed/jujubeshed/internal/once/naive"
+	"github.com/jujubeshed/jujubeshed/internal/once/oncetest"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
+)
+
+// TestMain fixes rapid's seed; JUJUBESHED_SEEDS sets the number of its runs.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	runs := os.Getenv("JUJUBESHED_SEEDS")
+	if runs == "" {
+		runs = "300"
+	}
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true", "rapid.checks": runs} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// pair is one node with both ledgers, each over a store of its own.
+type pair struct {
+	store  *oncetest.Store
+	ledger *once.Ledger
+	naive  *naive.Ledger
+	opts   once.Options
+}
+
+func (p *pair) boot() {
+	p.opts.Incarnation++
+	p.ledger = once.New(p.opts)
+	p.naive.Incarnation = p.opts.Incarnation
+}
+
+// step carries out an event with all of its store calls.
+func (p *pair) step(t *rapid.T, now time.Time, ev once.Event) (replies []once.Reply, stale bool) {
+	ctx := context.Background()
+	queue := []once.Event{ev}
+	for len(queue) > 0 {
+		acts := p.ledger.Step(now, queue[0])
+		queue = queue[1:]
+		for _, a := range acts {
+			switch a := a.(type) {
+			case once.StoreGet:
+				o, err := p.store.Get(ctx, a.Object)
+				queue = append(queue, once.StoreResult{Call: a.Call, Object: o, Err: err})
+			case once.StorePut:
+				v, err := p.store.Put(ctx, a.Object, a.Value, a.Expect)
+				queue = append(queue, once.StoreResult{Call: a.Call, Object: platform.Object{Version: v}, Err: err})
+			case once.Reply:
+				replies = append(replies, a)
+			case once.Recorded:
+				stale = a.Stale
+			default:
+				t.Fatalf("action %T", a)
+			}
+		}
+	}
+	return replies, stale
+}
+
+// TestSameAsNaive compares the answers of the ledger with those of the naive one
+// over random calls at two nodes that are restarted now and then.
+func TestSameAsNaive(t *testing.T) {
+	defer invariant.SetFatal(invariant.SetFatal(true))
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_700_000_000, 0)
+		ctx := context.Background()
+		ours, theirs := oncetest.New(1), oncetest.New(1)
+		var nodes []*pair
+		for i := range 2 {
+			id := ident.NodeID(fmt.Sprintf("n%d", i))
+			p := &pair{store: ours, naive: &naive.Ledger{Store: theirs, Node: id}, opts: once.Options{Node: id, Buckets: 2, MaxInlineBody: 16}}
+			p.boot()
+			nodes = append(nodes, p)
+		}
+		running := make(map[ident.AttemptID]once.Claim)
+		var attempts []ident.AttemptID
+		holder := make(map[ident.AttemptID]*pair)
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Millisecond)
+			p := rapid.SampledFrom(nodes).Draw(t, "node")
+			switch rapid.SampledFrom([]string{"claim", "claim", "end", "boot"}).Draw(t, "what") {
+			case "claim":
+				c := once.Claim{
+					Key:     once.Key{Workspace: "w", Name: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")},
+					Body:    once.DigestOf([]byte(rapid.SampledFrom([]string{"x", "x", "x", "y"}).Draw(t, "body"))),
+					Attempt: ident.AttemptID(fmt.Sprint(i)), Deadline: now.Add(time.Hour),
+				}
+				got := p.claim(t, now, c)
+				kind, answer, err := p.naive.Claim(ctx, c)
+				if err != nil || got.Kind != kind || string(got.Answer.Body) != string(answer.Body) {
+					t.Fatalf("claim %v: got %s %q, naive %s %q (%v)", c.Key, got.Kind, got.Answer.Body, kind, answer.Body, err)
+				}
+				if kind == once.Granted {
+					running[c.Attempt], holder[c.Attempt] = c, p
+					attempts = append(attempts, c.Attempt)
+				}
+			case "end":
+				if len(attempts) == 0 {
+					continue
+				}
+				a := rapid.SampledFrom(attempts).Draw(t, "attempt")
+				c, ok := running[a]
+				if !ok {
+					continue // each ends once
+				}
+				delete(running, a)
+				o := once.Outcome{Key: c.Key, Attempt: a, Verdict: rapid.SampledFrom([]verdict.Verdict{verdict.Ran, verdict.MayHaveRun, verdict.NotRun}).Draw(t, "verdict")}
+				if o.Verdict == verdict.Ran {
+					o.Answer = once.Answer{Status: 200, Body: []byte(fmt.Sprintf("%*s", rapid.IntRange(1, 32).Draw(t, "size"), a))}
+				}
+				_, stale := holder[a].step(t, now, o)
+				if err := holder[a].naive.Finish(ctx, o); stale != (err != nil) {
+					t.Fatalf("outcome %v: stale=%t, naive %v", o, stale, err)
+				}
+			case "boot":
+				p.boot()
+			}
+		}
+	})
+}
+
+// claim returns the reply to a claim. One that waits is withdrawn.
+func (p *pair) claim(t *rapid.T, now time.Time, c once.Claim) once.Reply {
+	replies, _ := p.step(t, now, c)
+	if len(replies) == 0 {
+		replies, _ = p.step(t, now, once.Withdraw{Key: c.Key, Attempt: c.Attempt})
+	}
+	if len(replies) != 1 {
+		t.Fatalf("claim %v got %d replies", c.Key, len(replies))
+	}
+	return replies[0]
+}
--- /dev/null
+++ b/internal/once/oncetest/store.go
@@ -0,0 +1,126 @@
+// Package oncetest holds a small store for the tests of the ledger.
+package oncetest
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+)
+
+// Store is a platform.Store in memory whose calls take time and may fail. It
+// implements Get, Put and Delete.
+type Store struct {
+	platform.Store
+	// Delay of each call.
+	Delay time.Duration
+	// Lost is the share of writes whose answer is lost; half of them take effect.
+	Lost float64
+
+	mu struct {
+		sync.Mutex
+		rng     *rand.Rand
+		objects map[platform.Key]platform.Object
+		version platform.Version
+		down    bool
+		counts  Counts
+	}
+}
+
+// Counts are the calls that a store has taken.
+type Counts struct {
+	Gets, Puts, Bytes int
+}
+
+// New returns an empty store.
+func New(seed uint64) *Store {
+	s := &Store{}
+	s.mu.rng = rand.New(rand.NewPCG(seed, 3))
+	s.mu.objects = make(map[platform.Key]platform.Object)
+	return s
+}
+
+// SetDown lets all calls fail.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.down = down
+}
+
+// Counts returns the calls taken so far.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mu.counts
+}
+
+func (s *Store) wait(ctx context.Context) error {
+	t := time.NewTimer(s.Delay)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Get implements platform.Store.
+func (s *Store) Get(ctx context.Context, key platform.Key) (platform.Object, error) {
+	if err := s.wait(ctx); err != nil {
+		return platform.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.counts.Gets++
+	o, ok := s.mu.objects[key]
+	switch {
+	case s.mu.down:
+		return platform.Object{}, platform.ErrUnavailable
+	case !ok:
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return o, nil
+}
+
+// Put implements platform.Store.
+func (s *Store) Put(ctx context.Context, key platform.Key, value []byte, expect platform.Version) (platform.Version, error) {
+	if err := s.wait(ctx); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.counts.Puts++
+	s.mu.counts.Bytes += len(value)
+	lost := s.mu.rng.Float64() < s.Lost
+	switch {
+	case s.mu.down:
+		return 0, platform.ErrUnavailable
+	case lost && s.mu.rng.IntN(2) == 0:
+		return 0, platform.ErrUnknown
+	case s.mu.objects[key].Version != expect:
+		return 0, platform.ErrConflict
+	}
+	s.mu.version++
+	s.mu.objects[key] = platform.Object{Key: key, Version: s.mu.version, Value: value}
+	if lost {
+		return 0, platform.ErrUnknown
+	}
+	return s.mu.version, nil
+}
+
+// Delete implements platform.Store.
+func (s *Store) Delete(ctx context.Context, key platform.Key, expect platform.Version) error {
+	if err := s.wait(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.mu.objects[key].Version != expect {
+		return platform.ErrConflict
+	}
+	delete(s.mu.objects, key)
+	return nil
+}
--- a/internal/once/types.go
+++ b/internal/once/types.go
@@ -31,7 +31,8 @@
 	Incarnation ident.Incarnation
 	// Prefix of the ledger's objects. Default: "once/".
 	Prefix platform.Key
-	// Buckets is the number of bucket objects; all nodes must agree. Default: 256.
+	// Buckets is the number of bucket objects; all nodes must agree, and it
+	// can be changed only where no key is retained. Default: 64.
 	Buckets int
 	// Retention is how long a key is kept after its end. Default: 24h.
 	Retention time.Duration
@@ -66,7 +67,7 @@
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.Prefix, "once/")
-	setDefault(&o.Buckets, 256)
+	setDefault(&o.Buckets, 64)
 	setDefault(&o.Retention, 24*time.Hour)
 	setDefault(&o.ClockSkew, time.Minute)
 	setDefault(&o.DispatchBound, 5*time.Second)
