Try one copy of a prefix in each data centre, replicated past a threshold

After Ionitoiu and Angi, "An adaptive caching and replication mechanism for WWW" (1997): the neighbourhood is a data centre, a copy is a prefix's home, hits past a threshold add a home, and each renewal doubles its duration.

--- a/internal/route/options.go
+++ b/internal/route/options.go
@@ -34,6 +34,10 @@
 	Homes int
 	// HomeBlocks is the number of leading blocks that name a prefix's homes. Default: 16.
 	HomeBlocks int
+	// Placement is the way in which homes are chosen. Default: PlaceRendezvous.
+	Placement Placement
+	// NoHolders leaves the holders of a prefix out of the comparison. Default: false.
+	NoHolders bool
 	// LoadBound limits the load of homes and holders, as a multiple of the pool's
 	// mean load. Default: 3.
 	LoadBound float64
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -157,9 +157,19 @@
 	if len(r.Chain) == 0 {
 		return c
 	}
-	homes := t.bounded(now, p, t.warm(now, rng, p, t.homes(p, r.Chain, eligible)))
+	copies, where := t.opts.Homes, eligible
+	if t.opts.Placement != PlaceRendezvous {
+		copies, where = 1, t.local(p, eligible)
+	}
+	if t.opts.Placement == PlaceDomain {
+		copies = t.copies(now, r.Chain[min(len(r.Chain), t.opts.HomeBlocks)-1])
+	}
+	homes := t.bounded(now, p, t.warm(now, rng, p, t.homes(p, r.Chain, where, copies)))
 	n, holders := p.index.match(r.Chain, eligible)
-	c.slots |= homes | t.bounded(now, p, sample(rng, holders, maxHolders))
+	c.slots |= homes
+	if !t.opts.NoHolders {
+		c.slots |= t.bounded(now, p, sample(rng, holders, maxHolders))
+	}
 	if n < min(len(r.Chain), t.opts.HomeBlocks) {
 		c.homes = homes
 	}
@@ -223,10 +233,10 @@
 }
 
 // homes returns the slots with the highest rendezvous scores for the prefix.
-func (t *Table) homes(p *pool, chain []uint64, eligible uint64) uint64 {
+func (t *Table) homes(p *pool, chain []uint64, eligible uint64, copies int) uint64 {
 	key := chain[min(len(chain), t.opts.HomeBlocks)-1]
 	var chosen uint64
-	for range t.opts.Homes {
+	for range copies {
 		best, top := -1, uint64(0)
 		for s := eligible &^ chosen; s != 0; s &= s - 1 {
 			i := bits.TrailingZeros64(s)
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -41,6 +41,7 @@
 	stats     Stats
 
 	scratch scratch
+	domains map[uint64]*domain
 }
 
 // New returns an empty table.
@@ -54,6 +55,7 @@
 		endMarks:  make(map[ident.EndpointID]mark),
 		slots:     make(map[ident.Service]int),
 		work:      make(map[ident.AttemptID]*work),
+		domains:   make(map[uint64]*domain),
 	}
 }
 
