Let a service's configuration ask for a fleet

Cause: buying and releasing hosts needs a machine class, data centres, a latency target and bounds, and must stay off where nobody asked for it.

Ruled out: a section of its own beside the services. The last word would then win for a service and its fleet apart, and a copied example could leave one without the other.

Change: an optional block fleet of a service, with defaults for all but class and data centres. Findings inside the block name their own field and line.

Run: go test ./internal/config

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -9,6 +9,7 @@
 
 // check adds the findings that need more than one object.
 func (m *merger) check() {
+	m.checkFleets()
 	m.checkRoutes()
 	m.checkPrefixes()
 	m.checkKeys()
--- a/internal/config/fields.go
+++ b/internal/config/fields.go
@@ -117,6 +117,10 @@
 	{"concurrency", countAllowed(maxConcurrency), false, false, func(s *Service, n ast.Node) error {
 		return count(n, maxConcurrency, &s.Concurrency)
 	}},
+	{"fleet", "a mapping of " + fieldNames(fleetFields), false, false, func(s *Service, n ast.Node) error {
+		s.Fleet = newFleet()
+		return nested(n, fleetFields, s.Fleet)
+	}},
 }
 
 var workspaceFields = []field[WorkspaceConfig]{
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -162,13 +162,17 @@
 		fields: make(map[string]origin),
 		set:    make(map[string]bool),
 	}
-	entries, ok := p.mapping(e.Value, path)
+	return o, parseFields(p, path, e.Value, fields, &o)
+}
+
+func parseFields[T any](p *fileParser, path string, n ast.Node, fields []field[T], o *object[T]) bool {
+	entries, ok := p.mapping(n, path)
 	if !ok {
-		return o, false
+		return false
 	}
 	good := true
 	for _, v := range entries {
-		good = parseField(p, path, v, fields, &o) && good
+		good = parseField(p, path, v, fields, o) && good
 	}
 	for _, f := range fields {
 		if f.required && !o.set[f.name] {
@@ -176,7 +180,36 @@
 			good = false
 		}
 	}
-	return o, good
+	return good
+}
+
+// nestedError carries the findings of a mapping inside an object. Their fields
+// lack the path of the mapping, and their lines are zero where a field is missing.
+type nestedError struct{ diags []Diagnostic }
+
+// Error counts the findings.
+func (e *nestedError) Error() string { return fmt.Sprintf("mapping has %d errors", len(e.diags)) }
+
+// nested parses a mapping inside an object into target.
+func nested[T any](n ast.Node, fields []field[T], target *T) error {
+	p := &fileParser{}
+	o := object[T]{value: *target, fields: make(map[string]origin), set: make(map[string]bool)}
+	if !parseFields(p, "", n, fields, &o) {
+		return &nestedError{p.diags}
+	}
+	*target = o.value
+	return nil
+}
+
+// adopt reports the findings of a nested mapping under its path and line.
+func (p *fileParser) adopt(e *nestedError, line int, path string) {
+	for _, d := range e.diags {
+		d.File, d.Field = p.file, path+d.Field
+		if d.Line == 0 {
+			d.Line = line
+		}
+		p.diags = append(p.diags, d)
+	}
 }
 
 func parseField[T any](p *fileParser, path string, v *ast.MappingValueNode, fields []field[T], o *object[T]) bool {
@@ -187,7 +220,13 @@
 		}
 		o.fields[name] = origin{p.file, lineOf(v)}
 		o.set[name] = true
-		if err := f.set(&o.value, v.Value); err != nil {
+		err := f.set(&o.value, v.Value)
+		var inner *nestedError
+		if errors.As(err, &inner) {
+			p.adopt(inner, lineOf(v), path+"."+name)
+			return false
+		}
+		if err != nil {
 			p.badValue(lineOf(v), path+"."+name, text(v.Value), f.allowed, f.secret)
 			return false
 		}
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -51,6 +51,8 @@
 	ChecksFence bool `json:"checks_fence,omitempty"`
 	// Concurrency is the number of requests one endpoint serves at once. Default: 16 engine, 64 plain.
 	Concurrency int `json:"concurrency"`
+	// Fleet lets the system buy and release the service's hosts. Default: nil, it does neither.
+	Fleet *Fleet `json:"fleet,omitempty"`
 }
 
 // WorkspaceConfig is a customer's settings.
