Bound a fleet, spread what a bound leaves, and drain nothing on partial demand

Cause: operators need a least and a greatest number of hosts. A holder that hears of only some nodes' demand, in a partition or just after it took the lease, would take the missing part for idleness and drain hosts. The mean request was a setting, which operators would copy wrong.

Ruled out: refusing to act at all on partial demand. It would also stop purchases, which are the safe direction.

Change: MinHosts and MaxHosts; purchases that a bound cuts off are interleaved over the data centres, as the cheapest one came first and took them all; an observation can be Partial, and then nothing is drained and the last whole demand stays the least; the mean request follows the demand over the hold window, with the setting as a prior of 100 requests.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,7 +15,8 @@
 type Options struct {
 	Service ident.Service
 	Target  Target
-	Shape   Shape
+	// Shape of a request until the demand tells.
+	Shape Shape
 	// StartTime is from the purchase of a host until it can load weights. Default: 60s.
 	StartTime time.Duration
 	// LoadBytes are the weights of one host. Default: 16 GB.
@@ -27,6 +28,9 @@
 	Margin float64
 	// Floor is the demand (requests a second) that is always provided for. Default: 0.001.
 	Floor float64
+	// MinHosts are held whatever the demand is; MaxHosts are never exceeded by a
+	// purchase, and zero is no bound. Both count hosts that were not bought here too.
+	MinHosts, MaxHosts int
 	// Trend is the window of the demand's slope. Default: 10m.
 	Trend time.Duration
 	// Hold is how long a peak of the demand keeps its hosts. Default: 15m.
@@ -108,8 +112,13 @@
 // Observation is what the driver sees of the service.
 type Observation struct {
 	Demand float64 // requests a second
-	Offers []Offer
-	Hosts  []HostView
+	// PromptTokens (not cached) and OutputTokens are a second's; zero where they
+	// aren't known.
+	PromptTokens, OutputTokens float64
+	// Partial is set where some nodes' demand is missing. Nothing is drained then.
+	Partial bool
+	Offers  []Offer
+	Hosts   []HostView
 	// Version that new hosts load.
 	Version ident.Version
 }
@@ -182,6 +191,7 @@
 type Planner struct {
 	opts     Options
 	forecast forecast
+	shape    shapeMean
 
 	epoch  ident.Epoch
 	until  time.Time // the lease is good before
@@ -211,6 +221,7 @@
 	return &Planner{
 		opts:       opts,
 		forecast:   forecast{trend: opts.Trend, hold: opts.Hold, margin: opts.Margin},
+		shape:      newShapeMean(opts.Shape, opts.Hold),
 		hosts:      make(map[ident.Host]HostView),
 		outcomes:   make(map[uint64]outcome),
 		pauses:     make(map[offerKind]pause),
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -234,7 +234,10 @@
 			var actions []Action
 			switch d.Cmd {
 			case "new":
-				p = New(drafts)
+				opts := drafts
+				d.MaybeScanArgs(t, "min", &opts.MinHosts)
+				d.MaybeScanArgs(t, "max", &opts.MaxHosts)
+				p = New(opts)
 			case "lease":
 				var epoch, until int
 				d.ScanArgs(t, "epoch", &epoch)
@@ -259,7 +262,13 @@
 			case "observe":
 				var demand string
 				d.ScanArgs(t, "demand", &demand)
-				actions = p.Observe(now(d), scriptObservation(t, demand, d.Input))
+				obs := scriptObservation(t, demand, d.Input)
+				obs.Partial = d.HasArg("partial")
+				var prompt, output int
+				d.MaybeScanArgs(t, "prompt", &prompt)
+				d.MaybeScanArgs(t, "output", &output)
+				obs.PromptTokens, obs.OutputTokens = float64(prompt), float64(output)
+				actions = p.Observe(now(d), obs)
 			case "status":
 				return scriptStatus(p.Status(now(d)))
 			default:
--- a/internal/fleet/forecast.go
+++ b/internal/fleet/forecast.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // sample is an observed demand.
 type sample struct {
@@ -63,3 +66,44 @@
 	}
 	return 0
 }
+
+// shapePrior is how many requests the shape of the settings counts for.
+const shapePrior = 100.0
+
+// maxShapeStep bounds the time that one observation stands for.
+const maxShapeStep = time.Minute
+
+// shapeMean is the mean request over a window that fades, beginning with the
+// shape of the settings.
+type shapeMean struct {
+	prior    Shape
+	window   time.Duration
+	requests float64
+	prompt   float64 // tokens
+	output   float64 // tokens
+}
+
+func newShapeMean(prior Shape, window time.Duration) shapeMean {
+	return shapeMean{prior: prior, window: window}
+}
+
+// observe adds the requests of the time since the last observation.
+func (m *shapeMean) observe(elapsed time.Duration, obs Observation) {
+	elapsed = min(elapsed, maxShapeStep)
+	keep := math.Exp(-elapsed.Seconds() / m.window.Seconds())
+	m.requests, m.prompt, m.output = m.requests*keep, m.prompt*keep, m.output*keep
+	if obs.Demand <= 0 || obs.OutputTokens <= 0 {
+		return
+	}
+	m.requests += obs.Demand * elapsed.Seconds()
+	m.prompt += obs.PromptTokens * elapsed.Seconds()
+	m.output += obs.OutputTokens * elapsed.Seconds()
+}
+
+func (m *shapeMean) mean() Shape {
+	n := m.requests + shapePrior
+	return Shape{
+		PromptTokens: (m.prompt + shapePrior*m.prior.PromptTokens) / n,
+		OutputTokens: (m.output + shapePrior*m.prior.OutputTokens) / n,
+	}
+}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -155,3 +155,24 @@
 	}
 	return sum
 }
+
+// interleave orders purchases so that any first few of them spread over the data
+// centres.
+func interleave(places []place) []place {
+	type ranked struct {
+		place
+		rank int // within the data centre
+	}
+	seen := make(map[ident.DataCentre]int)
+	all := make([]ranked, 0, len(places))
+	for _, p := range places {
+		all = append(all, ranked{p, seen[p.offer.DataCentre]})
+		seen[p.offer.DataCentre]++
+	}
+	slices.SortStableFunc(all, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+	out := make([]place, 0, len(all))
+	for _, r := range all {
+		out = append(out, r.place)
+	}
+	return out
+}
--- a/internal/fleet/scale.go
+++ b/internal/fleet/scale.go
@@ -3,8 +3,11 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
 )
 
 // Price of reclaims until a data centre has a record of its own.
@@ -34,17 +37,76 @@
 			have[s.DataCentre] += p.capacityOf(s.kind())
 		}
 	}
-	if p.covered(have) >= need-epsilon {
-		return
+	places := p.places(now, draft)
+	room := min(p.opts.maxStarting()-p.starting(draft), p.allowed(draft))
+	if p.covered(have) < need-epsilon {
+		reason := fmt.Sprintf("need %.3g requests/s without any one data centre, have %.3g", need, p.covered(have))
+		buy := choose(need, have, places)
+		if len(buy) > room {
+			buy = interleave(buy)[:max(0, room)]
+		}
+		for _, b := range buy {
+			draft.add(now, b.offer.kind(), p.obs.Version, reason)
+			have[b.offer.DataCentre] += b.capacity
+		}
+		room -= len(buy)
 	}
-	reason := fmt.Sprintf("need %.3g requests/s without any one data centre, have %.3g", need, p.covered(have))
-	room := p.opts.maxStarting() - p.starting(draft)
-	for _, b := range choose(need, have, p.places(now, draft)) {
-		if room--; room < 0 {
-			return
+	p.fillMinimum(now, draft, have, places, room)
+}
+
+// fillMinimum buys where too few hosts are held whatever the demand, each in the
+// data centre with the least capacity.
+func (p *Planner) fillMinimum(now time.Time, draft *Plan, have byCentre, places []place, room int) {
+	places = bestOfEach(places)
+	for missing := p.opts.MinHosts - p.hostCount(draft); missing > 0 && room > 0 && len(places) > 0; missing-- {
+		least := slices.MinFunc(places, func(a, b place) int {
+			return cmp.Compare(have[a.offer.DataCentre], have[b.offer.DataCentre])
+		})
+		draft.add(now, least.offer.kind(), p.obs.Version, fmt.Sprintf("at least %d hosts are to be held", p.opts.MinHosts))
+		have[least.offer.DataCentre] += least.capacity
+		room--
+	}
+}
+
+// hostCount is the number of hosts that serve or start, bought here or not.
+func (p *Planner) hostCount(draft *Plan) int {
+	n := p.unheld(draft)
+	for _, s := range draft.Slots {
+		if st := p.stateOf(s); st == stateReady || st == stateStarting {
+			n++
+		}
+	}
+	return n
+}
+
+// unheld is the number of listed hosts that no slot holds.
+func (p *Planner) unheld(draft *Plan) int {
+	held := make(map[ident.Host]bool)
+	for _, s := range draft.Slots {
+		held[s.Host] = true
+	}
+	n := 0
+	for _, h := range p.obs.Hosts {
+		if !held[h.Host] && !h.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// allowed returns how many hosts may be bought before there are too many, those
+// that drain included.
+func (p *Planner) allowed(draft *Plan) int {
+	if p.opts.MaxHosts == 0 {
+		return math.MaxInt32
+	}
+	n := p.unheld(draft)
+	for _, s := range draft.Slots {
+		if s.State != SlotReleased {
+			n++
 		}
-		draft.add(now, b.offer.kind(), p.obs.Version, reason)
 	}
+	return p.opts.MaxHosts - n
 }
 
 // canRestore reports whether a drain can be taken back: it is this holder's own,
@@ -72,7 +134,7 @@
 		if now.Before(p.pauses[o.kind()].until) {
 			continue
 		}
-		if c := o.Machine.RequestsPerSec(p.opts.Target, p.opts.Shape); c > 0 {
+		if c := o.Machine.RequestsPerSec(p.opts.Target, p.shape.mean()); c > 0 {
 			out = append(out, place{offer: o, capacity: c, price: p.price(draft, o)})
 		}
 	}
@@ -114,6 +176,7 @@
 		return cmp.Compare(p.unitPrice(draft, draft.Slots[b]), p.unitPrice(draft, draft.Slots[a]))
 	})
 	left := max(1, int(drainShare*float64(len(order))))
+	left = min(left, max(0, p.hostCount(draft)-p.opts.MinHosts))
 	for _, i := range order {
 		s := &draft.Slots[i]
 		ready[s.DataCentre] -= p.capacityOf(s.kind())
@@ -131,7 +194,7 @@
 // swap buys a cheaper host beside the dearest one; once it is ready, the dearest
 // isn't needed.
 func (p *Planner) swap(now time.Time, draft *Plan, order []int) {
-	if now.Before(p.nextSwap) || p.starting(draft) > 0 {
+	if now.Before(p.nextSwap) || p.starting(draft) > 0 || p.allowed(draft) <= 0 {
 		return
 	}
 	places := bestOfEach(p.places(now, draft))
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -30,7 +30,9 @@
 	p.settle(now, &draft)
 	need := p.forecast.need(now, p.opts.lead(p.opts.maxStarting()))
 	p.grow(now, &draft, need)
-	p.shrink(now, &draft, max(need, p.forecast.peak(now)))
+	if !obs.Partial {
+		p.shrink(now, &draft, max(need, p.forecast.peak(now)))
+	}
 	if !draft.changed(p.plan) {
 		return p.act(now)
 	}
@@ -44,6 +46,11 @@
 	if !p.lastStep.IsZero() {
 		elapsed = now.Sub(p.lastStep)
 	}
+	if obs.Partial {
+		obs.Demand = max(obs.Demand, p.obs.Demand)
+	} else {
+		p.shape.observe(elapsed, obs)
+	}
 	p.lastStep, p.obs = now, obs
 	p.forecast.observe(now, max(obs.Demand, p.opts.Floor))
 	clear(p.hosts)
@@ -182,7 +189,7 @@
 func (p *Planner) capacityOf(k offerKind) float64 {
 	for _, o := range p.obs.Offers {
 		if o.Class == k.Class {
-			return o.Machine.RequestsPerSec(p.opts.Target, p.opts.Shape)
+			return o.Machine.RequestsPerSec(p.opts.Target, p.shape.mean())
 		}
 	}
 	return 0
