--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -17,6 +17,9 @@
 	maxHolders = 2
 	// minSlowStart is the part of draws that an endpoint takes at its very start.
 	minSlowStart = 0.1
+	// homePreference is the part of a prompt's prefill that a longer queue at the
+	// home may cost, where no endpoint is known to hold the prefix.
+	homePreference = 0.5
 	// slotCost is the time that a full batch adds to the first token.
 	slotCost = 5 * time.Millisecond
 	// meanLoadAge is how long the mean load of a pool is used.
@@ -28,10 +31,21 @@
 	shares []Share
 }
 
+// candidates are the slots compared for one request.
+type candidates struct {
+	slots uint64
+	// homes of a prompt that no endpoint is known to hold; they are preferred, as
+	// other nodes send the same prefix there.
+	homes uint64
+	salt  uint64 // orders equal candidates
+}
+
 // candidate is an endpoint compared for one request.
 type candidate struct {
 	m        *member
 	estimate Estimate
+	rank     time.Duration // the estimate, less the preference for a home
+	tie      uint64
 }
 
 // Pick returns the endpoint with the least estimated time to first token among a
@@ -117,36 +131,51 @@
 		return nil, 0
 	}
 	t.refresh(now, p)
-	var mask uint64
+	var usable, ejected, excluded uint64
 	for i, m := range p.subset {
-		if m != nil && m.usable() && !m.health.ejected(now) && !slices.Contains(r.Exclude, m.id) {
-			mask |= 1 << i
+		if m == nil || !m.usable() {
+			continue
+		}
+		usable |= 1 << i
+		if m.health.ejected(now) {
+			ejected |= 1 << i
 		}
+		if slices.Contains(r.Exclude, m.id) {
+			excluded |= 1 << i
+		}
+	}
+	if bits.OnesCount64(ejected) > t.ejectable(bits.OnesCount64(usable)) {
+		ejected = 0 // the pool has shrunk since
 	}
-	return p, mask
+	return p, usable &^ ejected &^ excluded
 }
 
 // candidates returns the slots to compare: random ones, and those homes and
 // holders of the prompt's prefix whose load is bounded.
-func (t *Table) candidates(now time.Time, rng *rand.Rand, p *pool, r Request, eligible uint64) uint64 {
-	if bits.OnesCount64(eligible) <= randomChoices {
-		return eligible
-	}
-	chosen := t.drawSlots(now, rng, p, eligible)
+func (t *Table) candidates(now time.Time, rng *rand.Rand, p *pool, r Request, eligible uint64) candidates {
+	c := candidates{slots: t.drawSlots(now, rng, p, eligible), salt: rng.Uint64()}
 	if len(r.Chain) == 0 {
-		return chosen
+		return c
+	}
+	homes := t.bounded(now, p, t.warm(now, rng, p, t.homes(p, r.Chain, eligible)))
+	n, holders := p.index.match(r.Chain, eligible)
+	c.slots |= homes | t.bounded(now, p, sample(rng, holders, maxHolders))
+	if n < min(len(r.Chain), t.opts.HomeBlocks) {
+		c.homes = homes
 	}
-	near := t.homes(p, r.Chain, eligible)
-	_, holders := p.index.match(r.Chain, eligible)
-	near |= sample(rng, holders, maxHolders)
+	return c
+}
+
+// bounded returns those of slots whose load is not far above the pool's mean.
+func (t *Table) bounded(now time.Time, p *pool, slots uint64) uint64 {
 	bound := t.opts.LoadBound*t.mean(now, p) + t.loadSlack()
-	for s := near &^ chosen; s != 0; s &= s - 1 {
+	for s := slots; s != 0; s &= s - 1 {
 		i := bits.TrailingZeros64(s)
-		if t.loadOf(now, p, p.subset[i]) <= bound {
-			chosen |= 1 << i
+		if t.loadOf(now, p, p.subset[i]) > bound {
+			slots &^= 1 << i
 		}
 	}
-	return chosen
+	return slots
 }
 
 // loadSlack is the share of slots that a home may have in use whatever the mean.
@@ -158,20 +187,32 @@
 // chance that falls as it warms.
 func (t *Table) drawSlots(now time.Time, rng *rand.Rand, p *pool, eligible uint64) uint64 {
 	var chosen uint64
-	for n, tries := 0, 0; n < randomChoices && tries < 4*randomChoices; tries++ {
-		left := eligible &^ chosen
-		i := nthBit(left, rng.IntN(bits.OnesCount64(left)))
-		if rng.Float64() < t.warmth(now, p.subset[i]) {
-			chosen |= 1 << i
+	left := eligible
+	for n := 0; n < randomChoices && left != 0; {
+		bit := uint64(1) << nthBit(left, rng.IntN(bits.OnesCount64(left)))
+		left &^= bit
+		if t.warm(now, rng, p, bit) != 0 {
+			chosen |= bit
 			n++
 		}
 	}
 	if chosen == 0 {
-		chosen = 1 << nthBit(eligible, rng.IntN(bits.OnesCount64(eligible)))
+		return eligible
 	}
 	return chosen
 }
 
+// warm returns those of slots that are not passed over for their slow start.
+func (t *Table) warm(now time.Time, rng *rand.Rand, p *pool, slots uint64) uint64 {
+	for s := slots; s != 0; s &= s - 1 {
+		i := bits.TrailingZeros64(s)
+		if w := t.warmth(now, p.subset[i]); w < 1 && rng.Float64() >= w {
+			slots &^= 1 << i
+		}
+	}
+	return slots
+}
+
 // warmth returns the part of its draws that an endpoint takes.
 func (t *Table) warmth(now time.Time, m *member) float64 {
 	left := m.warmAt.Sub(now)
@@ -202,11 +243,15 @@
 
 // best compares candidates by their estimates; within the tie window the cheaper
 // one wins.
-func (t *Table) best(now time.Time, p *pool, r Request, slots uint64) candidate {
+func (t *Table) best(now time.Time, p *pool, r Request, cs candidates) candidate {
 	var best candidate
-	for s := slots; s != 0; s &= s - 1 {
-		m := p.subset[bits.TrailingZeros64(s)]
-		c := candidate{m: m, estimate: t.estimate(now, p, m, r)}
+	for s := cs.slots; s != 0; s &= s - 1 {
+		i := bits.TrailingZeros64(s)
+		c := candidate{m: p.subset[i], estimate: t.estimate(now, p, p.subset[i], r)}
+		c.rank, c.tie = c.estimate.Total(), mix(c.m.hash^cs.salt)
+		if cs.homes>>i&1 != 0 {
+			c.rank -= time.Duration(homePreference * float64(c.estimate.Prefill))
+		}
 		if best.m == nil || t.better(c, best) {
 			best = c
 		}
@@ -215,14 +260,14 @@
 }
 
 func (t *Table) better(a, b candidate) bool {
-	d := a.estimate.Total() - b.estimate.Total()
+	d := a.rank - b.rank
 	if d.Abs() <= t.opts.TieWindow && a.m.price != b.m.price {
 		return a.m.price < b.m.price
 	}
 	if d != 0 {
 		return d < 0
 	}
-	return a.m.id < b.m.id
+	return a.tie < b.tie
 }
 
 // sample returns n random bits of set, or all of them where they are fewer.
