Add experiments of a bad and a good version move

Cause: nothing ran a move through a whole deployment. Change: engines of a new version beside the old ones, a move file, and what operators are told at the end.

--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -2,8 +2,14 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
+	"github.com/jujubeshed/jujubeshed/api/gen/operators"
+	"github.com/jujubeshed/jujubeshed/internal/config"
+	"github.com/jujubeshed/jujubeshed/internal/config/syncer"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/standin/engine"
 	"github.com/jujubeshed/jujubeshed/internal/standin/memstore"
 	standinplatform "github.com/jujubeshed/jujubeshed/internal/standin/platform"
 )
@@ -25,7 +31,7 @@
 	s.engineHosts = kept
 	for range gone {
 		s.engineSerial++
-		if err := s.startEngine(s.ctx, s.engineSerial); err != nil {
+		if err := s.startEngine(s.ctx, s.engineSerial, firstVersion, engine.Faults{}); err != nil {
 			return err
 		}
 	}
@@ -50,3 +56,35 @@
 func (s *Site) SetStoreFaults(down bool, lostAnswers float64) {
 	s.Platform.SetFaults(standinplatform.Faults{Store: memstore.Faults{Down: down, LoseAnswer: lostAnswers}})
 }
+
+// AddEngines starts engines of a version beside those that serve.
+func (s *Site) AddEngines(n int, version ident.Version, faults engine.Faults) error {
+	for range n {
+		s.engineSerial++
+		if err := s.startEngine(s.ctx, s.engineSerial, version, faults); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Apply stores an operator's file and has it accepted.
+func (s *Site) Apply(ctx context.Context, name, content string) error {
+	files := []config.File{{Name: name, Data: []byte(content)}}
+	_, err := syncer.New(syncer.Options{Store: s.Platform.Store()}).Apply(ctx, files)
+	return err
+}
+
+// Moves returns the version moves as a node tells operators of them.
+func (s *Site) Moves(ctx context.Context) ([]operators.Move, error) {
+	client := &http.Client{Transport: siteKey.Transport(http.DefaultTransport)}
+	c, err := operators.NewClient("http://"+s.Operators[0], operators.WithClient(client))
+	if err != nil {
+		return nil, err
+	}
+	list, err := c.GetMoves(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return list.Moves, nil
+}
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -20,6 +20,7 @@
 	"github.com/jujubeshed/jujubeshed/internal/endpoint"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/node"
+	"github.com/jujubeshed/jujubeshed/internal/peerauth"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
 	"github.com/jujubeshed/jujubeshed/internal/standin/engine"
 	standinplatform "github.com/jujubeshed/jujubeshed/internal/standin/platform"
@@ -36,8 +37,11 @@
 	drainTimeout = 500 * time.Millisecond
 )
 
+// firstVersion is what the example configurations serve.
+const firstVersion ident.Version = "v1"
+
 // siteKey is the shared key of a site's nodes.
-const siteKey = "demo-key-of-16-bytes"
+const siteKey peerauth.Key = "demo-key-of-16-bytes"
 
 // SiteOptions are the settings of a Site.
 type SiteOptions struct {
@@ -94,7 +98,7 @@
 	}
 	for i := range s.opts.Shape.Engines {
 		s.engineSerial = i
-		if err := s.startEngine(ctx, i); err != nil {
+		if err := s.startEngine(ctx, i, firstVersion, engine.Faults{}); err != nil {
 			return err
 		}
 	}
@@ -152,22 +156,24 @@
 	return dcs[i%len(dcs)]
 }
 
-func (s *Site) startEngine(ctx context.Context, i int) error {
+func (s *Site) startEngine(ctx context.Context, i int, version ident.Version, faults engine.Faults) error {
 	name := fmt.Sprintf("gpu-%d", i)
-	e := engine.New(engine.Options{ID: ident.EndpointID(name), Version: "v1", Speed: s.opts.Speed, Seed: uint64(i), ChecksFence: true})
+	e := engine.New(engine.Options{
+		ID: ident.EndpointID(name), Version: version, Speed: s.opts.Speed, Seed: uint64(i), ChecksFence: true, Faults: faults,
+	})
 	s.Engines = append(s.Engines, e)
 	s.engineHosts = append(s.engineHosts, engineHost{ident.Host(name), s.dataCentre(i)})
-	return s.startEndpoint(ctx, i, name, platform.KindEngine, s.opts.Shape.Engine, e.Handler(), e.SetLeaving)
+	return s.startEndpoint(ctx, i, name, platform.KindEngine, s.opts.Shape.Engine, version, e.Handler(), e.SetLeaving)
 }
 
 func (s *Site) startDesk(ctx context.Context, i int) error {
 	name := fmt.Sprintf("desk-%d", i)
-	d := service.New(service.Options{ID: ident.EndpointID(name), Version: "v1", Seed: uint64(i)})
+	d := service.New(service.Options{ID: ident.EndpointID(name), Version: firstVersion, Seed: uint64(i)})
 	s.Desks = append(s.Desks, d)
-	return s.startEndpoint(ctx, i, name, platform.KindPlain, s.opts.Shape.Plain, d.Handler(), d.SetLeaving)
+	return s.startEndpoint(ctx, i, name, platform.KindPlain, s.opts.Shape.Plain, firstVersion, d.Handler(), d.SetLeaving)
 }
 
-func (s *Site) startEndpoint(ctx context.Context, i int, name string, kind platform.EndpointKind, svc ident.Service, h http.Handler, leaving func(endpoint.LeavingState)) error {
+func (s *Site) startEndpoint(ctx context.Context, i int, name string, kind platform.EndpointKind, svc ident.Service, version ident.Version, h http.Handler, leaving func(endpoint.LeavingState)) error {
 	ln, err := listen()
 	if err != nil {
 		return err
@@ -183,7 +189,7 @@
 			Host: ident.Host(name), DataCentre: s.dataCentre(i), Incarnation: 1, State: platform.HostLive,
 			Reclaimable: true, PricePerHour: 1, Class: "standard",
 		},
-		Endpoint: platform.EndpointInfo{ID: ident.EndpointID(name), Kind: kind, Service: svc, Version: "v1"},
+		Endpoint: platform.EndpointInfo{ID: ident.EndpointID(name), Kind: kind, Service: svc, Version: version},
 	})
 	return nil
 }
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -52,11 +52,13 @@
 	Mix []load.Share
 	// Inject causes the faults until ctx ends.
 	Inject func(ctx context.Context, s *demo.Site) error
+	// After looks at the deployment when the load has ended; nil for nothing.
+	After func(ctx context.Context, w io.Writer, s *demo.Site) error
 }
 
 // All returns the experiments, ordered by name.
 func All() []Experiment {
-	all := []Experiment{calm(), waves(), stops(), store(), overload("overload-2", 2), overload("overload-10", 10)}
+	all := []Experiment{calm(), waves(), stops(), store(), overload("overload-2", 2), overload("overload-10", 10), badMove(), goodMove()}
 	slices.SortFunc(all, func(a, b Experiment) int { return strings.Compare(a.Name, b.Name) })
 	return all
 }
@@ -95,7 +97,10 @@
 	injected := make(chan error, 1)
 	go func() { injected <- e.Inject(injecting, site) }()
 	report, err = load.Run(ctx, loadOptions(site, shape, e, opts))
-	return report, errors.CombineErrors(err, <-injected)
+	if err = errors.CombineErrors(err, <-injected); err == nil && e.After != nil {
+		err = e.After(ctx, w, site)
+	}
+	return report, err
 }
 
 func loadOptions(site *demo.Site, shape demo.Shape, e Experiment, opts Options) load.Options {
