Send shadow copies, retry what a 500 says of one endpoint, test dispatch

Change: copies of chats go to the version that does not answer the caller, eight in flight at most, and count as evidence only; 500 is passed over like 502 to 504, within the retry budget. Tests let engines and desks fail in each way beneath the sender.

--- a/internal/attempt/answer.go
+++ b/internal/attempt/answer.go
@@ -142,9 +142,10 @@
 	statusBadGateway         = 502
 	statusServiceUnavailable = 503
 	statusGatewayTimeout     = 504
+	statusInternalError      = 500
 )
 
 // passing tells whether a status speaks of a fault that another endpoint may not have.
 func passing(status int) bool {
-	return status == statusBadGateway || status == statusServiceUnavailable || status == statusGatewayTimeout
+	return status == statusInternalError || status == statusBadGateway || status == statusServiceUnavailable || status == statusGatewayTimeout
 }
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -30,7 +30,9 @@
 
 // Open sends an attempt to an engine.
 func (c *chatRun) Open(ctx context.Context, call runner.Call) (runner.Stream, error) {
-	c.job.Attempts.Add(1)
+	if c.job.Attempts.Add(1) == 1 {
+		c.work.sender.shadows.offer(&c.work, &c.job.Body, call.Choice.Version)
+	}
 	if call.Import.Endpoint != "" {
 		c.moveCache(ctx, call)
 	}
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,380 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/jujubeshed/jujubeshed/internal/answer"
+	"github.com/jujubeshed/jujubeshed/internal/config"
+	"github.com/jujubeshed/jujubeshed/internal/endpoint"
+	"github.com/jujubeshed/jujubeshed/internal/entry"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/invariant"
+	"github.com/jujubeshed/jujubeshed/internal/move"
+	"github.com/jujubeshed/jujubeshed/internal/once"
+	"github.com/jujubeshed/jujubeshed/internal/once/committer"
+	"github.com/jujubeshed/jujubeshed/internal/route"
+	"github.com/jujubeshed/jujubeshed/internal/standin/engine"
+	"github.com/jujubeshed/jujubeshed/internal/standin/memstore"
+	"github.com/jujubeshed/jujubeshed/internal/standin/service"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
+)
+
+func TestMain(m *testing.M) {
+	invariant.SetFatal(true)
+	goleak.VerifyTestMain(m)
+}
+
+// inOrder is a balancer that chooses the endpoints in order, and notes outcomes.
+type inOrder struct {
+	mu       sync.Mutex
+	names    []ident.EndpointID
+	addrs    map[ident.EndpointID]string
+	attempts map[ident.AttemptID]ident.EndpointID
+	outcomes map[ident.EndpointID][]route.Outcome
+	leaving  []route.LeavingWork
+	results  []move.Result
+	shadow   bool
+}
+
+func newInOrder() *inOrder {
+	return &inOrder{
+		addrs:    make(map[ident.EndpointID]string),
+		attempts: make(map[ident.AttemptID]ident.EndpointID),
+		outcomes: make(map[ident.EndpointID][]route.Outcome),
+	}
+}
+
+func (b *inOrder) add(t *testing.T, id ident.EndpointID, h http.Handler) {
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	b.names = append(b.names, id)
+	b.addrs[id] = strings.TrimPrefix(srv.URL, "http://")
+}
+
+func (b *inOrder) Dispatch(a ident.AttemptID, r route.Request) (route.Choice, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, id := range b.names {
+		if !slices.Contains(r.Exclude, id) && !b.leavingLocked(id) {
+			b.attempts[a] = id
+			return route.Choice{Endpoint: id, Address: b.addrs[id], Version: "v1"}, nil
+		}
+	}
+	return route.Choice{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no endpoint is left")
+}
+
+func (b *inOrder) Finish(a ident.AttemptID, o route.Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.outcomes[b.attempts[a]] = append(b.outcomes[b.attempts[a]], o)
+}
+
+func (b *inOrder) Leaving() []route.LeavingWork {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.leaving)
+}
+
+func (b *inOrder) IsLeaving(id ident.EndpointID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.leavingLocked(id)
+}
+
+func (b *inOrder) leavingLocked(id ident.EndpointID) bool {
+	return slices.ContainsFunc(b.leaving, func(l route.LeavingWork) bool { return l.Endpoint == id })
+}
+
+func (b *inOrder) Shares(ident.Service) []route.Share {
+	return []route.Share{{Version: "v1", Weight: 1}}
+}
+
+// Shadow copies every request to the version "v2".
+func (b *inOrder) Shadow(ident.Service, ident.Version) (ident.Version, bool) {
+	return "v2", b.shadow
+}
+
+func (b *inOrder) Record(o move.Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.results = append(b.results, o.Result)
+}
+
+func newSender(t *testing.T, b *inOrder) *Sender {
+	t.Helper()
+	client := endpoint.NewClient()
+	s := New(Options{LeavingInterval: 5 * time.Millisecond}, client, b, b)
+	if err := s.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = s.Stop(context.Background())
+		client.Close()
+	})
+	return s
+}
+
+var (
+	chatRoute   = config.Route{Name: "chat", Class: ident.ClassLong, Idempotent: true}
+	lookupRoute = config.Route{Name: "catalogue", Class: ident.ClassLookup, Idempotent: true}
+	orderRoute  = config.Route{Name: "orders", Class: ident.ClassOrder}
+)
+
+func newRequest(id ident.RequestID, r config.Route) *entry.Request {
+	now := time.Now()
+	return &entry.Request{ID: id, Workspace: "families", Route: r, Service: config.Service{Name: "s"}, Arrived: now, Deadline: now.Add(20 * time.Second)}
+}
+
+func newJob(tokens int) (job *entry.ChatJob, want string) {
+	body := endpoint.ChatRequest{Model: "m", MaxTokens: tokens, Seed: 5, Messages: []endpoint.Message{{Role: "user", Content: strings.Repeat("a long letter. ", 40)}}}
+	req := newRequest("n~dc.1.1", chatRoute)
+	job = &entry.ChatJob{Request: req, Body: body, Answer: answer.New(req.ID, req.Workspace, "m", true)}
+	return job, engine.NewTokens(endpoint.PromptText(body.Messages), body.Seed).Text(tokens)
+}
+
+// TestChat lets the first engine fail in each way; the answer is whole all the same.
+func TestChat(t *testing.T) {
+	tests := []struct {
+		name    string
+		faults  engine.Faults
+		outcome route.Outcome
+	}{
+		{"no fault", engine.Faults{}, route.OutcomeOK},
+		{"refused", engine.Faults{Refuse: true}, route.OutcomeNeutral},
+		{"failed", engine.Faults{FailRate: 1}, route.OutcomeFault},
+		{"truncated", engine.Faults{TruncateAt: 7}, route.OutcomeFault},
+		{"duplicated", engine.Faults{DuplicateRate: 0.5}, route.OutcomeOK},
+		{"reordered", engine.Faults{ReorderRate: 0.5}, route.OutcomeFault},
+		{"crossed", engine.Faults{CrossRate: 0.5}, route.OutcomeOK}, // foreign chunks are dropped
+		{"error in a success", engine.Faults{HiddenErrorRate: 1}, route.OutcomeFault},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newInOrder()
+			for i, f := range []engine.Faults{tt.faults, {}} {
+				id := ident.EndpointID([]string{"first", "second"}[i])
+				b.add(t, id, engine.New(engine.Options{ID: id, Version: "v1", Speed: 1000, Faults: f, Seed: 3}).Handler())
+			}
+			job, want := newJob(40)
+			newSender(t, b).Chat(context.Background(), job)
+			if end := job.Answer.End(); end.Err != nil || end.Reason == "" || job.Answer.Text() != want {
+				t.Errorf("answer of %d tokens, end %+v", job.Answer.Len(), end)
+			}
+			if got := b.outcomes["first"]; !slices.Equal(got, []route.Outcome{tt.outcome}) {
+				t.Errorf("outcomes of the first engine = %v, want %v", got, tt.outcome)
+			}
+			if excused := b.results[0] == move.Excused; excused != (tt.outcome == route.OutcomeNeutral) {
+				t.Errorf("result for the version = %v", b.results[0])
+			}
+		})
+	}
+}
+
+// TestLeaving announces the end of an engine in mid-stream: the stream goes on at
+// another one, which got the KV cache, and neither engine is blamed.
+func TestLeaving(t *testing.T) {
+	b := newInOrder()
+	first := engine.New(engine.Options{ID: "first", Version: "v1", Speed: 5, PrefillPerSec: 1e6})
+	second := engine.New(engine.Options{ID: "second", Version: "v1", Speed: 5, PrefillPerSec: 1e6})
+	b.add(t, "first", first.Handler())
+	b.add(t, "second", second.Handler())
+	s := newSender(t, b)
+	s.opts.Attempt.Costs.PrefillPerSec = 10 // moving the cache is the cheaper way
+	job, want := newJob(60)
+	go func() {
+		for job.Answer.Len() < 10 {
+			time.Sleep(time.Millisecond)
+		}
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.leaving = []route.LeavingWork{{Endpoint: "first", Deadline: time.Now().Add(time.Second)}}
+	}()
+	s.Chat(context.Background(), job)
+	if job.Answer.End().Err != nil || job.Answer.Text() != want {
+		t.Errorf("answer of %d tokens, end %+v", job.Answer.Len(), job.Answer.End())
+	}
+	if got := b.outcomes["first"]; !slices.Equal(got, []route.Outcome{route.OutcomeNeutral}) {
+		t.Errorf("outcomes of the leaving engine = %v", got)
+	}
+	if c := second.Status().Counts; c.ImportedTokens == 0 {
+		t.Errorf("the second engine imported no cache: %+v", c)
+	}
+}
+
+// TestShadow copies a chat; the copy counts as evidence and the caller gets one answer.
+func TestShadow(t *testing.T) {
+	b := newInOrder()
+	b.shadow = true
+	e := engine.New(engine.Options{ID: "first", Version: "v1", Speed: 1000})
+	b.add(t, "first", e.Handler())
+	job, want := newJob(20)
+	s := newSender(t, b)
+	s.Chat(context.Background(), job)
+	s.shadows.wg.Wait()
+	if job.Answer.Text() != want || e.Status().Counts.Requests != 2 || len(b.results) != 2 || b.results[0] != move.OK || b.results[1] != move.OK {
+		t.Errorf("answer of %d tokens, %d requests, results %v", job.Answer.Len(), e.Status().Counts.Requests, b.results)
+	}
+}
+
+// flaky answers the n-th request by the n-th of its steps.
+type flaky struct {
+	mu    sync.Mutex
+	steps []string
+	calls int
+}
+
+func (f *flaky) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	step := f.steps[min(f.calls, len(f.steps)-1)]
+	f.calls++
+	f.mu.Unlock()
+	_, _ = io.Copy(io.Discard, r.Body)
+	switch step {
+	case "refuse":
+		w.Header().Set(verdict.Header, "not-run")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case "cut":
+		w.Header().Set("Content-Length", "10")
+		_, _ = io.WriteString(w, "half")
+		panic(http.ErrAbortHandler)
+	case "fail":
+		w.WriteHeader(http.StatusInternalServerError)
+	default:
+		_, _ = io.WriteString(w, step)
+	}
+}
+
+// TestForward lets endpoints fail under a request that may be repeated and one
+// that may not.
+func TestForward(t *testing.T) {
+	tests := []struct {
+		name  string
+		route config.Route
+		first string
+		want  string // the response's body, or the error's verdict
+		calls int    // of both endpoints
+	}{
+		{"lookup", lookupRoute, "a boot", "a boot", 1},
+		{"lookup refused", lookupRoute, "refuse", "again", 2},
+		{"lookup cut", lookupRoute, "cut", "again", 2},
+		{"lookup failed", lookupRoute, "fail", "again", 2},
+		{"order", orderRoute, "a plaque", "a plaque", 1},
+		{"order refused", orderRoute, "refuse", "again", 2},
+		{"order cut", orderRoute, "cut", "may-have-run", 1},
+		{"order failed", orderRoute, "fail", "", 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newInOrder()
+			first, second := &flaky{steps: []string{tt.first}}, &flaky{steps: []string{"again"}}
+			b.add(t, "first", first)
+			b.add(t, "second", second)
+			in := httptest.NewRequest(http.MethodPost, "/x", nil)
+			got := ""
+			err := newSender(t, b).Forward(context.Background(), newRequest("r", tt.route), in, []byte("body"), func(resp *http.Response) error {
+				raw, err := io.ReadAll(resp.Body)
+				got = string(raw)
+				return err
+			})
+			if err != nil {
+				got = verdict.Of(err).String()
+			}
+			if got != tt.want || first.calls+second.calls != tt.calls {
+				t.Errorf("got %q after %d calls, want %q after %d; error %v", got, first.calls+second.calls, tt.want, tt.calls, err)
+			}
+		})
+	}
+}
+
+// TestOrdersOnce sends the same order again and again to two nodes whose desk
+// fails in each way; its effect never comes twice.
+func TestOrdersOnce(t *testing.T) {
+	tests := []struct {
+		name    string
+		faults  service.Faults
+		store   memstore.Faults
+		effects int
+		want    string // verdict of the last repeat; "ok" for an answer
+	}{
+		{"no fault", service.Faults{}, memstore.Faults{}, 1, "ok"},
+		{"cut after the effect", service.Faults{CutRate: 1}, memstore.Faults{}, 1, "may-have-run"},
+		{"refused", service.Faults{RefuseRate: 1}, memstore.Faults{}, 0, "not-run"},
+		{"store down", service.Faults{}, memstore.Faults{Down: true}, 0, "not-run"},
+		{"store loses answers", service.Faults{}, memstore.Faults{LoseAnswer: 0.5}, 1, "ok"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newInOrder()
+			desk := service.New(service.Options{ID: "desk", Faults: tt.faults})
+			b.add(t, "desk", desk.Handler())
+			store := memstore.New(memstore.Options{Seed: 1})
+			store.SetFaults(tt.store)
+			last := ""
+			for n, node := range []ident.NodeID{"one", "two", "one"} {
+				c := committer.New(store, committer.Options{Ledger: once.Options{Node: node, Incarnation: ident.Incarnation(n + 1)}})
+				last = placeOrder(t, newSender(t, b), NewOrders(c), ident.RequestID(node)+ident.RequestID(rune('a'+n)), "{}")
+				c.Stop()
+			}
+			if n := desk.Effects().ByKey["key-1"]; n != tt.effects || last != tt.want {
+				t.Errorf("%d effects, last repeat %q; want %d, %q", n, last, tt.effects, tt.want)
+			}
+		})
+	}
+}
+
+// placeOrder sends an order through the ledger and returns "ok" or the verdict.
+func placeOrder(t *testing.T, s *Sender, o *Orders, id ident.RequestID, body string) string {
+	t.Helper()
+	req := newRequest(id, orderRoute)
+	req.Key = "key-1"
+	req.Deadline = time.Now().Add(3 * time.Second)
+	ctx, cancel := context.WithDeadline(context.Background(), req.Deadline)
+	defer cancel()
+	in := httptest.NewRequest(http.MethodPost, "/orders", nil)
+	in.Header.Set("Idempotency-Key", req.Key)
+	rec, err := o.Do(ctx, req, in, []byte(body), func(ctx context.Context) (*entry.Recorded, error) {
+		rec := &entry.Recorded{Header: make(http.Header)}
+		err := s.Forward(ctx, req, in, []byte(body), func(resp *http.Response) error {
+			var err error
+			rec.Status = resp.StatusCode
+			rec.Body, err = io.ReadAll(resp.Body)
+			return err
+		})
+		return rec, err
+	})
+	if err != nil {
+		return verdict.Of(err).String()
+	}
+	if rec.Status != http.StatusOK && rec.Status != http.StatusCreated {
+		t.Errorf("order answered with status %d: %s", rec.Status, rec.Body)
+	}
+	return "ok"
+}
+
+func TestSameKeyOtherBody(t *testing.T) {
+	b := newInOrder()
+	desk := service.New(service.Options{ID: "desk"})
+	b.add(t, "desk", desk.Handler())
+	c := committer.New(memstore.New(memstore.Options{}), committer.Options{Ledger: once.Options{Node: "one", Incarnation: 1}})
+	defer c.Stop()
+	s, o := newSender(t, b), NewOrders(c)
+	if got := placeOrder(t, s, o, "a", "{}"); got != "ok" {
+		t.Fatalf("first order: %s", got)
+	}
+	if got := placeOrder(t, s, o, "b", `{"plaque":2}`); got != "not-run" {
+		t.Errorf("same key with another body: %s", got)
+	}
+	if n := desk.Effects().ByKey["key-1"]; n != 1 {
+		t.Errorf("%d effects", n)
+	}
+}
--- a/internal/dispatch/sender.go
+++ b/internal/dispatch/sender.go
@@ -32,6 +32,9 @@
 type Versions interface {
 	Shares(service ident.Service) []route.Share
 	Record(o move.Outcome)
+	// Shadow draws whether a copy of an idempotent request, answered by one version,
+	// goes to another, and to which.
+	Shadow(service ident.Service, answering ident.Version) (ident.Version, bool)
 }
 
 // Options are the settings of a Sender.
@@ -59,6 +62,7 @@
 	versions Versions
 	budgets  budgets
 	movers   movers
+	shadows  *shadows
 }
 
 var _ entry.Sender = (*Sender)(nil)
@@ -71,10 +75,12 @@
 	if opts.Attempt.Costs == (attempt.Costs{}) {
 		opts.Attempt.Costs = DefaultCosts
 	}
-	return &Sender{
+	s := &Sender{
 		opts: opts, client: client, balancer: balancer, versions: versions,
 		budgets: budgets{opts: opts.Budget}, movers: newMovers(),
 	}
+	s.shadows = newShadows(s)
+	return s
 }
 
 // Chat produces an answer token by token. A stream that breaks, or whose endpoint
--- /dev/null
+++ b/internal/dispatch/shadow.go
@@ -0,0 +1,124 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/endpoint"
+	"github.com/jujubeshed/jujubeshed/internal/entry"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/move"
+	"github.com/jujubeshed/jujubeshed/internal/route"
+)
+
+// shadowSuffix ends the attempt ID of a shadow copy.
+const shadowSuffix = ".shadow"
+
+// maxShadows bounds the shadow copies in flight.
+const maxShadows = 8
+
+// shadows sends copies of requests to the version that does not answer the caller,
+// so that a version move gains evidence at no risk. Their answers are thrown away.
+type shadows struct {
+	sender *Sender
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	slots  chan struct{}
+}
+
+func newShadows(s *Sender) *shadows {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &shadows{sender: s, ctx: ctx, cancel: cancel, slots: make(chan struct{}, maxShadows)}
+}
+
+func (h *shadows) stop() {
+	h.cancel()
+	h.wg.Wait()
+}
+
+// offer copies a chat to another version where the move asks for it and few
+// copies are in flight. answering is the version that the caller's answer comes from.
+func (h *shadows) offer(w *work, body *endpoint.ChatRequest, answering ident.Version) {
+	if !w.request.Route.Idempotent {
+		return
+	}
+	version, ok := h.sender.versions.Shadow(w.request.Service.Name, answering)
+	if !ok {
+		return
+	}
+	select {
+	case h.slots <- struct{}{}:
+	default:
+		return
+	}
+	h.wg.Add(1)
+	go func() {
+		defer h.wg.Done()
+		defer func() { <-h.slots }()
+		h.send(w.request, w.chain, w.promptTokens, *body, version)
+	}()
+}
+
+// send runs one copy to its end and counts it as evidence.
+func (h *shadows) send(r *entry.Request, chain []uint64, promptTokens int, body endpoint.ChatRequest, version ident.Version) {
+	ctx, cancel := context.WithDeadline(h.ctx, r.Deadline)
+	defer cancel()
+	id := ident.AttemptID(string(r.ID) + shadowSuffix)
+	c, err := h.sender.balancer.Dispatch(id, route.Request{
+		Service: r.Service.Name, Class: ident.ClassLong, Shares: []route.Share{{Version: version, Weight: 1}},
+		Chain: chain, PromptTokens: promptTokens, Deadline: r.Deadline,
+	})
+	if err != nil {
+		return
+	}
+	w := &work{sender: h.sender, request: r}
+	body.Stream = true
+	begun := time.Now()
+	first, size, err := h.read(ctx, c.Address, w.meta(id), &body)
+	outcome := route.OutcomeOK
+	result := move.OK
+	switch {
+	case ctx.Err() != nil || h.sender.balancer.IsLeaving(c.Endpoint):
+		outcome, result = route.OutcomeNeutral, move.Excused
+	case err != nil:
+		outcome, result = route.OutcomeFault, move.Failed
+	}
+	h.sender.balancer.Finish(id, outcome)
+	h.sender.versions.Record(move.Outcome{
+		Service: r.Service.Name, Version: version, Route: r.Route.Name, Workspace: r.Workspace,
+		Result: result, Latency: first.Sub(begun), Size: size,
+	})
+}
+
+// read reads a copy's answer to its end; it returns when the first token came and
+// the number of tokens.
+func (h *shadows) read(ctx context.Context, addr string, m endpoint.Meta, body *endpoint.ChatRequest) (first time.Time, size int, err error) {
+	s, err := h.sender.client.Chat(ctx, addr, m, body)
+	if err != nil {
+		return time.Time{}, 0, err
+	}
+	defer s.Close()
+	finished := false
+	var ch endpoint.Chunk
+	for {
+		if err := s.Next(&ch); err != nil {
+			return first, size, err
+		}
+		if first.IsZero() {
+			first = time.Now()
+		}
+		switch {
+		case ch.Done && finished:
+			return first, size, nil
+		case ch.Done:
+			return first, size, io.ErrUnexpectedEOF
+		case ch.FinishReason != "":
+			finished = true
+		default:
+			size++
+		}
+	}
+}
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -204,9 +204,10 @@
 	return nil
 }
 
-// Stop ends that.
+// Stop ends that, and the shadow copies.
 func (s *Sender) Stop(context.Context) error {
 	s.movers.cancel()
 	<-s.movers.done
+	s.shadows.stop()
 	return nil
 }
--- a/internal/node/moves.go
+++ b/internal/node/moves.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -77,6 +78,19 @@
 	return []route.Share{from, {Version: split.To, Weight: float64(split.Share)}}
 }
 
+// Shadow draws whether a copy of a request goes to the version that does not
+// answer it.
+func (m *moves) Shadow(service ident.Service, answering ident.Version) (ident.Version, bool) {
+	split, ok := m.mover.Split(service)
+	if !ok || split.To == "" || split.Shadow == 0 || rand.IntN(int(move.FullShare)) >= int(split.Shadow) {
+		return "", false
+	}
+	if answering == split.To {
+		return split.From, true
+	}
+	return split.To, true
+}
+
 // configured returns the version of the configuration, before the moves are known.
 func (m *moves) configured(service ident.Service) []route.Share {
 	cfg := m.peers.config.Current()
