Carry answers between nodes apart from membership

Cause: the peer service's client now takes the connections to use. Change: hand-overs and followed answers go over connections of their own, so that a long answer holds up no heartbeat. Measured: go test ./internal/e2e ./internal/handover ./internal/peer/... passes.

--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -39,6 +39,7 @@
 	serviceStore     kernel.Name = "platform.client"
 	serviceLedger    kernel.Name = "once.ledger"
 	serviceEndpoints kernel.Name = "endpoint.client"
+	serviceBulk      kernel.Name = "handover.connections"
 	serviceAdmission kernel.Name = "admit.gate"
 	serviceCapacity  kernel.Name = "admit.capacity"
 	serviceMoves     kernel.Name = "move.mover"
@@ -51,6 +52,9 @@
 	serviceCallers   kernel.Name = "listener.callers"
 )
 
+// bulkIdleTimeout ends connections between nodes that carry no answers.
+const bulkIdleTimeout = time.Minute
+
 // wiring builds the services of a node and registers them.
 type wiring struct {
 	opts     *Options
@@ -75,6 +79,7 @@
 	capacity  *capacityUpdater
 	gossip    *gossip.Service
 	peers     *peers
+	bulk      *http.Transport // of answers between nodes, apart from membership
 	rejected  prometheus.Counter
 }
 
@@ -122,6 +127,7 @@
 
 func (w *wiring) buildRouting() {
 	w.endpoints = endpoint.NewClient()
+	w.bulk = &http.Transport{IdleConnTimeout: bulkIdleTimeout}
 	w.balancer = balancer.New(route.Options{Node: w.opts.ID, DataCentre: w.opts.DataCentre}, uint64(w.life))
 	w.gate = gate.New(gate.Options{})
 	w.peers.balancer = w.balancer
@@ -188,7 +194,7 @@
 func (w *wiring) buildEntry() {
 	w.answers = answer.NewTable()
 	w.sender = dispatch.New(dispatch.Options{}, w.endpoints, w.balancer, w.moves)
-	w.remote = handover.NewRemote(w.log, w.peers, w.gossip.HTTPClient())
+	w.remote = handover.NewRemote(w.log, w.peers, w.gossip.HTTPClient(w.bulk))
 	w.entry = entry.New(entry.Options{
 		Node: w.opts.ID, DataCentre: w.opts.DataCentre, Incarnation: w.life,
 		Ready: func() bool { return w.hosts.Hosts() != nil },
@@ -216,6 +222,7 @@
 		{serviceStore, stopFunc(w.store.Close)},
 		{serviceLedger, stopFunc(w.ledger.Stop)},
 		{serviceEndpoints, stopFunc(w.endpoints.Close)},
+		{serviceBulk, stopFunc(w.bulk.CloseIdleConnections)},
 		{serviceAdmission, stopFunc(w.gate.Close)},
 		{servicePeers, newListener("peers", w.opts.Peers, w.peersHandler(), w.log)},
 		{gossip.Name, w.gossip},
