--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 )
@@ -18,9 +19,10 @@
 	ExitOffline = 3 // the platform or a node could not be reached
 )
 
-// env returns the source of a flag's value from its environment variable.
-func env(name string) cli.ValueSourceChain {
-	return cli.EnvVars("JUJUBESHED_" + name)
+// env returns the source of a flag's value from its environment variable, which is
+// the flag's name in capitals behind a prefix.
+func env(flag string) cli.ValueSourceChain {
+	return cli.EnvVars("JUJUBESHED_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_")))
 }
 
 // usageError marks an error of flags, settings or files.
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -13,8 +13,8 @@
 		Name:  "demo",
 		Usage: "runs both example deployments in this process and shows what happens to a mix of requests",
 		Flags: []cli.Flag{
-			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the requests", Sources: env("SEED")},
-			&cli.StringFlag{Name: "log-level", Value: "error", Usage: "debug, info, warn or error", Sources: env("LOG_LEVEL")},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the requests", Sources: env("seed")},
+			&cli.StringFlag{Name: "log-level", Value: "error", Usage: "debug, info, warn or error", Sources: env("log-level")},
 			logFormatFlag(),
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -21,10 +21,10 @@
 		Description: "Without a name it lists the experiments. It exits 1 where an answer was lost, cut, doubled\n" +
 			"or wrong, or an order did not take effect as its answer says.",
 		Flags: []cli.Flag{
-			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the load", Sources: env("SEED")},
-			&cli.DurationFlag{Name: "duration", Value: 20 * time.Second, Usage: "duration of the arrivals", Sources: env("DURATION")},
-			&cli.FloatFlag{Name: "rate", Value: 20, Usage: "requests a second", Sources: env("RATE")},
-			&cli.StringFlag{Name: "log-level", Value: "error", Usage: "debug, info, warn or error", Sources: env("LOG_LEVEL")},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the load", Sources: env("seed")},
+			&cli.DurationFlag{Name: "duration", Value: 20 * time.Second, Usage: "duration of the arrivals", Sources: env("duration")},
+			&cli.FloatFlag{Name: "rate", Value: 20, Usage: "requests a second", Sources: env("rate")},
+			&cli.StringFlag{Name: "log-level", Value: "error", Usage: "debug, info, warn or error", Sources: env("log-level")},
 			logFormatFlag(),
 			jsonFlag(),
 		},
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -23,17 +23,17 @@
 		Name:  "node",
 		Usage: "runs the process of an entry host",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "node-id", Usage: "unique name of this node", Sources: env("NODE_ID")},
-			&cli.StringFlag{Name: "data-centre", Usage: "data centre of this node", Sources: env("DATA_CENTRE")},
-			&cli.StringFlag{Name: "callers", Value: "127.0.0.1:8080", Usage: "IP:port to serve callers at", Sources: env("CALLERS")},
-			&cli.StringFlag{Name: "operators", Value: "127.0.0.1:8081", Usage: "IP:port to serve operators and /metrics at", Sources: env("OPERATORS")},
-			&cli.StringFlag{Name: "peers", Value: "127.0.0.1:8082", Usage: "IP:port to serve other nodes at", Sources: env("PEERS")},
-			&cli.StringFlag{Name: "advertise", Usage: "IP:port at which other nodes reach --peers (default: the same)", Sources: env("ADVERTISE")},
-			&cli.StringSliceFlag{Name: "seed", Usage: "IP:port of another node's --peers; may be repeated", Sources: env("SEEDS")},
+			&cli.StringFlag{Name: "node-id", Usage: "unique name of this node", Sources: env("node-id")},
+			&cli.StringFlag{Name: "data-centre", Usage: "data centre of this node", Sources: env("data-centre")},
+			&cli.StringFlag{Name: "callers", Value: "127.0.0.1:8080", Usage: "IP:port to serve callers at", Sources: env("callers")},
+			&cli.StringFlag{Name: "operators", Value: "127.0.0.1:8081", Usage: "IP:port to serve operators and /metrics at", Sources: env("operators")},
+			&cli.StringFlag{Name: "peers", Value: "127.0.0.1:8082", Usage: "IP:port to serve other nodes at", Sources: env("peers")},
+			&cli.StringFlag{Name: "advertise", Usage: "IP:port at which other nodes reach --peers (default: the same)", Sources: env("advertise")},
+			&cli.StringSliceFlag{Name: "join", Usage: "IP:port of another node's --peers; may be repeated", Sources: env("join")},
 			platformFlag(),
 			keyFlag(),
-			&cli.DurationFlag{Name: "drain-delay", Value: node.DefaultDrainDelay, Usage: "how long to accept after the readiness check fails", Sources: env("DRAIN_DELAY")},
-			&cli.DurationFlag{Name: "drain-timeout", Value: node.DefaultDrainTimeout, Usage: "how long answers may run before they are handed over", Sources: env("DRAIN_TIMEOUT")},
+			&cli.DurationFlag{Name: "drain-delay", Value: node.DefaultDrainDelay, Usage: "how long to accept after the readiness check fails", Sources: env("drain-delay")},
+			&cli.DurationFlag{Name: "drain-timeout", Value: node.DefaultDrainTimeout, Usage: "how long answers may run before they are handed over", Sources: env("drain-timeout")},
 			logLevelFlag(),
 			logFormatFlag(),
 		},
@@ -42,19 +42,19 @@
 }
 
 func platformFlag() cli.Flag {
-	return &cli.StringFlag{Name: "platform", Value: "127.0.0.1:9000", Usage: "IP:port of the platform's API", Sources: env("PLATFORM")}
+	return &cli.StringFlag{Name: "platform", Value: "127.0.0.1:9000", Usage: "IP:port of the platform's API", Sources: env("platform")}
 }
 
 func keyFlag() cli.Flag {
-	return &cli.StringFlag{Name: "key", Usage: "secret shared by all nodes and operators", Sources: env("KEY")}
+	return &cli.StringFlag{Name: "key", Usage: "secret shared by all nodes and operators", Sources: env("key")}
 }
 
 func logLevelFlag() cli.Flag {
-	return &cli.StringFlag{Name: "log-level", Value: "info", Usage: "debug, info, warn or error", Sources: env("LOG_LEVEL")}
+	return &cli.StringFlag{Name: "log-level", Value: "info", Usage: "debug, info, warn or error", Sources: env("log-level")}
 }
 
 func logFormatFlag() cli.Flag {
-	return &cli.StringFlag{Name: "log-format", Value: "text", Usage: "text or json", Sources: env("LOG_FORMAT")}
+	return &cli.StringFlag{Name: "log-format", Value: "text", Usage: "text or json", Sources: env("log-format")}
 }
 
 func runNode(ctx context.Context, cmd *cli.Command) error {
@@ -69,7 +69,7 @@
 		Operators:    cmd.String("operators"),
 		Peers:        cmd.String("peers"),
 		Advertise:    cmd.String("advertise"),
-		Seeds:        cmd.StringSlice("seed"),
+		Seeds:        cmd.StringSlice("join"),
 		Platform:     cmd.String("platform"),
 		Key:          peerauth.Key(cmd.String("key")),
 		DrainDelay:   cmd.Duration("drain-delay"),
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -50,25 +50,20 @@
 	}
 }
 
-// standinEnv names the environment variable of a flag.
-func standinEnv(flag string) cli.ValueSourceChain {
-	return cli.EnvVars("JUJUBESHED_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_")))
-}
-
 func standinString(name, value, usage string) cli.Flag {
-	return &cli.StringFlag{Name: name, Value: value, Usage: usage, Sources: standinEnv(name)}
+	return &cli.StringFlag{Name: name, Value: value, Usage: usage, Sources: env(name)}
 }
 
 func standinInt(name string, value int, usage string) cli.Flag {
-	return &cli.IntFlag{Name: name, Value: value, Usage: usage, Sources: standinEnv(name)}
+	return &cli.IntFlag{Name: name, Value: value, Usage: usage, Sources: env(name)}
 }
 
 func standinFloat(name string, value float64, usage string) cli.Flag {
-	return &cli.FloatFlag{Name: name, Value: value, Usage: usage, Sources: standinEnv(name)}
+	return &cli.FloatFlag{Name: name, Value: value, Usage: usage, Sources: env(name)}
 }
 
 func standinBool(name string, value bool, usage string) cli.Flag {
-	return &cli.BoolFlag{Name: name, Value: value, Usage: usage, Sources: standinEnv(name)}
+	return &cli.BoolFlag{Name: name, Value: value, Usage: usage, Sources: env(name)}
 }
 
 func standinFlags() []cli.Flag {
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -19,7 +19,7 @@
 
 func operatorFlags() []cli.Flag {
 	return []cli.Flag{
-		&cli.StringFlag{Name: "node", Value: "127.0.0.1:8081", Usage: "IP:port of a node's --operators", Sources: env("NODE")},
+		&cli.StringFlag{Name: "node", Value: "127.0.0.1:8081", Usage: "IP:port of a node's --operators", Sources: env("node")},
 		keyFlag(),
 		jsonFlag(),
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/jujubeshed/jujubeshed/internal/kernel"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
 )
 
@@ -34,8 +35,7 @@
 	log   *slog.Logger
 	hosts platform.Hosts
 
-	cancel context.CancelFunc
-	done   chan struct{}
+	loop *kernel.Loop
 
 	mu struct {
 		sync.Mutex
@@ -51,7 +51,9 @@
 	if opts.Interval == 0 {
 		opts.Interval = DefaultInterval
 	}
-	return &Watcher{opts: opts, log: log, hosts: hosts, done: make(chan struct{})}
+	w := &Watcher{opts: opts, log: log, hosts: hosts}
+	w.loop = kernel.NewLoop(opts.Interval, w.poll)
+	return w
 }
 
 // OnHosts calls f with each list read. It must be called before Start.
@@ -77,33 +79,14 @@
 }
 
 // Start reads the list once and goes on in the background.
-func (w *Watcher) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	w.cancel = cancel
+func (w *Watcher) Start(ctx context.Context) error {
 	w.poll(ctx)
-	go w.run(ctx)
-	return nil
+	return w.loop.Start(ctx)
 }
 
 // Stop ends the watcher.
-func (w *Watcher) Stop(context.Context) error {
-	w.cancel()
-	<-w.done
-	return nil
-}
-
-func (w *Watcher) run(ctx context.Context) {
-	defer close(w.done)
-	tick := time.NewTicker(w.opts.Interval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			w.poll(ctx)
-		}
-	}
+func (w *Watcher) Stop(ctx context.Context) error {
+	return w.loop.Stop(ctx)
 }
 
 func (w *Watcher) poll(ctx context.Context) {
--- a/internal/dispatch/sender.go
+++ b/internal/dispatch/sender.go
@@ -14,6 +14,7 @@
 	"github.com/jujubeshed/jujubeshed/internal/endpoint"
 	"github.com/jujubeshed/jujubeshed/internal/entry"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/kernel"
 	"github.com/jujubeshed/jujubeshed/internal/move"
 	"github.com/jujubeshed/jujubeshed/internal/route"
 	"github.com/jujubeshed/jujubeshed/internal/verdict"
@@ -63,6 +64,7 @@
 	budgets  budgets
 	movers   movers
 	shadows  *shadows
+	loop     *kernel.Loop
 }
 
 var _ entry.Sender = (*Sender)(nil)
@@ -80,6 +82,7 @@
 		budgets: budgets{opts: opts.Budget}, movers: newMovers(),
 	}
 	s.shadows = newShadows(s)
+	s.loop = kernel.NewLoop(opts.LeavingInterval, func(context.Context) { s.movers.tell(balancer.Leaving()) })
 	return s
 }
 
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -142,12 +142,10 @@
 	mu *sync.Mutex
 	// controls of the runs, and the leaving endpoints that each was told of.
 	controls map[chan attempt.Event]map[ident.EndpointID]time.Time
-	cancel   context.CancelFunc
-	done     chan struct{}
 }
 
 func newMovers() movers {
-	return movers{mu: new(sync.Mutex), controls: make(map[chan attempt.Event]map[ident.EndpointID]time.Time), done: make(chan struct{})}
+	return movers{mu: new(sync.Mutex), controls: make(map[chan attempt.Event]map[ident.EndpointID]time.Time)}
 }
 
 // controlBuffer is how many events a run may leave waiting.
@@ -185,29 +183,13 @@
 }
 
 // Start looks for work on leaving endpoints in the background.
-func (s *Sender) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.movers.cancel = cancel
-	go func() {
-		defer close(s.movers.done)
-		tick := time.NewTicker(s.opts.LeavingInterval)
-		defer tick.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-tick.C:
-				s.movers.tell(s.balancer.Leaving())
-			}
-		}
-	}()
-	return nil
+func (s *Sender) Start(ctx context.Context) error {
+	return s.loop.Start(ctx)
 }
 
 // Stop ends that, and the shadow copies.
-func (s *Sender) Stop(context.Context) error {
-	s.movers.cancel()
-	<-s.movers.done
+func (s *Sender) Stop(ctx context.Context) error {
+	err := s.loop.Stop(ctx)
 	s.shadows.stop()
-	return nil
+	return err
 }
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -75,7 +75,7 @@
 		"--platform", s.platform, "--key", sharedKey, "--drain-delay", "200ms", "--drain-timeout", "500ms"}
 	for j, p := range s.peers {
 		if j != i {
-			args = append(args, "--seed", p)
+			args = append(args, "--join", p)
 		}
 	}
 	s.nodeProc = append(s.nodeProc, start(t, fmt.Sprintf("node-%d", i), args...))
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/jujubeshed/jujubeshed/internal/entry"
 	"github.com/jujubeshed/jujubeshed/internal/kernel"
 )
@@ -23,9 +25,7 @@
 	opts  *Options
 	log   *slog.Logger
 	entry *entry.Server
-
-	cancel context.CancelFunc
-	done   chan struct{}
+	loop  *kernel.Loop
 }
 
 var (
@@ -37,7 +37,8 @@
 func newCallers(opts *Options, s *entry.Server, log *slog.Logger) *callers {
 	return &callers{
 		listener: newListener("callers", opts.Callers, s, log),
-		opts:     opts, log: log, entry: s, done: make(chan struct{}),
+		opts:     opts, log: log, entry: s,
+		loop: kernel.NewLoop(expireInterval, func(context.Context) { s.ExpireAnswers(time.Now()) }),
 	}
 }
 
@@ -46,23 +47,7 @@
 	if err := c.listener.Start(ctx); err != nil {
 		return err
 	}
-	ctx, c.cancel = context.WithCancel(context.Background())
-	go c.expire(ctx)
-	return nil
-}
-
-func (c *callers) expire(ctx context.Context) {
-	defer close(c.done)
-	tick := time.NewTicker(expireInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case t := <-tick.C:
-			c.entry.ExpireAnswers(t)
-		}
-	}
+	return c.loop.Start(ctx)
 }
 
 // Drain makes the balancer move on, then ends or hands over what runs.
@@ -80,9 +65,7 @@
 
 // Stop ends the listener.
 func (c *callers) Stop(ctx context.Context) error {
-	c.cancel()
-	<-c.done
-	return c.listener.Stop(ctx)
+	return errors.CombineErrors(c.loop.Stop(ctx), c.listener.Stop(ctx))
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/node/moves.go
+++ b/internal/node/moves.go
@@ -9,6 +9,7 @@
 
 	"github.com/jujubeshed/jujubeshed/internal/dispatch"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/kernel"
 	"github.com/jujubeshed/jujubeshed/internal/move"
 	"github.com/jujubeshed/jujubeshed/internal/move/mover"
 	"github.com/jujubeshed/jujubeshed/internal/peer"
@@ -30,6 +31,7 @@
 type moves struct {
 	mover  *mover.Mover
 	peers  *peers
+	loop   *kernel.Loop
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -37,7 +39,12 @@
 var _ dispatch.Versions = (*moves)(nil)
 
 func newMoves(p *peers, opts mover.Options) *moves {
-	return &moves{mover: mover.New(opts), peers: p, done: make(chan struct{})}
+	m := &moves{mover: mover.New(opts), peers: p, done: make(chan struct{})}
+	m.loop = kernel.NewLoop(exchangeInterval, func(context.Context) {
+		m.publish()
+		m.collect()
+	})
+	return m
 }
 
 // Start drives the moves in the background.
@@ -46,22 +53,16 @@
 	m.cancel = cancel
 	go func() {
 		defer close(m.done)
-		exchanged := make(chan struct{})
-		go func() {
-			defer close(exchanged)
-			m.exchangeLoop(ctx)
-		}()
 		_ = m.mover.Run(ctx) // ends only with ctx
-		<-exchanged
 	}()
-	return nil
+	return m.loop.Start(ctx)
 }
 
 // Stop ends that.
-func (m *moves) Stop(context.Context) error {
+func (m *moves) Stop(ctx context.Context) error {
 	m.cancel()
 	<-m.done
-	return nil
+	return m.loop.Stop(ctx)
 }
 
 // Shares returns the versions that may get new work of a service. Only the version
@@ -105,20 +106,6 @@
 	m.mover.Record(o)
 }
 
-func (m *moves) exchangeLoop(ctx context.Context) {
-	tick := time.NewTicker(exchangeInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			m.publish()
-			m.collect()
-		}
-	}
-}
-
 // publish shares this node's evidence, and the marks and records that it knows.
 func (m *moves) publish() {
 	for _, e := range m.mover.Own() {
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -75,7 +75,7 @@
 		addresses = append(addresses, struct{ flag, value string }{"advertise", o.Advertise})
 	}
 	for _, s := range o.Seeds {
-		addresses = append(addresses, struct{ flag, value string }{"seed", s})
+		addresses = append(addresses, struct{ flag, value string }{"join", s})
 	}
 	for _, a := range addresses {
 		if err := checkAddress(a.flag, a.value); err != nil {
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -7,12 +7,10 @@
 	"github.com/jujubeshed/jujubeshed/internal/admit"
 	"github.com/jujubeshed/jujubeshed/internal/admit/gate"
 	"github.com/jujubeshed/jujubeshed/internal/config/syncer"
-	"github.com/jujubeshed/jujubeshed/internal/discovery"
 	"github.com/jujubeshed/jujubeshed/internal/entry"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/kernel"
 	"github.com/jujubeshed/jujubeshed/internal/move"
-	"github.com/jujubeshed/jujubeshed/internal/platform"
 	"github.com/jujubeshed/jujubeshed/internal/route/balancer"
 )
 
@@ -81,37 +79,7 @@
 type capacityUpdater struct {
 	gate     *gate.Gate
 	balancer *balancer.Balancer
-	hosts    *discovery.Watcher
 	config   entry.ConfigSource
-	cancel   context.CancelFunc
-	done     chan struct{}
-}
-
-// Start updates the capacity in the background.
-func (u *capacityUpdater) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	u.cancel = cancel
-	go func() {
-		defer close(u.done)
-		tick := time.NewTicker(capacityInterval)
-		defer tick.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-tick.C:
-				u.update()
-			}
-		}
-	}()
-	return nil
-}
-
-// Stop ends the updates.
-func (u *capacityUpdater) Stop(context.Context) error {
-	u.cancel()
-	<-u.done
-	return nil
 }
 
 // update gives the gate the present capacity. A service without endpoints keeps
@@ -127,26 +95,23 @@
 }
 
 // of returns the share of a service's requests that the ready endpoints of a
-// version can take.
+// version can take: their slots, less a reserve, over the requests running on all
+// versions. An idle service's requests all fit.
 func (u *capacityUpdater) of(service ident.Service, version ident.Version) move.Share {
-	all, ready := 0, 0
-	for _, h := range u.hosts.Hosts() {
-		for _, e := range h.Endpoints {
-			if e.Service != service || h.State != platform.HostLive || u.balancer.IsLeaving(e.ID) {
-				continue
-			}
-			all++
-			if e.Version == version {
-				ready++
-			}
+	var slots, running float64
+	for _, v := range u.balancer.Usage(service) {
+		running += v.Running
+		if v.Version == version {
+			slots = v.Slots
 		}
 	}
-	if ready == 0 {
-		return 0
+	usable := slots * (1 - slotReserve)
+	if slots == 0 || running <= usable {
+		return move.FullShare * move.Share(min(slots, 1))
 	}
-	return min(move.FullShare, capacityHeadroom*move.FullShare*move.Share(ready)/move.Share(all))
+	return move.Share(usable / running * float64(move.FullShare))
 }
 
-// capacityHeadroom is how many times its part of the endpoints a version may get
-// of the requests: a fleet is sized for a peak and for the loss of a data centre.
-const capacityHeadroom = 2
+// slotReserve is the part of a version's slots that a move leaves free, for a rise
+// of the load and for the loss of a data centre.
+const slotReserve = 0.3
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"time"
@@ -149,7 +150,7 @@
 		Metrics:   syncer.NewMetrics(w.metrics),
 		Log:       w.log,
 	}))
-	w.capacity = &capacityUpdater{gate: w.gate, balancer: w.balancer, hosts: w.hosts, config: w.config, done: make(chan struct{})}
+	w.capacity = &capacityUpdater{gate: w.gate, balancer: w.balancer, config: w.config}
 	w.hosts.OnHosts(func([]platform.HostInfo) { w.capacity.update() })
 	w.peers.config = w.config
 }
@@ -229,7 +230,7 @@
 		{serviceConfig, w.config},
 		{serviceDiscovery, w.hosts},
 		{serviceObserver, w.observer},
-		{serviceCapacity, w.capacity},
+		{serviceCapacity, kernel.NewLoop(capacityInterval, func(context.Context) { w.capacity.update() })},
 		{serviceMoves, w.moves},
 		{serviceSender, w.sender},
 		{serviceOperators, newListener("operators", w.opts.Operators, operators, w.log)},
--- a/internal/route/balancer/balancer.go
+++ b/internal/route/balancer/balancer.go
@@ -108,6 +108,13 @@
 	return n
 }
 
+// Usage returns the usage of each version of a service.
+func (b *Balancer) Usage(service ident.Service) []route.Usage {
+	var u []route.Usage
+	b.with(func(now time.Time, t *route.Table) { u = t.Usage(now, service) })
+	return u
+}
+
 // Leaving returns the work in flight on leaving endpoints.
 func (b *Balancer) Leaving() []route.LeavingWork {
 	var w []route.LeavingWork
