--- a/internal/peer/aggregate.go
+++ b/internal/peer/aggregate.go
@@ -164,6 +164,25 @@
 	})
 }
 
+// FleetSize returns the number of nodes, this one included, that share the limits
+// of the fleet. Suspected nodes count, and so do those of a data centre that has
+// fallen silent, until its aggregate is forgotten: a node that is cut off then
+// admits too little rather than too much.
+func (n *Node) FleetSize() int {
+	size := 0
+	for _, m := range n.Members() {
+		if m.State != StateJoining {
+			size++
+		}
+	}
+	for _, dc := range n.DataCentres() {
+		if dc.Name != n.o.DataCentre {
+			size += dc.Alive + dc.Suspect
+		}
+	}
+	return size
+}
+
 func dataCentreOf(a *peerv1.Aggregate, silent time.Duration) DataCentre {
 	d := DataCentre{
 		Name:        ident.DataCentre(a.GetDataCentre()),
--- a/internal/peer/apply.go
+++ b/internal/peer/apply.go
@@ -70,6 +70,9 @@
 		k.scope = scopeFleet
 	}
 	inc := ident.Incarnation(d.GetIncarnation())
+	if inc > maxIncarnation {
+		return
+	}
 	if k.owner == n.o.ID {
 		n.checkOwn(inc, n.own[k.scope], d.GetSeq())
 		return
@@ -209,7 +212,7 @@
 		id, inc := ident.NodeID(g.GetNode()), ident.Incarnation(g.GetIncarnation())
 		r := n.logs.get(logKey{id, scopeLocal})
 		switch {
-		case r == nil || inc < r.incarnation:
+		case r == nil || inc < r.incarnation || inc > maxIncarnation:
 		case id == n.o.ID:
 			n.refute(inc)
 		case g.GetLeft():
--- a/internal/peer/gossip/state.go
+++ b/internal/peer/gossip/state.go
@@ -21,6 +21,9 @@
 // DataCentres returns the aggregate of each data centre, ordered by name.
 func (s *Service) DataCentres() []peer.DataCentre { return read(s, (*peer.Node).DataCentres) }
 
+// FleetSize returns the number of nodes that share the limits of the fleet.
+func (s *Service) FleetSize() int { return read(s, (*peer.Node).FleetSize) }
+
 // IsDelegate tells whether this node speaks for its data centre.
 func (s *Service) IsDelegate() bool { return read(s, (*peer.Node).IsDelegate) }
 
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -36,6 +36,9 @@
 	deletedFor        = 5 * time.Minute
 )
 
+// maxIncarnation is above any that a clock gives; a higher one is garbled.
+const maxIncarnation = 1 << 62
+
 // Options configures a Node.
 type Options struct {
 	ID         ident.NodeID
