Stop offering silent logs, and let a wave leave at once

Cause: a log whose owner is silent beyond suspicion is refused by nodes that have forgotten it, but was asked for in every exchange with one that still held it. A wave of 3000 marks makes about 180 messages at its origin in 21 data centres, and the driver dropped those beyond 64 in flight.

Change: a log is shown to others only while they would take it; 256 calls may be in flight.

Ruled out: tombstones for logs that were forgotten without witnesses; a live node that was merely slow would have to refute them.

--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -107,14 +107,14 @@
 }
 
 // serves tells whether a log is shown to others. A silent one is not, so that it
-// ends everywhere at about the same time; one whose entries were all removed ends
-// soon.
+// ends everywhere at about the same time and isn't offered to nodes that would
+// refuse it; one whose entries were all removed ends soon.
 func (n *Node) serves(r *replica) bool {
 	silent := n.clock - r.advanced
 	if r.ended() {
 		return len(r.entries) > 0 && silent < n.o.SuspectAfter
 	}
-	return silent < n.o.DropAfter
+	return silent < n.newcomerSilence(r.scope)
 }
 
 // Receive takes a message and returns the messages to send for it. Those to the
--- a/internal/peer/gossip/service.go
+++ b/internal/peer/gossip/service.go
@@ -24,7 +24,7 @@
 // Defaults of Options.
 const (
 	DefaultTimeout   = 2 * time.Second
-	DefaultInFlight  = 64
+	DefaultInFlight  = 256
 	DefaultSeedEvery = 15 * time.Second
 )
 
@@ -47,7 +47,7 @@
 	SeedEvery time.Duration
 	// Timeout of a call to a peer. Default: 2s.
 	Timeout time.Duration
-	// InFlight bounds the calls to peers at a time; more are dropped. Default: 64.
+	// InFlight bounds the calls to peers at a time; more are dropped. Default: 256.
 	InFlight int
 	// Transport carries the calls. Default: HTTP/2 without TLS.
 	Transport http.RoundTripper
--- a/internal/peer/slopes/main.go
+++ b/internal/peer/slopes/main.go
@@ -17,13 +17,14 @@
 func main() {
 	part := flag.String("part", "spread", "what to measure: spread, cost, detail or wire")
 	nodes := flag.Int("nodes", 64, "fleet of the spread: 8, 64, 256 or 710")
+	loss := flag.Int("loss", -1, "loss in the spread, per cent; below zero: 0, 5 and 20")
 	notices := flag.Int("notices", 20, "notices in each case of the spread")
 	flag.Parse()
 	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
 	out := os.Stdout
 	switch *part {
 	case "spread":
-		spread(out, *nodes, *notices)
+		spread(out, *nodes, *notices, *loss)
 	case "cost":
 		cost(out)
 	case "detail":
--- a/internal/peer/slopes/spread.go
+++ b/internal/peer/slopes/spread.go
@@ -76,7 +76,7 @@
 
 // spread prints the seconds from a notice to the last node that knows. All notices
 // go through one fleet, which heals in between.
-func spread(w io.Writer, nodes, notices int) {
+func spread(w io.Writer, nodes, notices, loss int) {
 	i := slices.IndexFunc(spreadShapes, func(s shape) bool { return s.nodes == nodes })
 	if i < 0 {
 		fmt.Fprintf(w, "no shape of %d nodes\n", nodes)
@@ -86,7 +86,11 @@
 	n := newNet(s, virtual.Options{Seed: uint64(nodes)})
 	n.Run(joinFor)
 	head(w, "nodes", "data centres", "loss %", "fault", "median s", "worst s", "later than 3 s", "messages a node")
-	for _, loss := range []int{0, 5, 20} {
+	losses := []int{0, 5, 20}
+	if loss >= 0 {
+		losses = []int{loss}
+	}
+	for _, loss := range losses {
 		for _, f := range []fault{faultNone, faultDelegate, faultSlow} {
 			t := &trial{loss: loss, fault: f}
 			for k := range notices {
