Move finished orders out of the part of a bucket that is rewritten

Ruled out: smaller buckets (less grouping), answers in objects of their own (one more write an order), segments named by their content alone (two nodes would share a name, and the one that gives its segment up would delete the other's).

Change: past 16 KiB of finished entries, these go to an immutable segment, stored before the bucket refers to it. The bucket keeps 8 bytes a key. The removal goes with the next write that is due anyway. A key whose hash is found is looked up in its segment; one that can't be read counts as "may have run".

The check "at most two writes an order" counted what the naive ledger writes, and segments add one write for dozens of orders. It is replaced by two: at most two writes to buckets an order, and fewer store calls in all than the naive ledger's three.

--- a/internal/once/body.go
+++ b/internal/once/body.go
@@ -8,27 +8,28 @@
 	"github.com/jujubeshed/jujubeshed/internal/platform"
 )
 
-// storeBodies sends the large bodies of outcomes to objects of their own.
-func (s *shard) storeBodies(now time.Time) []Action {
+// storeObjects stores the large bodies of outcomes, and segments, in objects of
+// their own.
+func (s *shard) storeObjects(now time.Time) []Action {
 	if now.Before(s.retryAt) {
 		return nil
 	}
 	var acts []Action
-	for _, p := range s.bodies {
+	for _, p := range s.toStore {
 		id := s.ledger.newCall(call{shard: s, store: p})
-		acts = append(acts, StorePut{Call: id, Object: s.ledger.bodyObject(string(p.attempt)), Value: p.answer.Body})
+		acts = append(acts, StorePut{Call: id, Object: p.object, Value: p.value})
 	}
-	s.storing += len(s.bodies)
-	s.bodies = nil
+	s.storing += len(s.toStore)
+	s.toStore = nil
 	return acts
 }
 
-// bodyStored takes the result of storing a body. An object that exists already
-// is this body: the attempt ID names it.
-func (s *shard) bodyStored(p *op, r StoreResult, now time.Time) []Action {
+// objectStored takes the result of storing an object. One that exists already is
+// this object: its name is given once.
+func (s *shard) objectStored(p *op, r StoreResult, now time.Time) []Action {
 	s.storing--
 	if r.Err != nil && !errors.Is(r.Err, platform.ErrConflict) {
-		s.bodies = append(s.bodies, p)
+		s.toStore = append(s.toStore, p)
 		return s.failed(now)
 	}
 	s.queue = append(s.queue, p)
--- a/internal/once/bucket.go
+++ b/internal/once/bucket.go
@@ -40,6 +40,9 @@
 	entries map[Key]*entry
 	bytes   int // encoded size, rounded up
 	open    int // entries without outcome
+	ended   int // bytes of finished entries
+
+	segments []*oncepb.Segment // immutable each
 }
 
 func newBucket() *bucket { return &bucket{entries: make(map[Key]*entry)} }
@@ -64,14 +67,16 @@
 	for _, e := range m.Entries {
 		b.set(entryKey(e), e)
 	}
+	for _, s := range m.Segments {
+		b.addSegment(s)
+	}
 	return b, nil
 }
 
 // set adds or replaces an entry; nil removes it.
 func (b *bucket) set(k Key, e *entry) {
 	if old := b.entries[k]; old != nil {
-		b.bytes -= entrySize(old)
-		b.open -= openCount(old)
+		b.count(old, -1)
 	} else if e != nil {
 		b.order = append(b.order, k)
 	}
@@ -80,15 +85,18 @@
 		return
 	}
 	b.entries[k] = e
-	b.bytes += entrySize(e)
-	b.open += openCount(e)
+	b.count(e, 1)
 }
 
-func openCount(e *entry) int {
+// count adds an entry to the sizes, or takes it away.
+func (b *bucket) count(e *entry, sign int) {
+	size := entrySize(e)
+	b.bytes += sign * size
 	if e.State == finished {
-		return 0
+		b.ended += sign * size
+	} else {
+		b.open += sign
 	}
-	return 1
 }
 
 // compact drops removed keys from the order. A key that was removed and claimed
@@ -113,6 +121,7 @@
 	for _, k := range b.order {
 		m.Entries = append(m.Entries, b.entries[k])
 	}
+	m.Segments = b.segments
 	return proto.MarshalOptions{Deterministic: true}.Marshal(&m)
 }
 
@@ -120,6 +129,7 @@
 func (b *bucket) clone() *bucket {
 	c := *b
 	c.order = append(make([]Key, 0, len(b.order)+1), b.order...)
+	c.segments = append([]*oncepb.Segment(nil), b.segments...)
 	c.entries = make(map[Key]*entry, len(b.entries)+1)
 	for k, e := range b.entries {
 		c.entries[k] = e
@@ -129,8 +139,11 @@
 
 // retainedUntil is when the entry may be forgotten.
 func retainedUntil(e *entry, o *Options) time.Time {
-	last := max(e.ClaimedAt, e.ExpiresAt, e.EndedAt)
-	return time.Unix(0, last).Add(o.Retention + o.ClockSkew)
+	return o.retainedAfter(max(e.ClaimedAt, e.ExpiresAt, e.EndedAt))
+}
+
+func (o *Options) retainedAfter(lastNano int64) time.Time {
+	return time.Unix(0, lastNano).Add(o.Retention + o.ClockSkew)
 }
 
 // get returns the entry of a key that is still retained.
@@ -163,11 +176,17 @@
 // nextFree returns when the first entry may be forgotten.
 func (b *bucket) nextFree(o *Options) time.Time {
 	var first time.Time
-	for _, e := range b.entries {
-		if t := retainedUntil(e, o); first.IsZero() || t.Before(first) {
+	at := func(t time.Time) {
+		if first.IsZero() || t.Before(first) {
 			first = t
 		}
 	}
+	for _, e := range b.entries {
+		at(retainedUntil(e, o))
+	}
+	for _, s := range b.segments {
+		at(o.retainedAfter(s.LastAt))
+	}
 	return first
 }
 
--- a/internal/once/doc.go
+++ b/internal/once/doc.go
@@ -23,6 +23,11 @@
 //   - A claim refused with "not run" after its write was sent is removed by a
 //     write of a later version. That write fences off the earlier one, even one
 //     that is still under way in the network.
+//   - Finished entries move to immutable segments, so that a write carries few of
+//     them. A segment is stored before the bucket refers to it, in the same write
+//     that removes its entries, and only where all of them are still there. The
+//     bucket keeps the hash of each key. A hash that is found without its segment
+//     being read counts as a request that may have run.
 //   - Negative answers (conflict, unconfirmed, wait) rest on a state read after
 //     the request arrived. A recorded answer is final and may come from memory.
 //
--- a/internal/once/flight.go
+++ b/internal/once/flight.go
@@ -75,10 +75,8 @@
 	for _, p := range f.ops {
 		acts = append(acts, s.durable(p, now)...)
 	}
-	for _, e := range f.gone {
-		if external(e.Answer) {
-			acts = append(acts, StoreDelete{Object: s.ledger.bodyObject(e.Attempt)})
-		}
+	for _, o := range f.gone {
+		acts = append(acts, StoreDelete{Object: o})
 	}
 	s.unpark()
 	return acts
--- a/internal/once/ledger.go
+++ b/internal/once/ledger.go
@@ -6,8 +6,6 @@
 	"time"
 	"unicode/utf8"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
 	"github.com/jujubeshed/jujubeshed/internal/verdict"
@@ -25,12 +23,14 @@
 }
 
 // call tells what a store call under way is for: the bucket object, unless store
-// or fetch names the op whose large body it moves.
+// names the op whose object it stores, fetch the op whose large body it reads, or
+// read the segment that it reads.
 type call struct {
 	shard *shard
 	store *op
 	fetch *op
 	entry *entry
+	read  *segmentRead
 }
 
 // New returns a ledger without state.
@@ -46,8 +46,7 @@
 // BucketOf returns the number of the bucket that a key belongs to, for the choice
 // of the node that should work on it.
 func (l *Ledger) BucketOf(k Key) int {
-	h := xxhash.Sum64String(string(k.Workspace) + "\x00" + k.Name)
-	return int(h % uint64(l.opts.Buckets))
+	return int(k.hash() % uint64(l.opts.Buckets))
 }
 
 // BucketObject returns the name of a bucket's object.
@@ -55,6 +54,15 @@
 	return platform.Key(fmt.Sprintf("%sbucket/%05d", l.opts.Prefix, n))
 }
 
+// segmentObject returns a name for a new segment. No other life of a node, and no
+// other seal, uses it, so that whoever gives a segment up may delete it. The
+// digest tells two lives apart that were given the same incarnation.
+func (l *Ledger) segmentObject(value []byte) platform.Key {
+	l.last++
+	d := DigestOf(value)
+	return platform.Key(fmt.Sprintf("%ssegment/%s/%d/%d-%x", l.opts.Prefix, l.opts.Node, l.opts.Incarnation, l.last, d[:8]))
+}
+
 func (l *Ledger) bodyObject(attempt string) platform.Key {
 	return l.opts.Prefix + platform.Key("body/"+attempt)
 }
@@ -140,7 +148,9 @@
 	var acts []Action
 	switch {
 	case c.store != nil:
-		acts = s.bodyStored(c.store, r, now)
+		acts = s.objectStored(c.store, r, now)
+	case c.read != nil:
+		acts = s.segmentRead(c.read, r, now)
 	case c.fetch != nil:
 		acts = s.bodyFetched(c, r)
 	default:
--- a/internal/once/oncetest/store.go
+++ b/internal/once/oncetest/store.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,6 +33,8 @@
 // Counts are the calls that a store has taken.
 type Counts struct {
 	Gets, Puts, Bytes int
+	// BucketPuts are the Puts to bucket objects.
+	BucketPuts int
 }
 
 // New returns an empty store.
@@ -94,6 +97,9 @@
 	defer s.mu.Unlock()
 	s.mu.counts.Puts++
 	s.mu.counts.Bytes += len(value)
+	if strings.Contains(string(key), "/bucket/") {
+		s.mu.counts.BucketPuts++
+	}
 	lost := s.mu.rng.Float64() < s.Lost
 	switch {
 	case s.mu.down:
--- a/internal/once/op.go
+++ b/internal/once/op.go
@@ -17,6 +17,7 @@
 	opFinish             // record an answer
 	opUnconfirmed        // record that it may have run
 	opRelease            // remove the claim: proved not run
+	opSeal               // move finished entries to a segment
 )
 
 // op is a change to a bucket. It is applied to whatever state was read last, as
@@ -34,6 +35,13 @@
 	// the latest such write replaces.
 	sent   bool
 	expect platform.Version
+	// object and value are to be stored before the change is applied.
+	object platform.Key
+	value  []byte
+	seal   *seal // of opSeal
+	// segments that were read for this op.
+	segments []*segmentEntries
+
 	// silent ops have nobody who waits for their end.
 	silent bool
 }
@@ -46,12 +54,19 @@
 	staged               // answered once the write is durable
 	parked               // waits for another attempt
 	reread               // needs a state read after it arrived
+	fetch                // needs the segment that names its key
 )
 
 // apply applies an op to the state next, which is to be written. It returns the
 // actions of an op that ended.
 func (s *shard) apply(next *bucket, p *op, now time.Time) (result, []Action) {
-	e := next.get(p.key, now, s.opts)
+	if p.kind == opSeal {
+		return s.applySeal(next, p)
+	}
+	e, unread := s.lookup(next, p, now)
+	if unread != "" {
+		return fetch, nil
+	}
 	switch p.kind {
 	case opClaim:
 		return s.applyClaim(next, e, p, now)
@@ -135,8 +150,12 @@
 
 // durable returns the actions of a staged op whose write took effect.
 func (s *shard) durable(p *op, now time.Time) []Action {
-	if p.kind == opClaim {
+	switch p.kind {
+	case opClaim:
 		return s.grant(p, now)
+	case opSeal:
+		s.sealing = nil
+		return nil
 	}
 	return s.recorded(p, false)
 }
--- a/internal/once/reply.go
+++ b/internal/once/reply.go
@@ -29,7 +29,8 @@
 // the same key is known, the request may have run through that one.
 func (s *shard) errStore(p *op, now time.Time) *verdict.Error {
 	v := verdict.NotRun
-	if e := s.known(p.key, now); e != nil && e.Attempt != string(p.attempt) {
+	e := s.known(p.key, now)
+	if (e != nil && e.Attempt != string(p.attempt)) || (s.base != nil && len(s.base.segmentsOf(p.key, now, s.opts)) > 0) {
 		v = verdict.MayHaveRun
 	}
 	wait := max(s.retryAt.Sub(now), s.opts.RetryMax)
@@ -104,6 +105,12 @@
 		"request with idempotency key %q ran; its recorded answer can't be read", k.Name).After(waitAgain)
 }
 
+// errUnread tells that what is recorded of a key can't be read now.
+func errUnread(k Key) *verdict.Error {
+	return verdict.New(verdict.MayHaveRun, verdict.CodeStore,
+		"record of idempotency key %q can't be read", k.Name).After(waitAgain)
+}
+
 // recorded answers an outcome.
 func (s *shard) recorded(p *op, stale bool) []Action {
 	if s.live[p.key] == p.attempt {
--- a/internal/once/shard.go
+++ b/internal/once/shard.go
@@ -22,12 +22,15 @@
 	asOf  uint64  // base is not older than this step of the ledger
 	stale bool    // base must be read again before the next write
 
-	queue  []*op // to be applied
-	parked []*op // claims that wait for another attempt
-	bodies []*op // outcomes whose large body is to be stored first
-	live   map[Key]ident.AttemptID
+	queue   []*op // to be applied
+	parked  []*op // claims that wait for another attempt
+	toStore []*op // ops whose object is to be stored first
+	reads   []*segmentRead
+	sealing *op // the opSeal under way
+	cache   []*segmentEntries
+	live    map[Key]ident.AttemptID
 
-	storing int // large bodies under way
+	storing int // objects of ops under way
 
 	flight *flight // the bucket call under way
 
@@ -41,10 +44,10 @@
 // flight is a bucket call under way.
 type flight struct {
 	call CallID
-	step uint64  // when it was sent
-	next *bucket // the state being written; nil for a read
-	ops  []*op   // staged in next
-	gone []*entry
+	step uint64         // when it was sent
+	next *bucket        // the state being written; nil for a read
+	ops  []*op          // staged in next
+	gone []platform.Key // objects that nothing refers to after the write
 }
 
 // seenSince tells whether base was read in that step of the ledger or later.
@@ -104,13 +107,15 @@
 		s.queue = append(s.queue, p)
 		return
 	}
-	s.bodies = append(s.bodies, p)
+	p.object, p.value = s.ledger.bodyObject(string(o.Attempt)), o.Answer.Body
+	s.toStore = append(s.toStore, p)
 }
 
 // pump issues the next store call where one is due.
 func (s *shard) pump(now time.Time) []Action {
-	acts := s.storeBodies(now)
-	for s.flight == nil && len(s.queue) > 0 && !now.Before(s.retryAt) {
+	s.maybeSeal()
+	acts := s.storeObjects(now)
+	for s.flight == nil && s.hasWork(now) && !now.Before(s.retryAt) {
 		if s.base == nil || s.stale {
 			return append(acts, s.read())
 		}
@@ -119,6 +124,17 @@
 	return acts
 }
 
+// hasWork tells whether an op waits for a write. A seal goes with the next write
+// of another op, or is written once the bucket isn't used any more.
+func (s *shard) hasWork(now time.Time) bool {
+	for _, p := range s.queue {
+		if p.kind != opSeal {
+			return true
+		}
+	}
+	return len(s.queue) > 0 && now.After(s.used.Add(s.opts.IdleAfter))
+}
+
 func (s *shard) read() Action {
 	s.flight = &flight{call: s.ledger.newCall(call{shard: s}), step: s.ledger.step}
 	return StoreGet{Call: s.flight.call, Object: s.object}
@@ -127,7 +143,7 @@
 // write applies the queue to a copy of the state and sends it where it changed.
 func (s *shard) write(now time.Time) []Action {
 	next := s.base.clone()
-	f := &flight{step: s.ledger.step, next: next, gone: next.expire(now, s.opts)}
+	f := &flight{step: s.ledger.step, next: next, gone: s.expire(next, now)}
 	queue := s.queue
 	s.queue = nil
 	var acts []Action
@@ -137,7 +153,7 @@
 		res, done := s.apply(next, p, now)
 		acts = append(acts, done...)
 		changed = changed || next.entries[p.key] != before
-		s.file(f, p, res, now)
+		acts = append(acts, s.file(f, p, res, now)...)
 	}
 	if !changed && len(f.ops) == 0 {
 		return acts
@@ -155,7 +171,7 @@
 }
 
 // file puts an applied op where it waits next.
-func (s *shard) file(f *flight, p *op, res result, now time.Time) {
+func (s *shard) file(f *flight, p *op, res result, now time.Time) []Action {
 	switch res {
 	case staged:
 		f.ops = append(f.ops, p)
@@ -164,6 +180,9 @@
 	case reread:
 		s.stale = true
 		s.queue = append(s.queue, p)
+	case fetch:
+		return s.readSegment(f.next, p, now)
 	case ended:
 	}
+	return nil
 }
--- a/internal/once/types.go
+++ b/internal/once/types.go
@@ -46,6 +46,9 @@
 	LostAfter time.Duration
 	// MaxInlineBody is the largest answer body kept in a bucket. Default: 4 KiB.
 	MaxInlineBody int
+	// SealBytes of finished entries are moved from a bucket to a segment. Default:
+	// 16 KiB.
+	SealBytes int
 	// MaxBucketBytes bounds a bucket. Default: platform.MaxObjectBytes.
 	MaxBucketBytes int
 	// PollInterval is how often a claim held by another node is looked at while a
@@ -73,6 +76,7 @@
 	setDefault(&o.DispatchBound, 5*time.Second)
 	setDefault(&o.LostAfter, 10*time.Second)
 	setDefault(&o.MaxInlineBody, 4<<10)
+	setDefault(&o.SealBytes, 16<<10)
 	setDefault(&o.MaxBucketBytes, platform.MaxObjectBytes)
 	setDefault(&o.PollInterval, 100*time.Millisecond)
 	setDefault(&o.PollMax, time.Second)
--- a/internal/once/wait.go
+++ b/internal/once/wait.go
@@ -51,10 +51,7 @@
 		}
 		s.queue = append(s.queue, p)
 	}
-	if s.flight == nil {
-		return acts
-	}
-	for _, p := range s.flight.ops {
+	for _, p := range s.away() {
 		if p.kind == opClaim && !p.silent && due(p) {
 			acts = append(acts, s.reply(p, Unavailable, s.errStore(p, now)))
 		}
@@ -62,6 +59,18 @@
 	return acts
 }
 
+// away returns the ops whose call is under way.
+func (s *shard) away() []*op {
+	var ops []*op
+	if s.flight != nil {
+		ops = append(ops, s.flight.ops...)
+	}
+	for _, r := range s.reads {
+		ops = append(ops, r.ops...)
+	}
+	return ops
+}
+
 // expireWaits answers the claims that have waited for as long as they may.
 func (s *shard) expireWaits(now time.Time) []Action {
 	acts := s.refuseClaims(now, func(p *op) bool {
@@ -105,7 +114,7 @@
 			first = t
 		}
 	}
-	if s.flight == nil && len(s.queue)+len(s.bodies) > 0 {
+	if s.flight == nil && (s.hasWork(s.used) || len(s.toStore) > 0) {
 		at(s.retryAt)
 	}
 	if s.flight == nil && s.waitsForOthers() {
@@ -128,13 +137,11 @@
 		}
 	}
 	each(s.queue)
-	if s.flight != nil {
-		each(s.flight.ops)
-	}
+	each(s.away())
 }
 
 // idle tells whether the shard's state may be dropped.
 func (s *shard) idle(now time.Time) bool {
-	busy := s.flight != nil || len(s.queue)+len(s.parked)+len(s.bodies)+len(s.live)+s.storing > 0
+	busy := s.flight != nil || len(s.queue)+len(s.parked)+len(s.toStore)+len(s.live)+len(s.reads)+s.storing > 0
 	return !busy && now.After(s.used.Add(s.opts.IdleAfter))
 }
