Keep a prefix's homes in each data centre as candidates

One home for the whole pool, compared for every request, drew all nodes to it: dropping it for prefixes with a known holder gave more than it cost.

So the homes of a prefix with a known holder are those of this data centre, and an unknown one has a single home.

--- a/internal/route/options.go
+++ b/internal/route/options.go
@@ -30,14 +30,11 @@
 	Concurrency int
 	// ServiceTime is the assumed time of a request until some have finished. Default: 1s.
 	ServiceTime time.Duration
-	// Homes is the number of rendezvous-hash homes of a prefix. Default: 1.
+	// Homes is the number of rendezvous-hash homes of a prefix that no endpoint is
+	// known to hold. Default: 1.
 	Homes int
 	// HomeBlocks is the number of leading blocks that name a prefix's homes. Default: 16.
 	HomeBlocks int
-	// Placement is the way in which homes are chosen. Default: PlaceRendezvous.
-	Placement Placement
-	// NoHolders leaves the holders of a prefix out of the comparison. Default: false.
-	NoHolders bool
 	// LoadBound limits the load of homes and holders, as a multiple of the pool's
 	// mean load. Default: 3.
 	LoadBound float64
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -157,25 +157,25 @@
 	if len(r.Chain) == 0 {
 		return c
 	}
-	copies, where := t.opts.Homes, eligible
-	if t.opts.Placement != PlaceRendezvous {
-		copies, where = 1, t.local(p, eligible)
-	}
-	if t.opts.Placement == PlaceDomain {
-		copies = t.copies(now, r.Chain[min(len(r.Chain), t.opts.HomeBlocks)-1])
-	}
-	homes := t.bounded(now, p, t.warm(now, rng, p, t.homes(p, r.Chain, where, copies)))
+	depth := min(len(r.Chain), t.opts.HomeBlocks)
+	key := r.Chain[depth-1]
 	n, holders := p.index.match(r.Chain, eligible)
-	c.slots |= homes
-	if !t.opts.NoHolders {
-		c.slots |= t.bounded(now, p, sample(rng, holders, maxHolders))
-	}
-	if n < min(len(r.Chain), t.opts.HomeBlocks) {
-		c.homes = homes
+	if n < depth {
+		c.homes = t.usableHomes(now, rng, p, homes(p, key, eligible, t.opts.Homes))
+		c.slots |= c.homes
+	} else {
+		local := homes(p, key, t.local(p, eligible), t.localHomes(now, key))
+		c.slots |= t.usableHomes(now, rng, p, local)
 	}
+	c.slots |= t.bounded(now, p, sample(rng, holders, maxHolders))
 	return c
 }
 
+// usableHomes returns the homes that are warm and whose load is bounded.
+func (t *Table) usableHomes(now time.Time, rng *rand.Rand, p *pool, homes uint64) uint64 {
+	return t.bounded(now, p, t.warm(now, rng, p, homes))
+}
+
 // bounded returns those of slots whose load is not far above the pool's mean.
 func (t *Table) bounded(now time.Time, p *pool, slots uint64) uint64 {
 	bound := t.opts.LoadBound*t.mean(now, p) + t.loadSlack()
@@ -232,11 +232,10 @@
 	return max(minSlowStart, 1-left.Seconds()/t.opts.SlowStart.Seconds())
 }
 
-// homes returns the slots with the highest rendezvous scores for the prefix.
-func (t *Table) homes(p *pool, chain []uint64, eligible uint64, copies int) uint64 {
-	key := chain[min(len(chain), t.opts.HomeBlocks)-1]
+// homes returns the n slots with the highest rendezvous scores for a prefix.
+func homes(p *pool, key uint64, eligible uint64, n int) uint64 {
 	var chosen uint64
-	for range copies {
+	for range n {
 		best, top := -1, uint64(0)
 		for s := eligible &^ chosen; s != 0; s &= s - 1 {
 			i := bits.TrailingZeros64(s)
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -40,8 +40,8 @@
 	listed    bool // a host list was set before
 	stats     Stats
 
-	scratch scratch
-	domains map[uint64]*domain
+	scratch  scratch
+	replicas map[uint64]*replicas // by the hash that names the homes
 }
 
 // New returns an empty table.
@@ -55,7 +55,7 @@
 		endMarks:  make(map[ident.EndpointID]mark),
 		slots:     make(map[ident.Service]int),
 		work:      make(map[ident.AttemptID]*work),
-		domains:   make(map[uint64]*domain),
+		replicas:  make(map[uint64]*replicas),
 	}
 }
 
