--- a/internal/route/member.go
+++ b/internal/route/member.go
@@ -22,6 +22,7 @@
 	price       float64 // per hour
 
 	listed   bool
+	listedIn uint64 // the last host list that had it
 	leaving  bool
 	deadline time.Time // of leaving
 	warmAt   time.Time // end of slow start; zero where it was there at the start
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -37,7 +37,7 @@
 	endMarks  map[ident.EndpointID]mark
 	slots     map[ident.Service]int
 	work      map[ident.AttemptID]*work
-	listed    bool // a host list was set before
+	lists     uint64 // host lists taken
 	stats     Stats
 
 	scratch  scratch
@@ -88,23 +88,21 @@
 	if len(hosts) == 0 {
 		return
 	}
-	seen := make(map[ident.EndpointID]bool, len(t.endpoints))
+	t.lists++
 	for i := range hosts {
 		h := &hosts[i]
 		if h.State == platform.HostLeaving {
 			t.MarkHost(now, platform.Notice{Host: h.Host, Incarnation: h.Incarnation, Deadline: h.Deadline})
 		}
 		for _, info := range h.Endpoints {
-			seen[info.ID] = true
 			t.setEndpoint(now, h, info)
 		}
 	}
-	for id, m := range t.endpoints {
-		if !seen[id] {
+	for _, m := range t.endpoints {
+		if m.listedIn != t.lists {
 			t.unlist(m)
 		}
 	}
-	t.listed = true
 	t.forgetMarks(now)
 }
 
@@ -113,10 +111,11 @@
 func (t *Table) setEndpoint(now time.Time, h *platform.HostInfo, info platform.EndpointInfo) {
 	m := t.endpoints[info.ID]
 	if m != nil && h.Incarnation < m.incarnation && h.Host == m.host {
-		return // an old list
+		m.listedIn = t.lists // by a list that lags
+		return
 	}
 	if m != nil && m.sameLife(h, info) {
-		m.listed = true
+		m.listed, m.listedIn = true, t.lists
 		m.address = info.Address
 		m.price = h.PricePerHour
 		t.applyMark(m)
@@ -126,7 +125,8 @@
 		t.remove(m)
 	}
 	m = newMember(h, info, xxhash.Sum64String(string(info.ID)))
-	if t.listed {
+	m.listedIn = t.lists
+	if t.lists > 1 {
 		m.warmAt = now.Add(t.opts.SlowStart)
 	}
 	t.endpoints[info.ID] = m
@@ -211,6 +211,9 @@
 
 // forgetMarks drops old marks of hosts and endpoints that are gone.
 func (t *Table) forgetMarks(now time.Time) {
+	if len(t.hostMarks)+len(t.endMarks) == 0 {
+		return
+	}
 	hosts := make(map[ident.Host]bool, len(t.endpoints))
 	for _, m := range t.endpoints {
 		hosts[m.host] = true
