--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 )
@@ -18,9 +19,24 @@
 	ExitOffline = 3 // the platform or a node could not be reached
 )
 
+// env returns the source of a flag's value from its environment variable, which is
+// the flag's name in capitals behind a prefix.
+func env(flag string) cli.ValueSourceChain {
+	return cli.EnvVars("JUJUBESHED_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_")))
+}
+
 // usageError marks an error of flags, settings or files.
 type usageError struct{ error }
 
+// Unwrap returns the cause.
+func (e usageError) Unwrap() error { return e.error }
+
+// offlineError marks that the platform or a node could not be reached.
+type offlineError struct{ error }
+
+// Unwrap returns the cause.
+func (e offlineError) Unwrap() error { return e.error }
+
 // Run executes the command line and returns the exit code.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	cmd := &cli.Command{
@@ -38,15 +54,28 @@
 	}
 	fmt.Fprintln(stderr, "jujubeshed:", err)
 	var usage usageError
-	if errors.As(err, &usage) {
+	var offline offlineError
+	switch {
+	case errors.As(err, &usage):
 		return ExitUsage
+	case errors.As(err, &offline):
+		return ExitOffline
+	default:
+		return ExitFailed
 	}
-	return ExitFailed
 }
 
 // commands lists the subcommands. Each lives in a file of its own.
 func commands() []*cli.Command {
 	return []*cli.Command{
+		demoCommand(),
+		nodeCommand(),
 		checkCommand(),
+		applyCommand(),
+		statusCommand(),
+		movesCommand(),
+		standinCommand(),
+		loadCommand(),
+		experimentCommand(),
 	}
 }
--- a/internal/config/syncer/syncer.go
+++ b/internal/config/syncer/syncer.go
@@ -183,7 +183,7 @@
 	if s.opts.FromPeers == nil {
 		return err
 	}
-	if peerErr := s.fromPeers(ctx); peerErr != nil {
+	if peerErr := s.CatchUpFromPeers(ctx); peerErr != nil {
 		return errors.CombineErrors(peerErr, err)
 	}
 	return nil
@@ -198,8 +198,9 @@
 	return s.take(object.Value, start)
 }
 
-// fromPeers asks a peer, twice where the first answer's deltas do not fit.
-func (s *Syncer) fromPeers(ctx context.Context) error {
+// CatchUpFromPeers reads the newest revision from a peer, as a node does that
+// heard of one it lacks. It asks twice where the first answer's deltas do not fit.
+func (s *Syncer) CatchUpFromPeers(ctx context.Context) error {
 	since := s.Revision()
 	for {
 		start := s.opts.Clock()
--- /dev/null
+++ b/internal/dispatch/sender.go
@@ -0,0 +1,122 @@
+// Package dispatch sends accepted requests to endpoints. It joins the life of a
+// request (package attempt) with the choice of endpoints (package route), the
+// client of endpoints and the answer that the caller reads.
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/answer"
+	"github.com/jujubeshed/jujubeshed/internal/attempt"
+	"github.com/jujubeshed/jujubeshed/internal/attempt/runner"
+	"github.com/jujubeshed/jujubeshed/internal/endpoint"
+	"github.com/jujubeshed/jujubeshed/internal/entry"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/kernel"
+	"github.com/jujubeshed/jujubeshed/internal/move"
+	"github.com/jujubeshed/jujubeshed/internal/route"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
+)
+
+// Balancer chooses endpoints and learns how attempts end.
+type Balancer interface {
+	Dispatch(attempt ident.AttemptID, r route.Request) (route.Choice, error)
+	Finish(attempt ident.AttemptID, o route.Outcome)
+	Leaving() []route.LeavingWork
+	IsLeaving(id ident.EndpointID) bool
+}
+
+// Versions tells which versions of a service may get new work, and counts how
+// requests on them ended.
+type Versions interface {
+	Shares(service ident.Service) []route.Share
+	Record(o move.Outcome)
+	// Shadow draws whether a copy of an idempotent request, answered by one version,
+	// goes to another, and to which.
+	Shadow(service ident.Service, answering ident.Version) (ident.Version, bool)
+}
+
+// Options are the settings of a Sender.
+type Options struct {
+	Attempt attempt.Options
+	Budget  attempt.BudgetOptions
+	// LeavingInterval is the time between two looks for work on leaving endpoints.
+	// Default: 100ms.
+	LeavingInterval time.Duration
+}
+
+// DefaultCosts estimate a model engine's KV cache on a 10 Gbit/s network.
+var DefaultCosts = attempt.Costs{
+	PrefillPerSec:   8000,
+	KVBytesPerToken: 128 << 10,
+	LinkBytesPerSec: 1.25e9,
+	MoveOverhead:    20 * time.Millisecond,
+}
+
+// Sender is the entry's sender.
+type Sender struct {
+	opts     Options
+	client   *endpoint.Client
+	balancer Balancer
+	versions Versions
+	budgets  budgets
+	movers   movers
+	shadows  *shadows
+	loop     *kernel.Loop
+}
+
+var _ entry.Sender = (*Sender)(nil)
+
+// New returns a sender. Start lets it move work off leaving endpoints.
+func New(opts Options, client *endpoint.Client, balancer Balancer, versions Versions) *Sender {
+	if opts.LeavingInterval == 0 {
+		opts.LeavingInterval = 100 * time.Millisecond
+	}
+	if opts.Attempt.Costs == (attempt.Costs{}) {
+		opts.Attempt.Costs = DefaultCosts
+	}
+	s := &Sender{
+		opts: opts, client: client, balancer: balancer, versions: versions,
+		budgets: budgets{opts: opts.Budget}, movers: newMovers(),
+	}
+	s.shadows = newShadows(s)
+	s.loop = kernel.NewLoop(opts.LeavingInterval, func(context.Context) { s.movers.tell(balancer.Leaving()) })
+	return s
+}
+
+// Chat produces an answer token by token. A stream that breaks, or whose endpoint
+// leaves, goes on at the next offset on another endpoint.
+func (s *Sender) Chat(ctx context.Context, job *entry.ChatJob) {
+	text := endpoint.PromptText(job.Body.Messages)
+	run := &chatRun{
+		work: work{sender: s, request: job.Request, chain: endpoint.BlockChain(text), promptTokens: endpoint.PromptTokens(text)},
+		job:  job,
+	}
+	control, done := s.movers.add()
+	defer done()
+	run.work.control = control
+	req := run.work.runnerRequest()
+	req.Stream = true
+	req.MaxTokens = job.Body.MaxTokens
+	req.Resume = attempt.State{
+		Attempts: int(job.Attempts.Load()), Offset: job.Answer.Len(), Text: job.Answer.Text(), MayHaveRun: job.Attempts.Load() > 0,
+	}
+	result, err := runner.Run(ctx, req, &run.work, run, run)
+	end := answer.End{Reason: result.Reason, Usage: run.usage(job.Answer.Len())}
+	if err != nil {
+		end = answer.End{Err: verdict.From(err)}
+	}
+	job.Answer.Close(time.Now(), end)
+}
+
+// Forward sends a plain request and gives its response to take, once. The error
+// is a *verdict.Error where there was no response, and else what take returned.
+func (s *Sender) Forward(ctx context.Context, r *entry.Request, in *http.Request, body []byte, take func(*http.Response) error) error {
+	run := &plainRun{work: work{sender: s, request: r}, in: in, body: body, take: take}
+	if _, err := runner.Run(ctx, run.work.runnerRequest(), &run.work, run, run); err != nil {
+		return err
+	}
+	return run.err
+}
--- /dev/null
+++ b/internal/entry/id.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+)
+
+const idBase = 36
+
+// newRequestID returns an ID that names this node, its data centre and its life:
+// "NODE~DATACENTRE.LIFE.SERIAL".
+func (s *Server) newRequestID() ident.RequestID {
+	life := strconv.FormatUint(uint64(s.opts.Incarnation), idBase)
+	serial := strconv.FormatUint(s.serial.Add(1), idBase)
+	return ident.RequestID(string(s.opts.Node) + "~" + string(s.opts.DataCentre) + "." + life + "." + serial)
+}
+
+// Origin is where a request was taken in.
+type Origin struct {
+	Node       ident.NodeID
+	DataCentre ident.DataCentre
+}
+
+// OriginOf returns the origin that a request ID names; zero where the ID has
+// another form.
+func OriginOf(id ident.RequestID) Origin {
+	serial := strings.LastIndexByte(string(id), '.')
+	if serial < 0 {
+		return Origin{}
+	}
+	life := strings.LastIndexByte(string(id[:serial]), '.')
+	if life <= 0 {
+		return Origin{}
+	}
+	node, dc, _ := strings.Cut(string(id[:life]), "~")
+	return Origin{ident.NodeID(node), ident.DataCentre(dc)}
+}
+
+// appendEventID appends the ID of a server-sent event: the request and the
+// number of tokens delivered with it.
+func appendEventID(b []byte, id ident.RequestID, offset int) []byte {
+	b = append(b, id...)
+	b = append(b, '/')
+	return strconv.AppendInt(b, int64(offset), 10)
+}
+
+// parseEventID splits the ID of a server-sent event.
+func parseEventID(s string) (ident.RequestID, int, bool) {
+	id, offset, ok := strings.Cut(s, "/")
+	if !ok {
+		return "", 0, false
+	}
+	n, err := strconv.Atoi(offset)
+	if err != nil || n < 0 {
+		return "", 0, false
+	}
+	return ident.RequestID(id), n, true
+}
--- /dev/null
+++ b/internal/node/wiring.go
@@ -0,0 +1,264 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/jujubeshed/jujubeshed/internal/admit/gate"
+	"github.com/jujubeshed/jujubeshed/internal/answer"
+	"github.com/jujubeshed/jujubeshed/internal/config"
+	"github.com/jujubeshed/jujubeshed/internal/config/syncer"
+	"github.com/jujubeshed/jujubeshed/internal/discovery"
+	"github.com/jujubeshed/jujubeshed/internal/dispatch"
+	"github.com/jujubeshed/jujubeshed/internal/endpoint"
+	"github.com/jujubeshed/jujubeshed/internal/entry"
+	"github.com/jujubeshed/jujubeshed/internal/handover"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/kernel"
+	"github.com/jujubeshed/jujubeshed/internal/lease"
+	"github.com/jujubeshed/jujubeshed/internal/move/mover"
+	"github.com/jujubeshed/jujubeshed/internal/observe"
+	"github.com/jujubeshed/jujubeshed/internal/once"
+	"github.com/jujubeshed/jujubeshed/internal/once/committer"
+	"github.com/jujubeshed/jujubeshed/internal/operator"
+	"github.com/jujubeshed/jujubeshed/internal/peer"
+	"github.com/jujubeshed/jujubeshed/internal/peer/gossip"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+	"github.com/jujubeshed/jujubeshed/internal/route"
+	"github.com/jujubeshed/jujubeshed/internal/route/balancer"
+)
+
+// Names of a node's services. They start in this order, and drain and stop in
+// the reverse one.
+const (
+	serviceStore     kernel.Name = "platform.client"
+	serviceLedger    kernel.Name = "once.ledger"
+	serviceEndpoints kernel.Name = "endpoint.client"
+	serviceBulk      kernel.Name = "handover.connections"
+	serviceAdmission kernel.Name = "admit.gate"
+	serviceCapacity  kernel.Name = "admit.capacity"
+	serviceMoves     kernel.Name = "move.mover"
+	serviceSender    kernel.Name = "dispatch.sender"
+	servicePeers     kernel.Name = "listener.peers" // the peer service starts after it
+	serviceConfig    kernel.Name = "config.syncer"
+	serviceDiscovery kernel.Name = "discovery.hosts"
+	serviceObserver  kernel.Name = "observe.endpoints"
+	serviceOperators kernel.Name = "listener.operators"
+	serviceCallers   kernel.Name = "listener.callers"
+)
+
+// bulkIdleTimeout ends connections between nodes that carry no answers.
+const bulkIdleTimeout = time.Minute
+
+// wiring builds the services of a node and registers them.
+type wiring struct {
+	opts     *Options
+	log      *slog.Logger
+	registry *kernel.Registry
+	metrics  *prometheus.Registry
+	life     ident.Incarnation
+
+	store     *platform.Client
+	endpoints *endpoint.Client
+	ledger    *committer.Committer
+	gate      *gate.Gate
+	balancer  *balancer.Balancer
+	config    *configService
+	hosts     *discovery.Watcher
+	observer  *observe.Observer
+	answers   *answer.Table
+	entry     *entry.Server
+	sender    *dispatch.Sender
+	moves     *moves
+	remote    *handover.Remote
+	capacity  *capacityUpdater
+	gossip    *gossip.Service
+	peers     *peers
+	bulk      *http.Transport // of answers between nodes, apart from membership
+	rejected  prometheus.Counter
+}
+
+// run builds the parts bottom up.
+func (w *wiring) run() error {
+	w.life = ident.Incarnation(time.Now().UnixNano())
+	w.buildMetrics()
+	if err := w.buildPlatform(); err != nil {
+		return err
+	}
+	w.buildRouting()
+	w.buildConfig()
+	if err := w.buildPeers(); err != nil {
+		return err
+	}
+	w.buildEntry()
+	return w.register()
+}
+
+func (w *wiring) buildMetrics() {
+	w.metrics = prometheus.NewRegistry()
+	w.rejected = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "operator_calls_rejected_total", Help: "Calls of operators without the shared key.",
+	})
+	w.metrics.MustRegister(w.rejected, collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+}
+
+func (w *wiring) buildPlatform() error {
+	store, err := platform.NewClient(platform.ClientOptions{Address: w.opts.Platform})
+	if err != nil {
+		return err
+	}
+	w.store = store
+	w.ledger = committer.New(store, committer.Options{
+		Ledger:  once.Options{Node: w.opts.ID, Incarnation: w.life},
+		Log:     w.log,
+		Metrics: committer.NewMetrics(w.metrics),
+	})
+	w.peers = &peers{opts: w.opts, log: w.log, ledger: w.ledger}
+	w.hosts = discovery.New(discovery.Options{Cloud: store, FromPeers: w.peers.hostsFromPeers}, w.log, store)
+	w.peers.hosts = w.hosts
+	return nil
+}
+
+func (w *wiring) buildRouting() {
+	w.endpoints = endpoint.NewClient()
+	w.bulk = &http.Transport{IdleConnTimeout: bulkIdleTimeout}
+	w.balancer = balancer.New(route.Options{Node: w.opts.ID, DataCentre: w.opts.DataCentre}, uint64(w.life))
+	w.gate = gate.New(gate.Options{})
+	w.peers.balancer = w.balancer
+	w.observer = observe.New(observe.Options{Node: w.opts.ID, DataCentre: w.opts.DataCentre}, w.log, w.endpoints, w.balancer, w.peers)
+	w.peers.observer = w.observer
+	w.peers.gate = w.gate
+	w.hosts.OnHosts(w.balancer.SetHosts)
+	w.hosts.OnHosts(w.observer.SetHosts)
+	w.hosts.OnNotice(w.balancer.MarkHost)
+	w.hosts.OnNotice(w.peers.markHost)
+}
+
+func (w *wiring) buildConfig() {
+	w.config = newConfigService(syncer.New(syncer.Options{
+		Store:     w.store,
+		OnChange:  w.configChanged,
+		FromPeers: w.peers.fromPeers,
+		Seed:      uint64(w.life),
+		Metrics:   syncer.NewMetrics(w.metrics),
+		Log:       w.log,
+	}))
+	w.capacity = &capacityUpdater{gate: w.gate, balancer: w.balancer, config: w.config}
+	w.hosts.OnHosts(func([]platform.HostInfo) { w.capacity.update() })
+	w.peers.config = w.config
+}
+
+func (w *wiring) configChanged(c *config.Config) {
+	w.balancer.SetConfig(c)
+	w.gate.SetWorkspaces(c.Workspaces)
+	w.capacity.update()
+	w.peers.announce(c)
+	w.log.Info("config: In force.", "revision", uint64(c.Revision))
+}
+
+func (w *wiring) buildPeers() error {
+	g, err := gossip.New(gossip.Options{
+		Peer: peer.Options{
+			ID: w.opts.ID, DataCentre: w.opts.DataCentre, Address: w.opts.Advertise,
+			Incarnation: w.life, Seeds: w.opts.Seeds,
+		},
+		Key:        []byte(w.opts.Key),
+		Registerer: w.metrics,
+		Log:        w.log,
+	})
+	if err != nil {
+		return err
+	}
+	w.gossip = g
+	w.peers.gossip = g
+	w.moves = newMoves(w.peers, mover.Options{
+		Store:    w.store,
+		Self:     lease.Owner{Node: w.opts.ID, Incarnation: w.life},
+		Config:   w.config.Current,
+		Members:  w.peers.localIDs,
+		Capacity: w.capacity.of,
+		Metrics:  mover.NewMetrics(w.metrics),
+		Log:      w.log,
+	})
+	w.peers.moves = w.moves
+	w.peers.connect()
+	return nil
+}
+
+func (w *wiring) buildEntry() {
+	w.answers = answer.NewTable()
+	w.sender = dispatch.New(dispatch.Options{}, w.endpoints, w.balancer, w.moves)
+	w.remote = handover.NewRemote(w.log, w.peers, w.gossip.HTTPClient(w.bulk))
+	w.entry = entry.New(entry.Options{
+		Node: w.opts.ID, DataCentre: w.opts.DataCentre, Incarnation: w.life,
+		Ready: func() bool { return w.hosts.Hosts() != nil },
+	}, entry.Parts{
+		Log:     w.log,
+		Config:  w.config,
+		Gate:    admission{w.gate},
+		Sender:  w.sender,
+		Ledger:  dispatch.NewOrders(w.ledger),
+		Answers: w.answers,
+		Remote:  w.remote,
+		Metrics: entry.NewMetrics(w.metrics),
+	})
+}
+
+func (w *wiring) register() error {
+	operators, err := w.operatorsHandler()
+	if err != nil {
+		return err
+	}
+	services := []struct {
+		name kernel.Name
+		s    kernel.Service
+	}{
+		{serviceStore, stopFunc(w.store.Close)},
+		{serviceLedger, stopFunc(w.ledger.Stop)},
+		{serviceEndpoints, stopFunc(w.endpoints.Close)},
+		{serviceBulk, stopFunc(w.bulk.CloseIdleConnections)},
+		{serviceAdmission, stopFunc(w.gate.Close)},
+		{servicePeers, newListener("peers", w.opts.Peers, w.peersHandler(), w.log)},
+		{gossip.Name, w.gossip},
+		{serviceConfig, w.config},
+		{serviceDiscovery, w.hosts},
+		{serviceObserver, w.observer},
+		{serviceCapacity, kernel.NewLoop(capacityInterval, func(context.Context) { w.capacity.update() })},
+		{serviceMoves, w.moves},
+		{serviceSender, w.sender},
+		{serviceOperators, newListener("operators", w.opts.Operators, operators, w.log)},
+		{serviceCallers, newCallers(w.opts, w.entry, w.log)},
+	}
+	for _, s := range services {
+		if err := w.registry.Register(s.name, s.s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *wiring) peersHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(w.gossip.Handler())
+	path, h := handover.NewServer(w.log, w.config, w.answers, w.entry, w.remote).Handler()
+	mux.Handle(path, w.gossip.Authenticate(h))
+	return mux
+}
+
+func (w *wiring) operatorsHandler() (http.Handler, error) {
+	api, err := operator.New(&statusSource{opts: w.opts, config: w.config, hosts: w.hosts, balancer: w.balancer, gossip: w.gossip, moves: w.moves})
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(w.metrics, promhttp.HandlerOpts{}))
+	mux.Handle("/", w.opts.Key.Handler(api, w.rejected.Inc))
+	return mux, nil
+}
