Take requests from before a move for no evidence

Cause: a controller compared the counters' whole history in its first block, and counters were forgotten between moves, which a peer's larger ones undo. A second move between the same versions was braked at once by the first one's failures (script history, before the change: "300 of 600 on the new version"). Change: the first totals are a baseline; a node that comes late lets others' counters arrive for 5 s before it compares; counters outlive moves. Ruled out: the move's name in the counters' key, which would change what nodes exchange; baselines by source, which lose a restarted node's first requests. Measured: go test ./internal/move ./internal/move/mover passes; in the scripts the counts compared fall by the first second's requests, nothing else changes.

--- a/internal/move/compare.go
+++ b/internal/move/compare.go
@@ -71,6 +71,18 @@
 	return c
 }
 
+// Baseline takes totals that are no evidence: those from before the move, or
+// before this node followed it.
+func (c *Comparison) Baseline(old, fresh Totals) {
+	c.addRoutes(old)
+	c.addRoutes(fresh)
+	for _, name := range c.names {
+		r := c.routes[name]
+		r.old, r.fresh = *old.of(name), *fresh.of(name)
+		r.pin()
+	}
+}
+
 // Observe takes the totals of both versions at one time. The difference to the
 // last call makes a block of simultaneous trials. Routes is the number of routes
 // that the error rate is shared by.
--- a/internal/move/controller.go
+++ b/internal/move/controller.go
@@ -72,7 +72,8 @@
 
 	mark       *Mark
 	comparison *Comparison
-	seen       uint64 // requests compared at the last step
+	observing  time.Time // from when on the evidence is compared; zero: not yet
+	seen       uint64    // requests compared at the last step
 	rate       rateMeter
 }
 
@@ -124,6 +125,10 @@
 	if s := c.record.State; s != StateAdvancing && s != StateBaking {
 		return Mark{}, false
 	}
+	if c.warming(in) {
+		c.comparison.Baseline(in.Old, in.New)
+		return Mark{}, false
+	}
 	c.comparison.Observe(in.Now, in.Routes, in.Old, in.New)
 	c.rate.observe(in.Now, in.Old, in.New)
 	worst, ok := c.comparison.Worst()
@@ -146,6 +151,25 @@
 	}, true
 }
 
+// How late after the begin of a move a node takes part from its begin, and how
+// long a node that came later lets others' counters arrive before it compares.
+const (
+	fromBegin = 10 * time.Second
+	warmUp    = 5 * time.Second
+)
+
+// warming tells whether the totals are still a baseline.
+func (c *Controller) warming(in Input) bool {
+	if c.observing.IsZero() {
+		c.observing = in.Now
+		if in.Now.Sub(c.record.Begun) > fromBegin {
+			c.observing = in.Now.Add(warmUp)
+		}
+		return true
+	}
+	return in.Now.Before(c.observing)
+}
+
 // Marked takes the mark of another node.
 func (c *Controller) Marked(m Mark) {
 	if m.Move == c.name && c.mark == nil {
--- a/internal/move/evidence.go
+++ b/internal/move/evidence.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -54,7 +53,8 @@
 
 // Evidence holds the counters that one node knows, its own and others'. Merging
 // is commutative, associative and idempotent, so that exchanges may be late,
-// repeated or crossed. It is not safe for concurrent use.
+// repeated or crossed. Counters outlive moves, as one that began again from zero
+// would not grow at the others. It is not safe for concurrent use.
 type Evidence struct {
 	self     Source
 	counters map[Key]*Counter
@@ -154,22 +154,3 @@
 	}
 	return out
 }
-
-// Services returns the services that there is evidence on, in order.
-func (e *Evidence) Services() []ident.Service {
-	seen := make(map[ident.Service]bool)
-	for key := range e.counters {
-		seen[key.Service] = true
-	}
-	return slices.Sorted(maps.Keys(seen))
-}
-
-// Forget drops the counters of a service, once no move of it is left.
-func (e *Evidence) Forget(service ident.Service) {
-	for key := range e.counters {
-		if key.Service == service {
-			delete(e.counters, key)
-			delete(e.changed, key)
-		}
-	}
-}
--- a/internal/move/mover/mover.go
+++ b/internal/move/mover/mover.go
@@ -162,11 +162,6 @@
 		}
 	}
 	m.publishLocked(cfg)
-	for _, s := range m.mu.evidence.Services() {
-		if split, _ := m.Split(s); split.To == "" {
-			m.mu.evidence.Forget(s)
-		}
-	}
 }
 
 func (m *Mover) controllerLocked(name ident.MoveName) *move.Controller {
