Print the seeds of moves that end otherwise than they should

Cause: a share of wrong ends says nothing of which. Change: the simulation logs seed, severity and reason.

--- a/internal/move/sim_test.go
+++ b/internal/move/sim_test.go
@@ -260,6 +260,9 @@
 						w, o := newSimWorld(sc, uint64(seed)), newOurs()
 						w.run(o)
 						own.add(w, o)
+						if end := o.state(); sc.bad != (end == StateUndone) {
+							t.Logf("seed %d, severity %.2f, pick %d: %s, %s", seed, w.severity, w.pick, end, o.node[1].Record().Reason)
+						}
 						v, p := newSimWorld(sc, uint64(seed)), &naive{}
 						v.run(p)
 						plain.add(v, p)
