Run reclaims, freezes and orders under failure as separate processes

The end-to-end tests covered one kill, one planned stop and one outage. They now cause a reclaim of a host and of a data centre under a late host list, a stopped process of an engine and of a node, and cuts, refusals, outages, lost answers and kills under orders and their repeats.

TestWholePath compared the status of a confirmed order with 200; the desk answers 201, so that its check for confirmed orders never ran. It compares with 201 now.

TestFrozenEngine fails: nothing takes the streams of an engine over that stops without closing its connections.

--- a/internal/e2e/client_test.go
+++ b/internal/e2e/client_test.go
@@ -77,6 +77,30 @@
 	return b.String(), 4 * len(addrs), fmt.Errorf("no end mark after %d bytes", b.Len())
 }
 
+// streamOnce sends a chat and reads its stream to the end, on one connection.
+func (c chat) streamOnce(path, addr string) (string, error) {
+	req, err := c.request(addr, path, "", "")
+	if err != nil {
+		return "", err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		detail, _ := io.ReadAll(resp.Body)
+		return "", fmt.Errorf("status %d: %s", resp.StatusCode, detail)
+	}
+	var b strings.Builder
+	last := ""
+	done, err := readEvents(resp.Body, &b, &last)
+	if err == nil && !done {
+		err = fmt.Errorf("the stream ended without its end mark after event %q", last)
+	}
+	return b.String(), err
+}
+
 func (c chat) request(addr, path, id, last string) (*http.Request, error) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+addr+path, bytes.NewReader(c.body(true)))
 	if id != "" {
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -1,8 +1,6 @@
 package e2e
 
 import (
-	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -10,97 +8,9 @@
 	"testing"
 	"time"
 
-	"github.com/jujubeshed/jujubeshed/internal/standin/control"
 	"github.com/jujubeshed/jujubeshed/internal/standin/memstore"
-	standinplatform "github.com/jujubeshed/jujubeshed/internal/standin/platform"
-	"github.com/jujubeshed/jujubeshed/internal/standin/service"
 )
 
-// site is a small deployment of separate processes.
-type site struct {
-	platform string
-	desk     string
-	nodes    []string // callers' addresses
-	peers    []string
-	ops      []string
-	nodeProc []*process
-	engines  []*process
-	desks    []*process
-}
-
-var dataCentres = []string{"kalamaria", "pylaia", "evosmos"}
-
-func newSite(t *testing.T) *site {
-	t.Helper()
-	s := &site{platform: freeAddress(t)}
-	start(t, "platform", "standin", "platform", "--listen", s.platform)
-	eventually(t, "platform", func() error {
-		resp, err := http.Get("http://" + s.platform + "/control")
-		if err == nil {
-			_ = resp.Body.Close()
-		}
-		return err
-	})
-	for i, dc := range dataCentres {
-		s.engines = append(s.engines, start(t, "engine-"+dc, "standin", "engine", "--listen", freeAddress(t),
-			"--platform", s.platform, "--data-centre", dc, "--host", fmt.Sprintf("gpu-%d", i), "--service", "inscription", "--version", "v1"))
-	}
-	s.desk = freeAddress(t)
-	s.desks = append(s.desks, start(t, "desk", "standin", "service", "--listen", s.desk,
-		"--platform", s.platform, "--data-centre", dataCentres[0], "--host", "desk-0", "--service", "order-desk", "--version", "v1"))
-	for range dataCentres {
-		s.nodes = append(s.nodes, freeAddress(t))
-		s.peers = append(s.peers, freeAddress(t))
-		s.ops = append(s.ops, freeAddress(t))
-	}
-	for i := range dataCentres {
-		s.startNode(t, i)
-	}
-	runCommand(t, 0, "apply", "--platform", s.platform, "../../examples/kallergis")
-	for _, n := range s.nodes {
-		eventually(t, "node "+n, ready(n))
-	}
-	eventually(t, "first chat", func() error {
-		c := chat{prompt: "warm up", seed: 1, tokens: 2}
-		_, _, err := c.stream("/chat", s.nodes)
-		return err
-	})
-	return s
-}
-
-func (s *site) startNode(t testing.TB, i int) {
-	t.Helper()
-	args := []string{"node", "--node-id", fmt.Sprintf("entry-%d", i), "--data-centre", dataCentres[i],
-		"--callers", s.nodes[i], "--peers", s.peers[i], "--operators", s.ops[i],
-		"--platform", s.platform, "--key", sharedKey, "--drain-delay", "200ms", "--drain-timeout", "500ms"}
-	for j, p := range s.peers {
-		if j != i {
-			args = append(args, "--seed", p)
-		}
-	}
-	s.nodeProc = append(s.nodeProc, start(t, fmt.Sprintf("node-%d", i), args...))
-}
-
-// from returns the callers' addresses, beginning with node i.
-func (s *site) from(i int) []string {
-	i %= len(s.nodes)
-	return append(append([]string(nil), s.nodes[i:]...), s.nodes[:i]...)
-}
-
-func (s *site) effects(t *testing.T) service.Effects {
-	t.Helper()
-	resp, err := http.Get("http://" + s.desk + service.PathEffects)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	var e service.Effects
-	if err := json.NewDecoder(resp.Body).Decode(&e); err != nil {
-		t.Fatal(err)
-	}
-	return e
-}
-
 // traffic sends chats of a class through all nodes at once.
 func (s *site) traffic(t *testing.T, path string, n, tokens int, wg *sync.WaitGroup) {
 	for i := range n {
@@ -119,7 +29,7 @@
 // TestWholePath serves chats and orders through three nodes while a node and an
 // engine are killed.
 func TestWholePath(t *testing.T) {
-	s := newSite(t)
+	s := newSite(t, siteOptions{})
 	var wg sync.WaitGroup
 	s.traffic(t, "/drafts", 12, 60, &wg)
 	s.traffic(t, "/chat", 12, 10, &wg)
@@ -135,7 +45,7 @@
 		if n > 1 {
 			t.Errorf("order %s took effect %d times", key, n)
 		}
-		if status == http.StatusOK && n != 1 {
+		if status == http.StatusCreated && n != 1 {
 			t.Errorf("order %s was confirmed, and took effect %d times", key, n)
 		}
 	}
@@ -158,7 +68,7 @@
 				}
 				mu.Lock()
 				defer mu.Unlock()
-				if placed[key] != http.StatusOK {
+				if placed[key] != http.StatusCreated {
 					placed[key] = status
 				}
 			}()
@@ -169,7 +79,7 @@
 
 // TestPlannedStopCutsNothing stops a node while it serves long streams.
 func TestPlannedStopCutsNothing(t *testing.T) {
-	s := newSite(t)
+	s := newSite(t, siteOptions{})
 	var wg sync.WaitGroup
 	moved := make([]int, 9)
 	for i := range moved {
@@ -198,11 +108,9 @@
 // configuration and hosts from its peers, and serves chats; an order is refused
 // as not run.
 func TestStartWithPlatformDown(t *testing.T) {
-	s := newSite(t)
+	s := newSite(t, siteOptions{})
 	s.nodeProc[1].kill()
-	if err := control.Post(context.Background(), s.platform, control.Path, standinplatform.Faults{Store: memstore.Faults{Down: true}}); err != nil {
-		t.Fatal(err)
-	}
+	s.storeFaults(t, memstore.Faults{Down: true})
 	s.startNode(t, 1)
 	eventually(t, "node 1", ready(s.nodes[1]))
 	c := chat{prompt: "a line for Eleni", seed: 3, tokens: 8}
--- a/internal/e2e/processes_test.go
+++ b/internal/e2e/processes_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -99,6 +98,27 @@
 	<-p.done
 }
 
+// freeze stops the process in place; thaw lets it go on.
+func (p *process) freeze(t testing.TB) { p.signal(t, syscall.SIGSTOP) }
+func (p *process) thaw(t testing.TB)   { p.signal(t, syscall.SIGCONT) }
+
+func (p *process) signal(t testing.TB, sig syscall.Signal) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(sig); err != nil {
+		t.Fatalf("%s: %v", p.name, err)
+	}
+}
+
+// alive tells whether the process has not ended yet.
+func (p *process) alive() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
 // terminate asks the process to stop and returns when it has.
 func (p *process) terminate() {
 	_ = p.cmd.Process.Signal(syscall.SIGTERM)
@@ -121,28 +141,45 @@
 // runCommand runs a command of the program to its end and returns its output.
 func runCommand(t testing.TB, wantCode int, args ...string) string {
 	t.Helper()
+	code, out, errs := tryCommand(args...)
+	if code != wantCode {
+		t.Fatalf("%v exited with %d, want %d:\n%s%s", args, code, wantCode, out, errs)
+	}
+	return string(out)
+}
+
+// tryCommand runs a command of the program to its end, whatever that is; code is
+// -1 where it had none.
+func tryCommand(args ...string) (code int, stdout, stderr []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
-	out, err := exec.CommandContext(ctx, binary, args...).CombinedOutput()
-	code := 0
-	if err != nil {
-		code = -1
-		var exit *exec.ExitError
-		if errors.As(err, &exit) {
-			code = exit.ExitCode()
-		}
+	var out, errs bytes.Buffer
+	cmd := exec.CommandContext(ctx, binary, args...)
+	cmd.Stdout, cmd.Stderr = &out, &errs
+	if err := cmd.Run(); err != nil && cmd.ProcessState == nil {
+		return -1, nil, []byte(err.Error())
 	}
-	if code != wantCode {
-		t.Fatalf("%v exited with %d, want %d:\n%s", args, code, wantCode, out)
+	return cmd.ProcessState.ExitCode(), out.Bytes(), errs.Bytes()
+}
+
+// pollInterval is the time between two looks at a process.
+const pollInterval = 50 * time.Millisecond
+
+// sleep waits for the next look, or the end of ctx.
+func sleep(ctx context.Context) {
+	timer := time.NewTimer(pollInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	return string(out)
 }
 
 // eventually waits until f returns nil.
 func eventually(t testing.TB, what string, f func() error) {
 	t.Helper()
 	var err error
-	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(pollInterval) {
 		if err = f(); err == nil {
 			return
 		}
