Drain the ledger before a node stops and list open claims

A planned stop ended waiting claims with "may have run" and left their writes behind as claims of a dead node. Drain refuses new claims, withdraws those that wait and returns once each granted claim has its outcome and all is durable. The list of claims without outcome is read from the bucket objects for operators.

--- a/internal/once/committer/committer.go
+++ b/internal/once/committer/committer.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,28 +49,79 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 	wake   chan struct{}
+	// drained is closed once nothing is pending while draining.
+	drained chan struct{}
 
 	mu struct {
 		sync.Mutex
-		ledger  *once.Ledger
-		replies map[ident.AttemptID]chan once.Reply
-		ends    map[ident.AttemptID]chan once.Recorded
-		stopped bool
+		ledger   *once.Ledger
+		replies  map[ident.AttemptID]chan once.Reply
+		ends     map[ident.AttemptID]chan once.Recorded
+		waiting  map[ident.AttemptID]once.Claim
+		draining bool // refuses new claims
+		stopped  bool
 	}
 }
 
 // New returns a committer and starts its goroutine; Stop ends it.
 func New(store platform.Store, opts Options) *Committer {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Committer{opts: opts.withDefaults(), store: store, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1)}
+	c := &Committer{opts: opts.withDefaults(), store: store, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), drained: make(chan struct{})}
 	c.mu.ledger = once.New(opts.Ledger)
 	c.mu.replies = make(map[ident.AttemptID]chan once.Reply)
 	c.mu.ends = make(map[ident.AttemptID]chan once.Recorded)
+	c.mu.waiting = make(map[ident.AttemptID]once.Claim)
 	c.wg.Add(1)
 	go c.tickLoop()
 	return c
 }
 
+// Drain refuses new claims, ends the wait of those that were not granted yet, and
+// returns once every granted claim has its outcome and all is durable, or ctx ends.
+func (c *Committer) Drain(ctx context.Context) error {
+	c.mu.Lock()
+	if !c.mu.draining {
+		c.mu.draining = true
+		c.withdrawAllLocked()
+	}
+	c.mu.Unlock()
+	c.step(once.Tick{})
+	select {
+	case <-c.drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *Committer) withdrawAllLocked() {
+	for _, a := range slices.Sorted(maps.Keys(c.mu.waiting)) {
+		if claim, ok := c.mu.waiting[a]; ok {
+			c.stepLocked(once.Withdraw{Key: claim.Key, Attempt: a})
+		}
+	}
+}
+
+// OpenClaims lists the claims without outcome in the store, for operators.
+func (c *Committer) OpenClaims(ctx context.Context) ([]once.Open, error) {
+	c.mu.Lock()
+	prefix := c.mu.ledger.BucketPrefix()
+	c.mu.Unlock()
+	objects, err := c.store.List(ctx, prefix)
+	if err != nil {
+		return nil, err
+	}
+	var all []once.Open
+	for _, o := range objects {
+		open, err := once.OpenClaims(o)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, open...)
+	}
+	return all, nil
+}
+
 // Stop ends all store calls and goroutines. Calls that wait return an error.
 func (c *Committer) Stop() {
 	c.mu.Lock()
@@ -102,7 +155,7 @@
 func (c *Committer) Claim(ctx context.Context, claim once.Claim) (Grant, error) {
 	ch := make(chan once.Reply, 1)
 	if !c.register(claim, ch) {
-		return Grant{}, errStopped()
+		return Grant{}, errDraining()
 	}
 	defer c.forget(claim.Attempt)
 	select {
@@ -119,13 +172,19 @@
 	return verdict.New(verdict.MayHaveRun, verdict.CodeStopping, "ledger has stopped").After(time.Second)
 }
 
+// errDraining refuses a claim that was never handed to the ledger.
+func errDraining() error {
+	return verdict.New(verdict.NotRun, verdict.CodeStopping, "node is stopping").After(time.Second)
+}
+
 func (c *Committer) register(claim once.Claim, ch chan once.Reply) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.mu.stopped {
+	if c.mu.stopped || c.mu.draining {
 		return false
 	}
 	c.mu.replies[claim.Attempt] = ch
+	c.mu.waiting[claim.Attempt] = claim
 	c.stepLocked(claim)
 	return true
 }
@@ -134,6 +193,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.mu.replies, a)
+	delete(c.mu.waiting, a)
 }
 
 func (c *Committer) granted(r once.Reply) (Grant, error) {
--- a/internal/once/committer/committer_test.go
+++ b/internal/once/committer/committer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -156,6 +157,57 @@
 	})
 }
 
+// TestDrain stops a node with an order that runs, one whose claim is being
+// written and one that waits for another node: the first ends, the second leaves
+// no claim, the third learns that it may have run.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := oncetest.New(1)
+		store.Delay = 5 * time.Millisecond
+		c, other := start(store, "a", 1), start(store, "b", 1)
+		defer c.Stop()
+		defer other.Stop()
+		running, err := c.Claim(t.Context(), claimOf("running", "1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := other.Claim(t.Context(), claimOf("elsewhere", "2")); err != nil {
+			t.Fatal(err)
+		}
+		verdicts := make(chan string, 2)
+		ask := func(key, attempt string) {
+			_, err := c.Claim(t.Context(), claimOf(key, attempt))
+			verdicts <- key + " " + verdict.Of(err).String()
+		}
+		go ask("elsewhere", "3")
+		time.Sleep(time.Second)
+		go ask("writing", "4")
+		time.Sleep(time.Millisecond)
+		go func() {
+			time.Sleep(time.Second)
+			if err := c.Finish(t.Context(), running, answer("done")); err != nil {
+				t.Error(err)
+			}
+		}()
+		begin := time.Now()
+		if err := c.Drain(t.Context()); err != nil || time.Since(begin) < time.Second {
+			t.Errorf("drain: %v after %s", err, time.Since(begin))
+		}
+		got := []string{<-verdicts, <-verdicts}
+		slices.Sort(got)
+		if want := []string{"elsewhere may-have-run", "writing not-run"}; !slices.Equal(got, want) {
+			t.Errorf("waiting claims: %q, want %q", got, want)
+		}
+		if _, err := c.Claim(t.Context(), claimOf("late", "5")); verdict.Of(err) != verdict.NotRun {
+			t.Errorf("claim at a draining node: %v", err)
+		}
+		open, err := other.OpenClaims(t.Context())
+		if err != nil || len(open) != 1 || open[0].Key.Name != "elsewhere" || open[0].Node != "b" || open[0].Unconfirmed {
+			t.Errorf("open claims %+v, %v", open, err)
+		}
+	})
+}
+
 // load has callers order in a closed loop and returns the store calls and the
 // time added to an order by the ledger.
 func load(callers, orders int, one func(i int)) (added time.Duration) {
--- a/internal/once/committer/drive.go
+++ b/internal/once/committer/drive.go
@@ -26,17 +26,30 @@
 	for _, a := range c.mu.ledger.Step(time.Now(), ev) {
 		c.doLocked(a)
 	}
+	c.checkDrainedLocked()
 	select {
 	case c.wake <- struct{}{}:
 	default:
 	}
 }
 
+func (c *Committer) checkDrainedLocked() {
+	if !c.mu.draining || c.mu.ledger.Pending() > 0 {
+		return
+	}
+	select {
+	case <-c.drained:
+	default:
+		close(c.drained)
+	}
+}
+
 func (c *Committer) doLocked(a once.Action) {
 	switch a := a.(type) {
 	case once.Reply:
 		if ch, ok := c.mu.replies[a.Attempt]; ok {
 			delete(c.mu.replies, a.Attempt)
+			delete(c.mu.waiting, a.Attempt)
 			ch <- a
 		}
 	case once.Recorded:
--- a/internal/once/ledger.go
+++ b/internal/once/ledger.go
@@ -184,6 +184,16 @@
 	return first
 }
 
+// Pending returns the number of granted claims without outcome and of changes that
+// aren't durable yet.
+func (l *Ledger) Pending() int {
+	n := 0
+	for _, s := range l.shards {
+		n += s.pending()
+	}
+	return n
+}
+
 func (l *Ledger) numbers() []int {
 	all := make([]int, 0, len(l.shards))
 	for n := range l.shards {
--- a/internal/once/oncetest/store.go
+++ b/internal/once/oncetest/store.go
@@ -3,7 +3,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -12,7 +14,7 @@
 )
 
 // Store is a platform.Store in memory whose calls take time and may fail. It
-// implements Get, Put and Delete.
+// implements Get, Put, Delete and List.
 type Store struct {
 	platform.Store
 	// Delay of each call.
@@ -117,6 +119,19 @@
 	return s.mu.version, nil
 }
 
+// List implements platform.Store.
+func (s *Store) List(_ context.Context, prefix platform.Key) ([]platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []platform.Object
+	for _, k := range slices.Sorted(maps.Keys(s.mu.objects)) {
+		if strings.HasPrefix(string(k), string(prefix)) {
+			found = append(found, s.mu.objects[k])
+		}
+	}
+	return found, nil
+}
+
 // Delete implements platform.Store.
 func (s *Store) Delete(ctx context.Context, key platform.Key, expect platform.Version) error {
 	if err := s.wait(ctx); err != nil {
--- a/internal/once/wait.go
+++ b/internal/once/wait.go
@@ -140,6 +140,22 @@
 	each(s.away())
 }
 
+// pending counts what must not be lost.
+func (s *shard) pending() int {
+	n := len(s.live) + len(s.parked)
+	for _, p := range s.queue {
+		if p.kind != opSeal {
+			n++
+		}
+	}
+	for _, p := range s.toStore {
+		if p.kind != opSeal {
+			n++
+		}
+	}
+	return n + s.storing + len(s.away())
+}
+
 // idle tells whether the shard's state may be dropped.
 func (s *shard) idle(now time.Time) bool {
 	busy := s.flight != nil || len(s.queue)+len(s.parked)+len(s.toStore)+len(s.live)+len(s.reads)+s.storing > 0
