Tell a repeat that waited for another attempt that this one runs

A repeat whose key is claimed by another node waits parked and is looked at again after each read of the bucket. From 5 s after its arrival the next look refused it as "claim could not be stored" (503) although the store was well: the bound on the wait for the store was applied to a claim that waits for another attempt. The verdict, may-have-run, was right.

Found by TestOrders (node killed before and after the effect). Ruled out: the store (no failed call in the logs) and the kill itself (script long-wait does it with both nodes alive).

Tried first: count the bound from the last look, so that a repeat waits until its deadline. With that the repeats of a killed node's order took 31 s each, as no second witness of a data centre with one node calls it gone. A request that is given up on is to be told so at once, so the bound stays at 5 s, and the answer is now 409 unconfirmed, may-have-run, come back after 1 s.

--- a/internal/once/op.go
+++ b/internal/once/op.go
@@ -34,6 +34,8 @@
 	// the latest such write replaces.
 	sent   bool
 	expect platform.Version
+	// waited is set once a claim has met another attempt of its key.
+	waited bool
 	// silent ops have nobody who waits for their end.
 	silent bool
 }
--- a/internal/once/reply.go
+++ b/internal/once/reply.go
@@ -29,13 +29,28 @@
 // the same key is known, the request may have run through that one.
 func (s *shard) errStore(p *op, now time.Time) *verdict.Error {
 	v := verdict.NotRun
-	if e := s.known(p.key, now); e != nil && e.Attempt != string(p.attempt) {
+	if s.knowsOther(p, now) {
 		v = verdict.MayHaveRun
 	}
 	wait := max(s.retryAt.Sub(now), s.opts.RetryMax)
 	return verdict.New(v, verdict.CodeStore, "claim of idempotency key %q could not be stored", p.key.Name).After(wait)
 }
 
+// errExpired refuses a claim that has waited for too long: for another attempt
+// where it met one and the store answers, for the store otherwise.
+func (s *shard) errExpired(p *op, now time.Time) (ReplyKind, *verdict.Error) {
+	if p.waited && !s.down() && s.knowsOther(p, now) {
+		return Wait, errRunning(p.key)
+	}
+	return Unavailable, s.errStore(p, now)
+}
+
+// knowsOther tells whether another attempt of the claim's key is known.
+func (s *shard) knowsOther(p *op, now time.Time) bool {
+	e := s.known(p.key, now)
+	return e != nil && e.Attempt != string(p.attempt)
+}
+
 // grant answers a claim that is durable. Where it came too late to be
 // dispatched, the claim is removed instead.
 func (s *shard) grant(p *op, now time.Time) []Action {
--- a/internal/once/wait.go
+++ b/internal/once/wait.go
@@ -12,6 +12,7 @@
 		s.pollGap = min(max(2*s.pollGap, s.opts.PollInterval), s.opts.PollMax)
 		s.pollAt = now.Add(s.pollGap)
 	}
+	p.waited = true
 	s.parked = append(s.parked, p)
 }
 
@@ -46,7 +47,8 @@
 	s.queue = nil
 	for _, p := range queue {
 		if p.kind == opClaim && due(p) {
-			acts = append(acts, s.refuse(p, Unavailable, s.errStore(p, now))...)
+			kind, err := s.errExpired(p, now)
+			acts = append(acts, s.refuse(p, kind, err)...)
 			continue
 		}
 		s.queue = append(s.queue, p)
@@ -56,7 +58,8 @@
 	}
 	for _, p := range s.flight.ops {
 		if p.kind == opClaim && !p.silent && due(p) {
-			acts = append(acts, s.reply(p, Unavailable, s.errStore(p, now)))
+			kind, err := s.errExpired(p, now)
+			acts = append(acts, s.reply(p, kind, err))
 		}
 	}
 	return acts
