--- a/internal/once/op.go
+++ b/internal/once/op.go
@@ -42,6 +42,8 @@
 	// segments that were read for this op.
 	segments []*segmentEntries
 
+	// waited is set once a claim has met another attempt of its key.
+	waited bool
 	// silent ops have nobody who waits for their end.
 	silent bool
 }
