Go on elsewhere where an endpoint falls silent

Change: an attempt is cancelled after 3 s without a token, or after a third of the time left without a first byte; a request that may be repeated goes on elsewhere. An order has all the time there is, since it can't be sent again. Ruled out: a shorter bound for first bytes, which would move work that only waits in a queue. Measured: TestStall, where an engine freezes in mid-stream, passes; go test -race ./internal/dispatch.

--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -40,11 +40,14 @@
 	body.Stream = true
 	body.ResumeOffset = call.Dispatch.ResumeOffset
 	body.PrefixText = call.Dispatch.PrefixText
-	s, err := c.work.sender.client.Chat(ctx, call.Choice.Address, c.work.meta(call.Dispatch.Attempt), &body)
+	guard := newStallGuard(ctx, firstByteWait(c.work.request.Deadline))
+	s, err := c.work.sender.client.Chat(guard.ctx, call.Choice.Address, c.work.meta(call.Dispatch.Attempt), &body)
 	if err != nil {
+		err = guard.explain(err)
+		guard.stop()
 		return nil, err
 	}
-	return &chatStream{run: c, stream: s}, nil
+	return &chatStream{run: c, stream: s, guard: guard}, nil
 }
 
 // moveCache moves the KV cache of an earlier attempt. Where that fails the engine
@@ -85,6 +88,7 @@
 type chatStream struct {
 	run    *chatRun
 	stream *endpoint.ChatStream
+	guard  *stallGuard
 	chunk  endpoint.Chunk
 	// frames are used in turn: the runner is done with one when it takes the next.
 	frames [2]chatFrame
@@ -100,8 +104,9 @@
 // Recv returns the next frame.
 func (s *chatStream) Recv() (runner.Frame, error) {
 	if err := s.stream.Next(&s.chunk); err != nil {
-		return runner.Frame{}, err
+		return runner.Frame{}, s.guard.explain(err)
 	}
+	s.guard.reset(s.run.work.sender.opts.StallBetween)
 	if s.chunk.Done {
 		return runner.Frame{End: true}, nil
 	}
@@ -127,6 +132,7 @@
 
 // Close ends the stream; the engine sees that its caller has gone.
 func (s *chatStream) Close() error {
+	s.guard.stop()
 	s.stream.Close()
 	return nil
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -227,6 +227,32 @@
 	}
 }
 
+// TestStall freezes an engine in mid-stream, its connections open: the stream goes
+// on at another one.
+func TestStall(t *testing.T) {
+	b := newInOrder()
+	first := engine.New(engine.Options{ID: "first", Version: "v1", Speed: 2})
+	b.add(t, "first", first.Handler())
+	b.add(t, "second", engine.New(engine.Options{ID: "second", Version: "v1", Speed: 1000}).Handler())
+	s := newSender(t, b)
+	s.opts.StallBetween = 200 * time.Millisecond
+	job, want := newJob(30)
+	go func() {
+		for job.Answer.Len() < 5 {
+			time.Sleep(time.Millisecond)
+		}
+		first.SetFaults(engine.Faults{Freeze: true})
+	}()
+	s.Chat(context.Background(), job)
+	first.SetFaults(engine.Faults{})
+	if job.Answer.End().Err != nil || job.Answer.Text() != want {
+		t.Errorf("answer of %d tokens, end %+v", job.Answer.Len(), job.Answer.End())
+	}
+	if got := b.outcomes["first"]; !slices.Equal(got, []route.Outcome{route.OutcomeFault}) {
+		t.Errorf("outcomes of the frozen engine = %v", got)
+	}
+}
+
 // flaky answers the n-th request by the n-th of its steps.
 type flaky struct {
 	steps []string
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -37,6 +37,27 @@
 
 // Open sends an attempt and reads the beginning of its response.
 func (p *plainRun) Open(ctx context.Context, call runner.Call) (runner.Stream, error) {
+	guard := newStallGuard(ctx, p.attemptWait())
+	stream, err := p.exchange(guard.ctx, call)
+	if err != nil {
+		err = guard.explain(err)
+		guard.stop()
+		return nil, err
+	}
+	stream.guard = guard
+	return stream, nil
+}
+
+// attemptWait bounds an attempt up to the beginning of its response. One that may
+// not be repeated has all the time there is.
+func (p *plainRun) attemptWait() time.Duration {
+	if !p.work.request.Route.Idempotent {
+		return time.Until(p.work.request.Deadline)
+	}
+	return firstByteWait(p.work.request.Deadline)
+}
+
+func (p *plainRun) exchange(ctx context.Context, call runner.Call) (*plainStream, error) {
 	url := "http://" + call.Choice.Address + p.in.URL.RequestURI()
 	req, err := http.NewRequestWithContext(ctx, p.in.Method, url, io.NopCloser(bytes.NewReader(p.body)))
 	if err != nil {
@@ -85,9 +106,10 @@
 
 // plainStream is a response as a stream of one frame.
 type plainStream struct {
-	resp *http.Response
-	echo attempt.Echo
-	sent bool
+	resp  *http.Response
+	echo  attempt.Echo
+	guard *stallGuard
+	sent  bool
 }
 
 // Recv returns the response, once.
@@ -96,10 +118,12 @@
 		return runner.Frame{}, io.EOF
 	}
 	s.sent = true
+	s.guard.timer.Stop()
 	return runner.Frame{Response: &attempt.Response{Echo: s.echo, Status: s.resp.StatusCode}, Body: s.resp}, nil
 }
 
 // Close closes the response's body.
 func (s *plainStream) Close() error {
+	s.guard.stop()
 	return s.resp.Body.Close()
 }
--- a/internal/dispatch/sender.go
+++ b/internal/dispatch/sender.go
@@ -45,6 +45,9 @@
 	// LeavingInterval is the time between two looks for work on leaving endpoints.
 	// Default: 100ms.
 	LeavingInterval time.Duration
+	// StallBetween is the longest silence between two tokens, after which a stream
+	// goes on at another endpoint. Default: 3s.
+	StallBetween time.Duration
 }
 
 // DefaultCosts estimate a model engine's KV cache on a 10 Gbit/s network.
@@ -74,6 +77,9 @@
 	if opts.LeavingInterval == 0 {
 		opts.LeavingInterval = 100 * time.Millisecond
 	}
+	if opts.StallBetween == 0 {
+		opts.StallBetween = DefaultStallBetween
+	}
 	if opts.Attempt.Costs == (attempt.Costs{}) {
 		opts.Attempt.Costs = DefaultCosts
 	}
