Push at most one kilobyte of recent marks with a digest

Cause: each node pushed all recent marks with six digests, although its peers have mostly learnt them at once: 600 marks cost a node 150 KB in 10 s at 64 nodes, where its budget is 11 KB a second.

Ruled out: fewer intervals of pushing, which single marks need under loss.

Change: a digest carries up to 1 KiB of recent marks, from a random one on; the answer to a digest that shows other marks still carries all that differ. slopes measures a wave, and drains the changes as the driver does: 64 entries a node had seemed to take 27 MB, which were the changes nobody took.

--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -42,7 +42,7 @@
 	var sends []Send
 	for _, t := range targets {
 		msg := n.newDigest(t.scopeTo(n))
-		n.addMarks(msg, rumours)
+		n.addMarksUpTo(msg, rotate(rumours, n.rng), rumourBytes)
 		sends = append(sends, n.send(t, msg))
 	}
 	return sends
--- a/internal/peer/marks.go
+++ b/internal/peer/marks.go
@@ -109,10 +109,14 @@
 
 // addMarks puts marks into a message up to its bound and returns the rest.
 func (n *Node) addMarks(msg *Message, marks []*mark) []*mark {
+	return n.addMarksUpTo(msg, marks, n.o.MessageBytes)
+}
+
+func (n *Node) addMarksUpTo(msg *Message, marks []*mark, limit int) []*mark {
 	size := 0
 	for i, m := range marks {
 		size += len(m.subject) + len(m.value) + entryOverhead
-		if i > 0 && size > n.o.MessageBytes {
+		if i > 0 && size > limit {
 			return marks[i:]
 		}
 		msg.Marks = append(msg.Marks, n.wireMark(m))
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -19,16 +19,17 @@
 )
 
 const (
-	digestPeers       = 2  // peers of the data centre that get a digest each interval
-	delegatesPerDC    = 2  // nodes that speak for a data centre
-	rumourRounds      = 3  // intervals in which a new mark is sent again
-	youngIntervals    = 15 // after which a mark is no longer the likely cause of a difference
-	reconnectOdds     = 8  // one interval in so many tries an address not in the membership
-	witnessesNeeded   = 2  // nodes that must find a member silent before it is gone
-	clampIntervals    = 2  // largest step of time, in intervals
-	saltsKept         = 32 // digests whose answers are still taken
-	joinIntervals     = 5  // after its start in which a node speaks for no data centre
-	lastLeg           = 2  // of a digest exchange
+	digestPeers       = 2       // peers of the data centre that get a digest each interval
+	delegatesPerDC    = 2       // nodes that speak for a data centre
+	rumourRounds      = 3       // intervals in which a new mark is sent again
+	rumourBytes       = 1 << 10 // of marks that go with a digest unasked
+	youngIntervals    = 15      // after which a mark is no longer the likely cause of a difference
+	reconnectOdds     = 8       // one interval in so many tries an address not in the membership
+	witnessesNeeded   = 2       // nodes that must find a member silent before it is gone
+	clampIntervals    = 2       // largest step of time, in intervals
+	saltsKept         = 32      // digests whose answers are still taken
+	joinIntervals     = 5       // after its start in which a node speaks for no data centre
+	lastLeg           = 2       // of a digest exchange
 	fleetBeatPerDC    = 250 * time.Millisecond
 	fleetSilenceBeats = 3
 	markAgeSlack      = 5 * time.Second
--- a/internal/peer/slopes/cost.go
+++ b/internal/peer/slopes/cost.go
@@ -51,17 +51,22 @@
 // detail prints what entries of endpoint load cost in a data centre of 34 nodes.
 func detail(w io.Writer) {
 	head(w, "entries a node", "changed every", "bytes/s", "core %", "heap KB")
-	var x, y []float64
+	var x, y, held, heap []float64
 	for _, entries := range []int{0, 8, 32, 64} {
 		for _, every := range []time.Duration{time.Second, 5 * time.Second} {
 			u := measure(shape{34, 1, 2 * time.Millisecond}, &load{entries: entries, every: every})
 			row(w, entries, every, u.bytes, 100*u.core, u.heap/1024)
 			x = append(x, float64(34*entries)/every.Seconds())
 			y = append(y, u.bytes)
+			if every == time.Second {
+				held, heap = append(held, float64(34*entries)), append(heap, u.heap)
+			}
 		}
 	}
 	a, b := fit(x, y)
 	fmt.Fprintf(w, "\nbytes/s a node = %.0f + %.1f for each change a second in the data centre\n", a, b)
+	a, b = fit(held, heap)
+	fmt.Fprintf(w, "heap of a node = %.0f + %.0f bytes for each entry in the data centre\n", a, b)
 }
 
 // load is a number of entries of endpoint load that each node changes.
@@ -88,6 +93,7 @@
 func measure(s shape, l *load) usage {
 	before := heapBytes()
 	n := newNet(s, virtual.Options{Seed: 1, Encode: true})
+	n.OnEvent = func(p *virtual.Proc) { p.Node.Changes() } // as the driver does
 	run(n, joinFor, l)
 	var sent, bytes uint64
 	for _, p := range n.Procs() {
--- a/internal/peer/slopes/main.go
+++ b/internal/peer/slopes/main.go
@@ -15,7 +15,7 @@
 )
 
 func main() {
-	part := flag.String("part", "spread", "what to measure: spread, cost, detail or wire")
+	part := flag.String("part", "spread", "what to measure: spread, wave, cost, detail or wire")
 	nodes := flag.Int("nodes", 64, "fleet of the spread: 8, 64, 256 or 710")
 	loss := flag.Int("loss", -1, "loss in the spread, per cent; below zero: 0, 5 and 20")
 	notices := flag.Int("notices", 20, "notices in each case of the spread")
@@ -25,6 +25,8 @@
 	switch *part {
 	case "spread":
 		spread(out, *nodes, *notices, *loss)
+	case "wave":
+		wave(out)
 	case "cost":
 		cost(out)
 	case "detail":
@@ -34,7 +36,7 @@
 			log.Fatal(err)
 		}
 	default:
-		log.Fatalf("part %q is not one of spread, cost, detail, wire", *part)
+		log.Fatalf("part %q is not one of spread, wave, cost, detail, wire", *part)
 	}
 }
 
--- a/internal/peer/slopes/spread.go
+++ b/internal/peer/slopes/spread.go
@@ -170,3 +170,40 @@
 	}
 	return broken
 }
+
+// wave prints what the marks of a data centre's worth of workers cost a node.
+func wave(w io.Writer) {
+	head(w, "nodes", "marks at once", "loss %", "last node s", "KB sent a node in 10 s")
+	for _, marks := range []int{0, 60, 600} {
+		for _, loss := range []int{0, 20} {
+			s := spreadShapes[1]
+			n := newNet(s, virtual.Options{Seed: 1})
+			n.Run(joinFor)
+			n.SetLoss(float64(loss) / 100)
+			var before, after uint64
+			for _, p := range n.Procs() {
+				before += p.SentBytes
+			}
+			start := n.Now()
+			took := waveOf(n, marks)
+			n.Run(start + healFor - n.Now())
+			for _, p := range n.Procs() {
+				after += p.SentBytes
+			}
+			row(w, s.nodes, marks, loss, took.Seconds(), float64(after-before)/float64(s.nodes)/1024)
+		}
+	}
+}
+
+// waveOf marks so many workers at once and returns when all nodes know them.
+func waveOf(n *virtual.Net, count int) time.Duration {
+	marks := make([]peer.Mark, count)
+	for i := range marks {
+		marks[i] = peer.Mark{Kind: peer.MarkEndpointLeaving, Subject: fmt.Sprintf("worker-%05d", i), Number: 1}
+	}
+	p := n.Procs()[5]
+	n.Do(p, func(now time.Time) []peer.Send { return p.Node.Mark(now, marks...) })
+	return n.RunUntil(healFor, func() bool {
+		return !slices.ContainsFunc(n.Procs(), func(p *virtual.Proc) bool { return p.Node.MarkCount() < count })
+	})
+}
