Ask the host list for seeds once a minute

Cause: a call every 15 s by each of 710 nodes is 47 reads a second of the two thousand that the store answers.

Ruled out: asking at the start only; a node whose peers all died would be alone.

Change: once a minute (12 reads a second), four times as often while no peer is known. The cost table shows what a delegate sends.

Conclusion: go test ./internal/peer/gossip passes; the rate is arithmetic, not measured.

--- a/internal/peer/gossip/loop.go
+++ b/internal/peer/gossip/loop.go
@@ -105,21 +105,36 @@
 		case <-s.ctx.Done():
 			return
 		case <-timer.C:
-			s.refreshSeeds()
-			timer.Reset(s.o.SeedEvery)
+			joined := s.refreshSeeds()
+			timer.Reset(s.nextSeeds(joined))
 		}
 	}
 }
 
-func (s *Service) refreshSeeds() {
+// lonelyShare shortens the time between calls of Seeds while no peer is known.
+const lonelyShare = 4
+
+func (s *Service) nextSeeds(joined bool) time.Duration {
+	if joined {
+		return s.o.SeedEvery
+	}
+	return s.o.SeedEvery / lonelyShare
+}
+
+// refreshSeeds asks for addresses and tells whether any peer is known.
+func (s *Service) refreshSeeds() (joined bool) {
 	ctx, cancel := context.WithTimeout(s.ctx, s.o.Timeout)
 	defer cancel()
 	found, err := s.o.Seeds(ctx)
 	if err != nil {
 		s.log.Warn("peer: Seeds not found.", "error", err)
-		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	joined = s.mu.node.FleetSize() > 1
+	if err != nil {
+		return joined
+	}
 	s.mu.node.SetSeeds(append(append([]string(nil), s.o.Peer.Seeds...), found...))
+	return joined
 }
--- a/internal/peer/gossip/service.go
+++ b/internal/peer/gossip/service.go
@@ -25,7 +25,7 @@
 const (
 	DefaultTimeout   = 2 * time.Second
 	DefaultInFlight  = 256
-	DefaultSeedEvery = 15 * time.Second
+	DefaultSeedEvery = time.Minute
 )
 
 // A connection to a peer that vanished is given up after these.
@@ -43,7 +43,8 @@
 	// Seeds yields more addresses to join by, for example from the host list. An
 	// error leaves those known so far. Default: none.
 	Seeds func(context.Context) ([]string, error)
-	// SeedEvery is the time between calls of Seeds. Default: 15s.
+	// SeedEvery is the time between calls of Seeds, a quarter of it while no peer is
+	// known. Default: 1m.
 	SeedEvery time.Duration
 	// Timeout of a call to a peer. Default: 2s.
 	Timeout time.Duration
--- a/internal/peer/slopes/cost.go
+++ b/internal/peer/slopes/cost.go
@@ -18,6 +18,7 @@
 	messages, bytes float64 // sent a second
 	core            float64 // share of a core, codec included
 	heap            float64 // bytes
+	delegateBytes   float64 // sent a second by a delegate
 }
 
 // cost prints what a node spends at several sizes and the fitted slopes.
@@ -41,10 +42,10 @@
 		row(w, s.name, fmt.Sprintf("%.4f", a), fmt.Sprintf("%.5f", b))
 	}
 	fmt.Fprintln(w)
-	head(w, "nodes", "data centres", "messages/s", "bytes/s", "core %", "heap KB")
+	head(w, "nodes", "data centres", "messages/s", "bytes/s", "of a delegate", "core %", "heap KB")
 	for _, s := range []shape{{8, 4, 2 * time.Millisecond}, {64, 4, 2 * time.Millisecond}, {256, 8, 100 * time.Millisecond}, {710, 21, 100 * time.Millisecond}} {
 		u := measure(s, nil)
-		row(w, s.nodes, s.dcs, u.messages, u.bytes, 100*u.core, u.heap/1024)
+		row(w, s.nodes, s.dcs, u.messages, u.bytes, u.delegateBytes, 100*u.core, u.heap/1024)
 	}
 }
 
@@ -102,9 +103,14 @@
 	cpu := processorTime()
 	run(n, costFor, l)
 	cpu = processorTime() - cpu
+	var delegates, delegateBytes uint64
 	for _, p := range n.Procs() {
 		sent += p.Sent
 		bytes += p.SentBytes
+		if p.Node.IsDelegate() {
+			delegates++
+			delegateBytes += p.SentBytes
+		}
 	}
 	heap := heapBytes() - before
 	runtime.KeepAlive(n)
@@ -114,6 +120,8 @@
 		bytes:    float64(bytes) / nodeSeconds,
 		core:     cpu.Seconds() / nodeSeconds,
 		heap:     heap / float64(s.nodes),
+
+		delegateBytes: float64(delegateBytes) / float64(delegates) / costFor.Seconds(),
 	}
 }
 
