--- a/internal/attempt/types.go
+++ b/internal/attempt/types.go
@@ -229,3 +229,15 @@
 	// RecomputedTokens estimates the tokens computed more than once.
 	RecomputedTokens int
 }
+
+// Add adds the counts of another request.
+func (s *Stats) Add(o Stats) {
+	s.Attempts += o.Attempts
+	s.Hedges += o.Hedges
+	s.Resumes += o.Resumes
+	s.Crossed += o.Crossed
+	s.Duplicates += o.Duplicates
+	s.Gaps += o.Gaps
+	s.LateDropped += o.LateDropped
+	s.RecomputedTokens += o.RecomputedTokens
+}
--- /dev/null
+++ b/internal/once/oncetest/objects.go
@@ -0,0 +1,55 @@
+package oncetest
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/once"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+)
+
+// Objects is a store that carries out the actions of a ledger one at a time.
+type Objects map[platform.Key]platform.Object
+
+// Do carries out a StoreGet or StorePut.
+func (o Objects) Do(a once.Action) once.StoreResult {
+	switch a := a.(type) {
+	case once.StoreGet:
+		obj, ok := o[a.Object]
+		if !ok {
+			return once.StoreResult{Call: a.Call, Err: platform.ErrNotFound}
+		}
+		return once.StoreResult{Call: a.Call, Object: obj}
+	case once.StorePut:
+		if o[a.Object].Version != a.Expect {
+			return once.StoreResult{Call: a.Call, Err: platform.ErrConflict}
+		}
+		obj := platform.Object{Key: a.Object, Version: a.Expect + 1, Value: a.Value}
+		o[a.Object] = obj
+		return once.StoreResult{Call: a.Call, Object: platform.Object{Version: obj.Version}}
+	}
+	panic(fmt.Sprintf("%T is no store call", a))
+}
+
+// Settle feeds an event to a ledger and carries out all store calls that follow.
+// It returns the replies and the recorded outcomes.
+func (o Objects) Settle(l *once.Ledger, now time.Time, ev once.Event) (replies []once.Reply, recorded []once.Recorded) {
+	queue := []once.Event{ev}
+	for len(queue) > 0 {
+		acts := l.Step(now, queue[0])
+		queue = queue[1:]
+		for _, a := range acts {
+			switch a := a.(type) {
+			case once.Reply:
+				replies = append(replies, a)
+			case once.Recorded:
+				recorded = append(recorded, a)
+			case once.StoreDelete:
+				delete(o, a.Object)
+			default:
+				queue = append(queue, o.Do(a))
+			}
+		}
+	}
+	return replies, recorded
+}
