--- a/internal/admit/model_test.go
+++ b/internal/admit/model_test.go
@@ -1,9 +1,9 @@
 package admit
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/ident"
@@ -36,28 +36,16 @@
 }
 
 type timed struct {
-	at  time.Time
-	seq int
-	f   func()
+	at time.Time
+	f  func()
 }
 
-type agenda []timed
-
-func (e agenda) Len() int { return len(e) }
-func (e agenda) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
-}
-func (e agenda) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *agenda) Push(x any)   { *e = append(*e, x.(timed)) }
-func (e *agenda) Pop() any     { o := *e; x := o[len(o)-1]; *e = o[:len(o)-1]; return x }
-
 // world drives one controller in virtual time; service times are exponential.
 type world struct {
 	c       *Controller
 	rng     *rand.Rand
 	now     time.Time
-	todo    agenda
-	seq     int
+	todo    []timed // by time, then by order of scheduling
 	streams []stream
 	out     []*outcome
 	queued  map[Ticket]func(Event)
@@ -74,8 +62,9 @@
 }
 
 func (w *world) after(d time.Duration, f func()) {
-	w.seq++
-	heap.Push(&w.todo, timed{w.now.Add(d), w.seq, f})
+	at := w.now.Add(d)
+	i := sort.Search(len(w.todo), func(i int) bool { return w.todo[i].at.After(at) })
+	w.todo = slices.Insert(w.todo, i, timed{at, f})
 }
 
 func (w *world) exp(mean time.Duration) time.Duration {
@@ -140,8 +129,8 @@
 
 func (w *world) run(d time.Duration) *world {
 	for end := epoch.Add(d); w.now.Before(end); {
-		e := heap.Pop(&w.todo).(timed)
-		w.now = e.at
+		e := w.todo[0]
+		w.todo, w.now = w.todo[1:], e.at
 		e.f()
 	}
 	return w
--- a/internal/route/compare_test.go
+++ b/internal/route/compare_test.go
@@ -95,3 +95,14 @@
 		t.Errorf("herding: p95 %v, without correction %v", own.quickP95, alone.quickP95)
 	}
 }
+
+// TestNoEvents loses all cache events. The nodes still agree on a prefix's home;
+// without homes each looks for its own holder.
+func TestNoEvents(t *testing.T) {
+	o := defaults()
+	o.workload, o.rate, o.noEvents, o.warmup, o.length = many, 45, true, 10*time.Second, 40*time.Second
+	none := compare(t, "no homes", o, tables(Options{Homes: -1}))
+	if homes := compare(t, "homes", o, tables(Options{})); homes.again > none.again/2 || homes.worst > firstToken {
+		t.Errorf("recomputed %d tokens, without homes %d; quick p95 %v", homes.again, none.again, homes.worst)
+	}
+}
--- a/internal/route/model_test.go
+++ b/internal/route/model_test.go
@@ -1,10 +1,11 @@
 package route
 
 import (
-	"container/heap"
 	"container/list"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"sort"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -18,21 +19,10 @@
 // nodes that see their load late. It runs in virtual time.
 
 type event struct {
-	at  time.Time
-	seq int
-	f   func()
+	at time.Time
+	f  func()
 }
 
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any     { o := *e; x := o[len(o)-1]; *e = o[:len(o)-1]; return x }
-
 // prompt is one request of the workload.
 type prompt struct {
 	class  ident.Class
@@ -77,8 +67,7 @@
 	modelOptions
 	rng      *rand.Rand
 	now      time.Time
-	queue    events
-	seq      int
+	queue    []event // by time, then by order of scheduling
 	engs     []*engine
 	nodeList []chooser
 	seen     map[uint64]bool // blocks computed anywhere
@@ -120,8 +109,9 @@
 }
 
 func (m *model) after(d time.Duration, f func()) {
-	m.seq++
-	heap.Push(&m.queue, event{m.now.Add(d), m.seq, f})
+	at := m.now.Add(d)
+	i := sort.Search(len(m.queue), func(i int) bool { return m.queue[i].at.After(at) })
+	m.queue = slices.Insert(m.queue, i, event{at, f})
 }
 
 func (m *model) run() *model {
@@ -136,8 +126,8 @@
 		m.after(seconds(m.rng.Float64()*m.reportEvery.Seconds()), e.report)
 	}
 	for end := epoch.Add(m.length); m.now.Before(end) && len(m.queue) > 0; {
-		e := heap.Pop(&m.queue).(event)
-		m.now = e.at
+		e := m.queue[0]
+		m.queue, m.now = m.queue[1:], e.at
 		e.f()
 	}
 	return m
--- a/internal/route/options.go
+++ b/internal/route/options.go
@@ -31,7 +31,7 @@
 	// ServiceTime is the assumed time of a request until some have finished. Default: 1s.
 	ServiceTime time.Duration
 	// Homes is the number of rendezvous-hash homes of a prefix that no endpoint is
-	// known to hold. Default: 1.
+	// known to hold; negative means none. Default: 1.
 	Homes int
 	// HomeBlocks is the number of leading blocks that name a prefix's homes. Default: 16.
 	HomeBlocks int
