Take the earliest deadline of a leaving mark

A second notice for the same incarnation was dropped. A host list that said "leaving" without a deadline, followed by the notice, left the mark without one. The earliest deadline now holds; the incarnation still only grows.

--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -168,13 +168,28 @@
 	}
 }
 
+// grow returns the mark after word of leaving in an incarnation. It never goes back
+// to an earlier incarnation, nor to a later deadline.
+func (k mark) grow(now time.Time, inc ident.Incarnation, deadline time.Time) (mark, bool) {
+	if !k.at.IsZero() && inc < k.incarnation {
+		return k, false
+	}
+	if k.at.IsZero() || inc > k.incarnation {
+		return mark{incarnation: inc, deadline: deadline, at: now}, true
+	}
+	d := earlier(k.deadline, deadline)
+	changed := !d.Equal(k.deadline)
+	k.deadline = d
+	return k, changed
+}
+
 // MarkHost marks a host and its endpoints as leaving. The mark grows only.
 func (t *Table) MarkHost(now time.Time, n platform.Notice) {
-	old, known := t.hostMarks[n.Host]
-	if known && old.incarnation >= n.Incarnation {
+	k, grown := t.hostMarks[n.Host].grow(now, n.Incarnation, n.Deadline)
+	if !grown {
 		return
 	}
-	t.hostMarks[n.Host] = mark{incarnation: n.Incarnation, deadline: n.Deadline, at: now}
+	t.hostMarks[n.Host] = k
 	for _, m := range t.endpoints {
 		if m.host == n.Host {
 			t.applyMark(m)
@@ -184,11 +199,14 @@
 
 // MarkEndpoint takes an endpoint's own word that it leaves. The mark grows only.
 func (t *Table) MarkEndpoint(now time.Time, id ident.EndpointID, s endpoint.LeavingState) {
-	old, known := t.endMarks[id]
-	if !s.Leaving || known && old.incarnation >= s.Incarnation {
+	if !s.Leaving {
+		return
+	}
+	k, grown := t.endMarks[id].grow(now, s.Incarnation, s.Deadline)
+	if !grown {
 		return
 	}
-	t.endMarks[id] = mark{incarnation: s.Incarnation, deadline: s.Deadline, at: now}
+	t.endMarks[id] = k
 	if m := t.endpoints[id]; m != nil {
 		t.applyMark(m)
 	}
