Read an engine's state without an order

Cause: who buys hosts has to know whether an engine is ready and what it has loaded, and an order is no way to ask.

Ruled out: the load report, which says nothing of readiness.

Change: Client.EngineState, a GET of the path that takes orders.

Run: go test ./internal/fleet/controller, which uses it through a fake; the stand-in engine has served the path before.

--- a/internal/endpoint/calls.go
+++ b/internal/endpoint/calls.go
@@ -43,6 +43,12 @@
 	return out, c.call(ctx, http.MethodPost, addr, PathEngineOrder, order, &out)
 }
 
+// EngineState reads what an engine serves.
+func (c *Client) EngineState(ctx context.Context, addr string) (EngineState, error) {
+	var out EngineState
+	return out, c.call(ctx, http.MethodGet, addr, PathEngineOrder, nil, &out)
+}
+
 // ExportKV exports the KV cache of an attempt.
 func (c *Client) ExportKV(ctx context.Context, addr string, req KVExportRequest) (KVBlob, error) {
 	var out KVBlob
