Keep hosts that the list forgets for a moment, and make drains final where marks spread them

And a host that was never seen to serve was released at once where the list did not show it, though other nodes may have had it on theirs.

Ruled out: a longer ListLag, which any longer outage outlasts.

Change: the time counts from the first observation without the host, and a host that was never seen is released only after it was missing for ListLag. Options.FinalDrains forbids taking a drain back, for drivers whose nodes hear of drains by marks that only grow.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -45,6 +45,9 @@
 	MaxBackoff time.Duration
 	// DrainDelay is how long all nodes may take to hear of a drain. Default: 10s.
 	DrainDelay time.Duration
+	// FinalDrains forbids taking a drain back, as where nodes hear of it by marks
+	// that only grow. Default: false.
+	FinalDrains bool
 	// RetryEvery is the time between two sendings of a purchase, release or order. Default: 5s.
 	RetryEvery time.Duration
 }
@@ -208,6 +211,7 @@
 	nextSwap time.Time
 
 	seenAt     map[ident.Host]time.Time // last listed
+	missingAt  map[ident.Host]time.Time // first observation without it since
 	readyAt    map[ident.Host]time.Time // last ready
 	orderedAt  map[ident.Host]time.Time // last sending of an order
 	releasedAt map[ident.Host]time.Time // last sending of a release
@@ -226,6 +230,7 @@
 		outcomes:   make(map[uint64]outcome),
 		pauses:     make(map[offerKind]pause),
 		seenAt:     make(map[ident.Host]time.Time),
+		missingAt:  make(map[ident.Host]time.Time),
 		readyAt:    make(map[ident.Host]time.Time),
 		orderedAt:  make(map[ident.Host]time.Time),
 		releasedAt: make(map[ident.Host]time.Time),
--- a/internal/fleet/scale.go
+++ b/internal/fleet/scale.go
@@ -112,6 +112,9 @@
 // canRestore reports whether a drain can be taken back: it is this holder's own,
 // and no release was sent.
 func (p *Planner) canRestore(s Slot) bool {
+	if p.opts.FinalDrains {
+		return false
+	}
 	h := p.hosts[s.Host]
 	_, released := p.releasedAt[s.Host]
 	return s.State == SlotDraining && s.DrainEpoch == p.epoch && h.Ready && !h.Leaving && !released
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -57,6 +57,7 @@
 	for _, h := range obs.Hosts {
 		p.hosts[h.Host] = h
 		p.seenAt[h.Host] = now
+		delete(p.missingAt, h.Host)
 		if h.Ready {
 			p.readyAt[h.Host] = now
 		}
@@ -64,6 +65,11 @@
 			p.plan.record(h.DataCentre).HostHours += elapsed.Hours()
 		}
 	}
+	for h := range p.seenAt {
+		if _, missing := p.missingAt[h]; !missing && p.seenAt[h].Before(now) {
+			p.missingAt[h] = now
+		}
+	}
 }
 
 // settle writes outcomes, gone hosts and hosts that aren't ready in time into the draft.
@@ -109,15 +115,17 @@
 
 // gone reports whether a slot's host leaves or has left, and records the reclaim.
 func (p *Planner) gone(now time.Time, draft *Plan, s Slot) bool {
-	seen, ever := p.seenAt[s.Host]
+	since, ever := p.missingAt[s.Host]
 	if s.State == SlotReleased && !ever {
-		seen, ever = s.Since, true
-	}
-	if s.Host == "" || !ever {
-		return false
+		since, ever = s.Since, true
 	}
 	h, listed := p.hosts[s.Host]
-	if listed && (!h.Leaving || s.State == SlotReleased) || !listed && now.Sub(seen) < p.opts.ListLag {
+	switch {
+	case s.Host == "":
+		return false
+	case listed && (!h.Leaving || s.State == SlotReleased):
+		return false
+	case !listed && (!ever || now.Sub(since) < p.opts.ListLag):
 		return false
 	}
 	p.forgetHost(s.Host)
@@ -132,6 +140,7 @@
 
 func (p *Planner) forgetHost(h ident.Host) {
 	delete(p.seenAt, h)
+	delete(p.missingAt, h)
 	delete(p.readyAt, h)
 	delete(p.orderedAt, h)
 	delete(p.releasedAt, h)
@@ -258,7 +267,9 @@
 	}
 	h, listed := p.hosts[s.Host]
 	if !listed {
-		return !s.Served
+		// It may be on the list that other nodes have.
+		_, seen := p.seenAt[s.Host]
+		return !s.Served && !seen && now.Sub(since) >= p.opts.ListLag
 	}
 	return h.Accepted == 0 && now.Sub(since) >= p.opts.DrainDelay
 }
