--- a/internal/attempt/answer.go
+++ b/internal/attempt/answer.go
@@ -34,7 +34,7 @@
 		m.stats.Duplicates++
 		return nil
 	}
-	acts := m.choose(now, t)
+	acts := append(m.scratch[:0], m.choose(now, t)...)
 	fresh := c.Tokens[m.offset-c.Offset:]
 	if len(fresh) > 0 {
 		acts = append(acts, m.emit(t, fresh))
@@ -92,8 +92,9 @@
 	m.excluded = nil
 	m.retryGap = 0
 	m.prefer = t.endpoint
-	invariant.Check(e.Offset+len(tokens) == m.offset && m.source == t, invariant.OffsetsContiguous,
-		"request %q delivered token %d of attempt %q", m.req.ID, e.Offset, t.id)
+	if e.Offset+len(tokens) != m.offset || m.source != t {
+		invariant.Violated(invariant.OffsetsContiguous, "request %q delivered token %d of attempt %q", m.req.ID, e.Offset, t.id)
+	}
 	return e
 }
 
@@ -142,9 +143,10 @@
 	statusBadGateway         = 502
 	statusServiceUnavailable = 503
 	statusGatewayTimeout     = 504
+	statusInternalError      = 500
 )
 
 // passing tells whether a status speaks of a fault that another endpoint may not have.
 func passing(status int) bool {
-	return status == statusBadGateway || status == statusServiceUnavailable || status == statusGatewayTimeout
+	return status == statusInternalError || status == statusBadGateway || status == statusServiceUnavailable || status == statusGatewayTimeout
 }
--- a/internal/attempt/runner/runner.go
+++ b/internal/attempt/runner/runner.go
@@ -13,6 +13,7 @@
 
 // PickRequest asks for an endpoint.
 type PickRequest struct {
+	Attempt ident.AttemptID
 	Request attempt.Request
 	// Exclude lists the endpoints that must not be chosen.
 	Exclude []ident.EndpointID
@@ -30,7 +31,8 @@
 
 // Report tells a Picker how an attempt at its choice ended.
 type Report struct {
-	Choice Choice
+	Attempt ident.AttemptID
+	Choice  Choice
 	// Err is the fault of the attempt; nil where it ended well or was cancelled
 	// without fault.
 	Err error
@@ -77,8 +79,9 @@
 
 // Stream is the answer of one attempt.
 type Stream interface {
-	// Recv returns the next frame. An answer that ends without its end mark is
-	// io.EOF or io.ErrUnexpectedEOF. It returns when the Open's ctx has ended.
+	// Recv returns the next frame, valid until the call after the next. An answer
+	// that ends without its end mark is io.EOF or io.ErrUnexpectedEOF. It returns
+	// when the Open's ctx has ended.
 	Recv() (Frame, error)
 	Close() error
 }
--- a/internal/attempt/runner/try.go
+++ b/internal/attempt/runner/try.go
@@ -67,7 +67,7 @@
 		defer t.source.cancel()
 	}
 	choice, err := t.run.picker.Pick(t.ctx, PickRequest{
-		Request: t.call.Request, Exclude: t.call.Dispatch.Exclude, Prefer: t.call.Dispatch.Prefer, Hedge: t.call.Dispatch.Hedge,
+		Attempt: t.call.Dispatch.Attempt, Request: t.call.Request, Exclude: t.call.Dispatch.Exclude, Prefer: t.call.Dispatch.Prefer, Hedge: t.call.Dispatch.Hedge,
 	})
 	if err != nil {
 		t.send(message{event: t.notDispatched(err, true)})
@@ -79,7 +79,7 @@
 
 // report tells the picker how the attempt ended.
 func (t *try) report(choice Choice, err error) {
-	r := Report{Choice: choice, Err: err, Status: t.status, Took: time.Since(t.start)}
+	r := Report{Attempt: t.call.Dispatch.Attempt, Choice: choice, Err: err, Status: t.status, Took: time.Since(t.start)}
 	if !t.first.IsZero() {
 		r.FirstByte = t.first.Sub(t.start)
 	}
@@ -194,9 +194,8 @@
 	id := t.call.Dispatch.Attempt
 	switch {
 	case f.Chunk != nil:
-		c := *f.Chunk
-		c.Attempt = id
-		return message{event: c}
+		f.Chunk.Attempt = id
+		return message{event: f.Chunk}
 	case f.Response != nil:
 		r := *f.Response
 		r.Attempt = id
--- a/internal/config/syncer/syncer_test.go
+++ b/internal/config/syncer/syncer_test.go
@@ -285,6 +285,33 @@
 	}
 }
 
+// TestStale checks, by a clock of its own, what confirms the revision in force.
+func TestStale(t *testing.T) {
+	now := time.Unix(1000, 0)
+	store := memstore.New(memstore.Options{})
+	s := New(Options{Store: store, Clock: func() time.Time { return now }})
+	ctx := context.Background()
+	if _, err := s.Apply(ctx, example(t, "kaptaan")); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		what string
+		do   func()
+		want time.Duration
+	}{
+		{"read of the store", func() { _ = s.CatchUp(ctx) }, 0},
+		{"a pause", func() { now = now.Add(time.Minute) }, time.Minute},
+		{"a peer with an older revision", func() { s.Heard(0, 0) }, time.Minute},
+		{"a peer that confirmed it 5s ago", func() { s.Heard(1, 5*time.Second) }, 5 * time.Second},
+		{"a peer that confirmed it long ago", func() { s.Heard(1, time.Hour) }, 5 * time.Second},
+		{"a store that is down", func() { store.SetFaults(memstore.Faults{Down: true}); _ = s.CatchUp(ctx) }, 5 * time.Second},
+	} {
+		if c.do(); s.StaleFor() != c.want {
+			t.Errorf("after %s stale for %v; want %v", c.what, s.StaleFor(), c.want)
+		}
+	}
+}
+
 // TestOnChangeGrows checks that the rest of the node sees revisions grow, with
 // offers of every kind at once.
 func TestOnChangeGrows(t *testing.T) {
@@ -323,3 +350,37 @@
 		t.Errorf("last revision seen is %d of %d, error %v", last, a.Revision(), err)
 	}
 }
+
+// BenchmarkInForce reports the time from the acceptance of a change to its being
+// in force on eight watching nodes, and the store calls that it costs.
+func BenchmarkInForce(b *testing.B) {
+	store := memstore.New(memstore.Options{})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	nodes := make([]*Syncer, 8)
+	for i := range nodes {
+		nodes[i] = New(Options{Store: store, Seed: uint64(i)})
+		nodes[i].SetWatching(true)
+		wg.Go(func() { _ = nodes[i].Run(ctx) })
+	}
+	operator := New(Options{Store: store})
+	before, total := store.Counts().Calls, time.Duration(0)
+	for i := 0; b.Loop(); i++ {
+		data := fmt.Appendf(nil, "workspaces: {a: {keys: [key-of-a], weight: %d}}", i%1000+1)
+		r, err := operator.Apply(ctx, []config.File{{Name: "30-a.yaml", Data: data}})
+		if err != nil {
+			b.Fatal(err)
+		}
+		accepted := time.Now()
+		for _, n := range nodes {
+			for n.Revision() < r.Status.Revision {
+				time.Sleep(100 * time.Microsecond)
+			}
+		}
+		total += time.Since(accepted)
+	}
+	b.ReportMetric(float64(total.Microseconds())/float64(b.N)/1000, "ms-to-8-nodes")
+	b.ReportMetric(float64(store.Counts().Calls-before)/float64(b.N), "calls/change")
+	cancel()
+	wg.Wait()
+}
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sync"
+	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/admit"
 	"github.com/jujubeshed/jujubeshed/internal/admit/gate"
@@ -10,7 +10,7 @@
 	"github.com/jujubeshed/jujubeshed/internal/entry"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/kernel"
-	"github.com/jujubeshed/jujubeshed/internal/route"
+	"github.com/jujubeshed/jujubeshed/internal/move"
 	"github.com/jujubeshed/jujubeshed/internal/route/balancer"
 )
 
@@ -72,54 +72,46 @@
 	})
 }
 
-// overcommit is how far all nodes' capacities together exceed the endpoints'
-// slots, so that uneven arrivals leave none idle. The rest waits at endpoints.
-const overcommit = 1.5
+// capacityInterval is the time between two updates of the gate's capacity.
+const capacityInterval = 200 * time.Millisecond
 
-// capacityUpdater gives the gate this node's share of each service's slots.
+// capacityUpdater gives the gate this node's part of each service's free slots.
 type capacityUpdater struct {
 	gate     *gate.Gate
 	balancer *balancer.Balancer
 	config   entry.ConfigSource
-
-	mu struct {
-		sync.Mutex
-		live int // nodes, this one included; zero before the first membership
-	}
-}
-
-// setLive takes the number of live nodes.
-func (u *capacityUpdater) setLive(n int) {
-	u.mu.Lock()
-	u.mu.live = n
-	u.mu.Unlock()
-	u.update()
 }
 
-// update gives the gate the present shares.
+// update gives the gate the present capacity. A service without endpoints keeps
+// one slot, so that its requests get the balancer's refusal and not a wait.
 func (u *capacityUpdater) update() {
 	cfg := u.config.Current()
 	if cfg == nil {
 		return
 	}
-	u.mu.Lock()
-	live := max(u.mu.live, 1)
-	u.mu.Unlock()
-	u.gate.SetLiveNodes(live)
 	for name := range cfg.Services {
-		share := float64(u.balancer.Slots(name)) * overcommit / float64(live)
-		u.gate.SetCapacity(name, max(1, int(share)))
+		u.gate.SetCapacity(name, max(1, u.balancer.Slots(name)))
 	}
 }
 
-// versions gives all new work of a service to its configured version.
-type versions struct{ config entry.ConfigSource }
-
-// Shares returns the versions that may get new work of the service.
-func (v versions) Shares(service ident.Service) []route.Share {
-	cfg := v.config.Current()
-	if cfg == nil {
-		return nil
+// of returns the share of a service's requests that the ready endpoints of a
+// version can take: their slots, less a reserve, over the requests running on all
+// versions. An idle service's requests all fit.
+func (u *capacityUpdater) of(service ident.Service, version ident.Version) move.Share {
+	var slots, running float64
+	for _, v := range u.balancer.Usage(service) {
+		running += v.Running
+		if v.Version == version {
+			slots = v.Slots
+		}
 	}
-	return []route.Share{{Version: cfg.Services[service].Version, Weight: 1}}
+	usable := slots * (1 - slotReserve)
+	if slots == 0 || running <= usable {
+		return move.FullShare * move.Share(min(slots, 1))
+	}
+	return move.Share(usable / running * float64(move.FullShare))
 }
+
+// slotReserve is the part of a version's slots that a move leaves free, for a rise
+// of the load and for the loss of a data centre.
+const slotReserve = 0.3
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"time"
@@ -20,6 +21,8 @@
 	"github.com/jujubeshed/jujubeshed/internal/handover"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/kernel"
+	"github.com/jujubeshed/jujubeshed/internal/lease"
+	"github.com/jujubeshed/jujubeshed/internal/move/mover"
 	"github.com/jujubeshed/jujubeshed/internal/observe"
 	"github.com/jujubeshed/jujubeshed/internal/once"
 	"github.com/jujubeshed/jujubeshed/internal/once/committer"
@@ -37,7 +40,11 @@
 	serviceStore     kernel.Name = "platform.client"
 	serviceLedger    kernel.Name = "once.ledger"
 	serviceEndpoints kernel.Name = "endpoint.client"
+	serviceBulk      kernel.Name = "handover.connections"
 	serviceAdmission kernel.Name = "admit.gate"
+	serviceCapacity  kernel.Name = "admit.capacity"
+	serviceMoves     kernel.Name = "move.mover"
+	serviceSender    kernel.Name = "dispatch.sender"
 	servicePeers     kernel.Name = "listener.peers" // the peer service starts after it
 	serviceConfig    kernel.Name = "config.syncer"
 	serviceDiscovery kernel.Name = "discovery.hosts"
@@ -46,6 +53,9 @@
 	serviceCallers   kernel.Name = "listener.callers"
 )
 
+// bulkIdleTimeout ends connections between nodes that carry no answers.
+const bulkIdleTimeout = time.Minute
+
 // wiring builds the services of a node and registers them.
 type wiring struct {
 	opts     *Options
@@ -64,10 +74,13 @@
 	observer  *observe.Observer
 	answers   *answer.Table
 	entry     *entry.Server
+	sender    *dispatch.Sender
+	moves     *moves
 	remote    *handover.Remote
 	capacity  *capacityUpdater
 	gossip    *gossip.Service
 	peers     *peers
+	bulk      *http.Transport // of answers between nodes, apart from membership
 	rejected  prometheus.Counter
 }
 
@@ -115,11 +128,13 @@
 
 func (w *wiring) buildRouting() {
 	w.endpoints = endpoint.NewClient()
+	w.bulk = &http.Transport{IdleConnTimeout: bulkIdleTimeout}
 	w.balancer = balancer.New(route.Options{Node: w.opts.ID, DataCentre: w.opts.DataCentre}, uint64(w.life))
 	w.gate = gate.New(gate.Options{})
 	w.peers.balancer = w.balancer
 	w.observer = observe.New(observe.Options{Node: w.opts.ID, DataCentre: w.opts.DataCentre}, w.log, w.endpoints, w.balancer, w.peers)
 	w.peers.observer = w.observer
+	w.peers.gate = w.gate
 	w.hosts.OnHosts(w.balancer.SetHosts)
 	w.hosts.OnHosts(w.observer.SetHosts)
 	w.hosts.OnNotice(w.balancer.MarkHost)
@@ -138,7 +153,6 @@
 	w.capacity = &capacityUpdater{gate: w.gate, balancer: w.balancer, config: w.config}
 	w.hosts.OnHosts(func([]platform.HostInfo) { w.capacity.update() })
 	w.peers.config = w.config
-	w.peers.capacity = w.capacity
 }
 
 func (w *wiring) configChanged(c *config.Config) {
@@ -164,13 +178,24 @@
 	}
 	w.gossip = g
 	w.peers.gossip = g
+	w.moves = newMoves(w.peers, mover.Options{
+		Store:    w.store,
+		Self:     lease.Owner{Node: w.opts.ID, Incarnation: w.life},
+		Config:   w.config.Current,
+		Members:  w.peers.localIDs,
+		Capacity: w.capacity.of,
+		Metrics:  mover.NewMetrics(w.metrics),
+		Log:      w.log,
+	})
+	w.peers.moves = w.moves
 	w.peers.connect()
 	return nil
 }
 
 func (w *wiring) buildEntry() {
 	w.answers = answer.NewTable()
-	w.remote = handover.NewRemote(w.log, w.peers, w.gossip.HTTPClient())
+	w.sender = dispatch.New(dispatch.Options{}, w.endpoints, w.balancer, w.moves)
+	w.remote = handover.NewRemote(w.log, w.peers, w.gossip.HTTPClient(w.bulk))
 	w.entry = entry.New(entry.Options{
 		Node: w.opts.ID, DataCentre: w.opts.DataCentre, Incarnation: w.life,
 		Ready: func() bool { return w.hosts.Hosts() != nil },
@@ -178,7 +203,7 @@
 		Log:     w.log,
 		Config:  w.config,
 		Gate:    admission{w.gate},
-		Sender:  dispatch.New(w.endpoints, w.balancer, versions{w.config}),
+		Sender:  w.sender,
 		Ledger:  dispatch.NewOrders(w.ledger),
 		Answers: w.answers,
 		Remote:  w.remote,
@@ -198,12 +223,16 @@
 		{serviceStore, stopFunc(w.store.Close)},
 		{serviceLedger, stopFunc(w.ledger.Stop)},
 		{serviceEndpoints, stopFunc(w.endpoints.Close)},
+		{serviceBulk, stopFunc(w.bulk.CloseIdleConnections)},
 		{serviceAdmission, stopFunc(w.gate.Close)},
 		{servicePeers, newListener("peers", w.opts.Peers, w.peersHandler(), w.log)},
 		{gossip.Name, w.gossip},
 		{serviceConfig, w.config},
 		{serviceDiscovery, w.hosts},
 		{serviceObserver, w.observer},
+		{serviceCapacity, kernel.NewLoop(capacityInterval, func(context.Context) { w.capacity.update() })},
+		{serviceMoves, w.moves},
+		{serviceSender, w.sender},
 		{serviceOperators, newListener("operators", w.opts.Operators, operators, w.log)},
 		{serviceCallers, newCallers(w.opts, w.entry, w.log)},
 	}
@@ -224,7 +253,7 @@
 }
 
 func (w *wiring) operatorsHandler() (http.Handler, error) {
-	api, err := operator.New(&statusSource{opts: w.opts, config: w.config, hosts: w.hosts, balancer: w.balancer, gossip: w.gossip})
+	api, err := operator.New(&statusSource{opts: w.opts, config: w.config, hosts: w.hosts, balancer: w.balancer, gossip: w.gossip, moves: w.moves})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/once/types.go
+++ b/internal/once/types.go
@@ -31,7 +31,8 @@
 	Incarnation ident.Incarnation
 	// Prefix of the ledger's objects. Default: "once/".
 	Prefix platform.Key
-	// Buckets is the number of bucket objects; all nodes must agree. Default: 256.
+	// Buckets is the number of bucket objects; all nodes must agree, and it
+	// can be changed only where no key is retained. Default: 64.
 	Buckets int
 	// Retention is how long a key is kept after its end. Default: 24h.
 	Retention time.Duration
@@ -45,6 +46,9 @@
 	LostAfter time.Duration
 	// MaxInlineBody is the largest answer body kept in a bucket. Default: 4 KiB.
 	MaxInlineBody int
+	// SealBytes of finished entries are moved from a bucket to a segment. Default:
+	// 16 KiB.
+	SealBytes int
 	// MaxBucketBytes bounds a bucket. Default: platform.MaxObjectBytes.
 	MaxBucketBytes int
 	// PollInterval is how often a claim held by another node is looked at while a
@@ -66,12 +70,13 @@
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.Prefix, "once/")
-	setDefault(&o.Buckets, 256)
+	setDefault(&o.Buckets, 64)
 	setDefault(&o.Retention, 24*time.Hour)
 	setDefault(&o.ClockSkew, time.Minute)
 	setDefault(&o.DispatchBound, 5*time.Second)
 	setDefault(&o.LostAfter, 10*time.Second)
 	setDefault(&o.MaxInlineBody, 4<<10)
+	setDefault(&o.SealBytes, 16<<10)
 	setDefault(&o.MaxBucketBytes, platform.MaxObjectBytes)
 	setDefault(&o.PollInterval, 100*time.Millisecond)
 	setDefault(&o.PollMax, time.Second)
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -38,10 +38,11 @@
 		targets = append(targets, n.pick(slices.Concat(n.otherDelegates()...), digestPeers)...)
 	}
 	targets = append(targets, n.reconnect(len(n.peers()) == 0)...)
+	rumours := n.marks.rumours()
 	var sends []Send
 	for _, t := range targets {
 		msg := n.newDigest(t.scopeTo(n))
-		n.addMarks(msg, n.marks.recent)
+		n.addMarks(msg, rumours)
 		sends = append(sends, n.send(t, msg))
 	}
 	return sends
@@ -106,14 +107,14 @@
 }
 
 // serves tells whether a log is shown to others. A silent one is not, so that it
-// ends everywhere at about the same time; one whose entries were all removed ends
-// soon.
+// ends everywhere at about the same time and isn't offered to nodes that would
+// refuse it; one whose entries were all removed ends soon.
 func (n *Node) serves(r *replica) bool {
 	silent := n.clock - r.advanced
 	if r.ended() {
 		return len(r.entries) > 0 && silent < n.o.SuspectAfter
 	}
-	return silent < n.o.DropAfter
+	return silent < n.newcomerSilence(r.scope)
 }
 
 // Receive takes a message and returns the messages to send for it. Those to the
@@ -131,7 +132,7 @@
 	}
 	n.applyBeats(m.GetBeats())
 	n.learnGone(m.GetGone())
-	sends := n.learnMarks(m)
+	sends := n.learnMarks(m, reply)
 	if m.GetDigest() != nil {
 		n.answer(m, reply)
 	}
--- a/internal/peer/gossip/service.go
+++ b/internal/peer/gossip/service.go
@@ -24,7 +24,7 @@
 // Defaults of Options.
 const (
 	DefaultTimeout   = 2 * time.Second
-	DefaultInFlight  = 64
+	DefaultInFlight  = 256
 	DefaultSeedEvery = 15 * time.Second
 )
 
@@ -47,7 +47,7 @@
 	SeedEvery time.Duration
 	// Timeout of a call to a peer. Default: 2s.
 	Timeout time.Duration
-	// InFlight bounds the calls to peers at a time; more are dropped. Default: 64.
+	// InFlight bounds the calls to peers at a time; more are dropped. Default: 256.
 	InFlight int
 	// Transport carries the calls. Default: HTTP/2 without TLS.
 	Transport http.RoundTripper
@@ -225,5 +225,11 @@
 }
 
 // HTTPClient returns a client whose calls other nodes take, for further services
-// between nodes. Their handlers are wrapped by Authenticate.
-func (s *Service) HTTPClient() *http.Client { return s.client }
+// between nodes; their handlers are wrapped by Authenticate. The calls go over base,
+// or where this is nil over the service's own connections.
+func (s *Service) HTTPClient(base http.RoundTripper) *http.Client {
+	if base == nil {
+		return s.client
+	}
+	return &http.Client{Transport: &transport{signer: s.signer, base: base, metrics: s.metrics}}
+}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -118,7 +118,7 @@
 	n.delegates = n.electDelegates()
 	n.publishAggregate()
 	n.collect()
-	sends := n.gossip()
+	sends := append(n.carryOn(), n.gossip()...)
 	n.marks.endRound()
 	return sends
 }
@@ -153,7 +153,7 @@
 	switch k {
 	case MarkRevision:
 		return 0
-	case MarkBadVersion:
+	case MarkBadVersion, MarkMoveRecord:
 		return n.o.BadFor
 	default:
 		return n.o.LeavingFor
