Run the fleet on every node and tell operators of it

Cause: the controller had no node to run in, and what it does has to be explained where operators look.

Ruled out: demand from admitted requests alone, as a full service would never grow. Requests refused for want of capacity count; those beyond a workspace's own limits don't, as they would let one customer buy hosts.

GET /v1/status has an array fleet (hosts by data centre, last actions with reasons, a remark on what is waited for), and status prints it.

Run: go test ./internal/cli ./internal/fleet/controller.

--- a/api/gen/operators/oas_json_gen.go
+++ b/api/gen/operators/oas_json_gen.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/go-faster/jx"
+	"github.com/ogen-go/ogen/json"
 	"github.com/ogen-go/ogen/validate"
 )
 
@@ -492,6 +493,536 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *FleetAction) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *FleetAction) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("at")
+		json.EncodeDateTime(e, s.At)
+	}
+	{
+		e.FieldStart("text")
+		e.Str(s.Text)
+	}
+}
+
+var jsonFieldsNameOfFleetAction = [2]string{
+	0: "at",
+	1: "text",
+}
+
+// Decode decodes FleetAction from json.
+func (s *FleetAction) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode FleetAction to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "at":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := json.DecodeDateTime(d)
+				s.At = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"at\"")
+			}
+		case "text":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Text = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"text\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode FleetAction")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfFleetAction) {
+					name = jsonFieldsNameOfFleetAction[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *FleetAction) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *FleetAction) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *FleetCentre) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *FleetCentre) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("data_centre")
+		e.Str(s.DataCentre)
+	}
+	{
+		e.FieldStart("wanted")
+		e.Int(s.Wanted)
+	}
+	{
+		e.FieldStart("starting")
+		e.Int(s.Starting)
+	}
+	{
+		e.FieldStart("ready")
+		e.Int(s.Ready)
+	}
+	{
+		e.FieldStart("draining")
+		e.Int(s.Draining)
+	}
+}
+
+var jsonFieldsNameOfFleetCentre = [5]string{
+	0: "data_centre",
+	1: "wanted",
+	2: "starting",
+	3: "ready",
+	4: "draining",
+}
+
+// Decode decodes FleetCentre from json.
+func (s *FleetCentre) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode FleetCentre to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "data_centre":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.DataCentre = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"data_centre\"")
+			}
+		case "wanted":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Int()
+				s.Wanted = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"wanted\"")
+			}
+		case "starting":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int()
+				s.Starting = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"starting\"")
+			}
+		case "ready":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Int()
+				s.Ready = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"ready\"")
+			}
+		case "draining":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Int()
+				s.Draining = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"draining\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode FleetCentre")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00011111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfFleetCentre) {
+					name = jsonFieldsNameOfFleetCentre[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *FleetCentre) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *FleetCentre) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *FleetStatus) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *FleetStatus) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("service")
+		e.Str(s.Service)
+	}
+	{
+		e.FieldStart("decides_here")
+		e.Bool(s.DecidesHere)
+	}
+	{
+		if s.Epoch.Set {
+			e.FieldStart("epoch")
+			s.Epoch.Encode(e)
+		}
+	}
+	{
+		if s.Demand.Set {
+			e.FieldStart("demand")
+			s.Demand.Encode(e)
+		}
+	}
+	{
+		if s.Need.Set {
+			e.FieldStart("need")
+			s.Need.Encode(e)
+		}
+	}
+	{
+		if s.Capacity.Set {
+			e.FieldStart("capacity")
+			s.Capacity.Encode(e)
+		}
+	}
+	{
+		e.FieldStart("data_centres")
+		e.ArrStart()
+		for _, elem := range s.DataCentres {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("actions")
+		e.ArrStart()
+		for _, elem := range s.Actions {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+	{
+		if s.Remark.Set {
+			e.FieldStart("remark")
+			s.Remark.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfFleetStatus = [9]string{
+	0: "service",
+	1: "decides_here",
+	2: "epoch",
+	3: "demand",
+	4: "need",
+	5: "capacity",
+	6: "data_centres",
+	7: "actions",
+	8: "remark",
+}
+
+// Decode decodes FleetStatus from json.
+func (s *FleetStatus) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode FleetStatus to nil")
+	}
+	var requiredBitSet [2]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "service":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Service = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"service\"")
+			}
+		case "decides_here":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Bool()
+				s.DecidesHere = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"decides_here\"")
+			}
+		case "epoch":
+			if err := func() error {
+				s.Epoch.Reset()
+				if err := s.Epoch.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"epoch\"")
+			}
+		case "demand":
+			if err := func() error {
+				s.Demand.Reset()
+				if err := s.Demand.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"demand\"")
+			}
+		case "need":
+			if err := func() error {
+				s.Need.Reset()
+				if err := s.Need.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"need\"")
+			}
+		case "capacity":
+			if err := func() error {
+				s.Capacity.Reset()
+				if err := s.Capacity.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"capacity\"")
+			}
+		case "data_centres":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				s.DataCentres = make([]FleetCentre, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem FleetCentre
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.DataCentres = append(s.DataCentres, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"data_centres\"")
+			}
+		case "actions":
+			requiredBitSet[0] |= 1 << 7
+			if err := func() error {
+				s.Actions = make([]FleetAction, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem FleetAction
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Actions = append(s.Actions, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"actions\"")
+			}
+		case "remark":
+			if err := func() error {
+				s.Remark.Reset()
+				if err := s.Remark.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"remark\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode FleetStatus")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [2]uint8{
+		0b11000011,
+		0b00000000,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfFleetStatus) {
+					name = jsonFieldsNameOfFleetStatus[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *FleetStatus) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *FleetStatus) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Member) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -1006,6 +1537,41 @@
 	return s.Decode(d)
 }
 
+// Encode encodes float64 as json.
+func (o OptFloat64) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Float64(float64(o.Value))
+}
+
+// Decode decodes float64 from json.
+func (o *OptFloat64) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptFloat64 to nil")
+	}
+	o.Set = true
+	v, err := d.Float64()
+	if err != nil {
+		return err
+	}
+	o.Value = float64(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptFloat64) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptFloat64) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes int as json.
 func (o OptInt) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -1381,13 +1947,21 @@
 		}
 		e.ArrEnd()
 	}
+	{
+		e.FieldStart("fleet")
+		e.ArrStart()
+		for _, elem := range s.Fleet {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
 	{
 		e.FieldStart("invariant_violations")
 		e.Int64(s.InvariantViolations)
 	}
 }
 
-var jsonFieldsNameOfStatus = [8]string{
+var jsonFieldsNameOfStatus = [9]string{
 	0: "node",
 	1: "data_centre",
 	2: "revision",
@@ -1395,7 +1969,8 @@
 	4: "members",
 	5: "endpoints",
 	6: "files",
-	7: "invariant_violations",
+	7: "fleet",
+	8: "invariant_violations",
 }
 
 // Decode decodes Status from json.
@@ -1403,7 +1978,7 @@
 	if s == nil {
 		return errors.New("invalid: unable to decode Status to nil")
 	}
-	var requiredBitSet [1]uint8
+	var requiredBitSet [2]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
@@ -1509,8 +2084,26 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"files\"")
 			}
-		case "invariant_violations":
+		case "fleet":
 			requiredBitSet[0] |= 1 << 7
+			if err := func() error {
+				s.Fleet = make([]FleetStatus, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem FleetStatus
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Fleet = append(s.Fleet, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"fleet\"")
+			}
+		case "invariant_violations":
+			requiredBitSet[1] |= 1 << 0
 			if err := func() error {
 				v, err := d.Int64()
 				s.InvariantViolations = int64(v)
@@ -1530,8 +2123,9 @@
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
-	for i, mask := range [1]uint8{
+	for i, mask := range [2]uint8{
 		0b11111111,
+		0b00000001,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/api/gen/operators/oas_schemas_gen.go
+++ b/api/gen/operators/oas_schemas_gen.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -205,6 +206,201 @@
 	s.Reason = val
 }
 
+// Ref: #/components/schemas/FleetAction
+type FleetAction struct {
+	At   time.Time `json:"at"`
+	Text string    `json:"text"`
+}
+
+// GetAt returns the value of At.
+func (s *FleetAction) GetAt() time.Time {
+	return s.At
+}
+
+// GetText returns the value of Text.
+func (s *FleetAction) GetText() string {
+	return s.Text
+}
+
+// SetAt sets the value of At.
+func (s *FleetAction) SetAt(val time.Time) {
+	s.At = val
+}
+
+// SetText sets the value of Text.
+func (s *FleetAction) SetText(val string) {
+	s.Text = val
+}
+
+// Ref: #/components/schemas/FleetCentre
+type FleetCentre struct {
+	DataCentre string `json:"data_centre"`
+	// Hosts to be held.
+	Wanted   int `json:"wanted"`
+	Starting int `json:"starting"`
+	Ready    int `json:"ready"`
+	Draining int `json:"draining"`
+}
+
+// GetDataCentre returns the value of DataCentre.
+func (s *FleetCentre) GetDataCentre() string {
+	return s.DataCentre
+}
+
+// GetWanted returns the value of Wanted.
+func (s *FleetCentre) GetWanted() int {
+	return s.Wanted
+}
+
+// GetStarting returns the value of Starting.
+func (s *FleetCentre) GetStarting() int {
+	return s.Starting
+}
+
+// GetReady returns the value of Ready.
+func (s *FleetCentre) GetReady() int {
+	return s.Ready
+}
+
+// GetDraining returns the value of Draining.
+func (s *FleetCentre) GetDraining() int {
+	return s.Draining
+}
+
+// SetDataCentre sets the value of DataCentre.
+func (s *FleetCentre) SetDataCentre(val string) {
+	s.DataCentre = val
+}
+
+// SetWanted sets the value of Wanted.
+func (s *FleetCentre) SetWanted(val int) {
+	s.Wanted = val
+}
+
+// SetStarting sets the value of Starting.
+func (s *FleetCentre) SetStarting(val int) {
+	s.Starting = val
+}
+
+// SetReady sets the value of Ready.
+func (s *FleetCentre) SetReady(val int) {
+	s.Ready = val
+}
+
+// SetDraining sets the value of Draining.
+func (s *FleetCentre) SetDraining(val int) {
+	s.Draining = val
+}
+
+// Ref: #/components/schemas/FleetStatus
+type FleetStatus struct {
+	Service string `json:"service"`
+	// Whether this node decides. Only it knows demand, need and capacity.
+	DecidesHere bool     `json:"decides_here"`
+	Epoch       OptInt64 `json:"epoch"`
+	// Requests a second.
+	Demand OptFloat64 `json:"demand"`
+	// Requests a second to be ready for.
+	Need OptFloat64 `json:"need"`
+	// Requests a second that ready hosts serve at the latency target.
+	Capacity    OptFloat64    `json:"capacity"`
+	DataCentres []FleetCentre `json:"data_centres"`
+	// The last actions with their reasons, newest first.
+	Actions []FleetAction `json:"actions"`
+	// What the service waits for.
+	Remark OptString `json:"remark"`
+}
+
+// GetService returns the value of Service.
+func (s *FleetStatus) GetService() string {
+	return s.Service
+}
+
+// GetDecidesHere returns the value of DecidesHere.
+func (s *FleetStatus) GetDecidesHere() bool {
+	return s.DecidesHere
+}
+
+// GetEpoch returns the value of Epoch.
+func (s *FleetStatus) GetEpoch() OptInt64 {
+	return s.Epoch
+}
+
+// GetDemand returns the value of Demand.
+func (s *FleetStatus) GetDemand() OptFloat64 {
+	return s.Demand
+}
+
+// GetNeed returns the value of Need.
+func (s *FleetStatus) GetNeed() OptFloat64 {
+	return s.Need
+}
+
+// GetCapacity returns the value of Capacity.
+func (s *FleetStatus) GetCapacity() OptFloat64 {
+	return s.Capacity
+}
+
+// GetDataCentres returns the value of DataCentres.
+func (s *FleetStatus) GetDataCentres() []FleetCentre {
+	return s.DataCentres
+}
+
+// GetActions returns the value of Actions.
+func (s *FleetStatus) GetActions() []FleetAction {
+	return s.Actions
+}
+
+// GetRemark returns the value of Remark.
+func (s *FleetStatus) GetRemark() OptString {
+	return s.Remark
+}
+
+// SetService sets the value of Service.
+func (s *FleetStatus) SetService(val string) {
+	s.Service = val
+}
+
+// SetDecidesHere sets the value of DecidesHere.
+func (s *FleetStatus) SetDecidesHere(val bool) {
+	s.DecidesHere = val
+}
+
+// SetEpoch sets the value of Epoch.
+func (s *FleetStatus) SetEpoch(val OptInt64) {
+	s.Epoch = val
+}
+
+// SetDemand sets the value of Demand.
+func (s *FleetStatus) SetDemand(val OptFloat64) {
+	s.Demand = val
+}
+
+// SetNeed sets the value of Need.
+func (s *FleetStatus) SetNeed(val OptFloat64) {
+	s.Need = val
+}
+
+// SetCapacity sets the value of Capacity.
+func (s *FleetStatus) SetCapacity(val OptFloat64) {
+	s.Capacity = val
+}
+
+// SetDataCentres sets the value of DataCentres.
+func (s *FleetStatus) SetDataCentres(val []FleetCentre) {
+	s.DataCentres = val
+}
+
+// SetActions sets the value of Actions.
+func (s *FleetStatus) SetActions(val []FleetAction) {
+	s.Actions = val
+}
+
+// SetRemark sets the value of Remark.
+func (s *FleetStatus) SetRemark(val OptString) {
+	s.Remark = val
+}
+
 // Ref: #/components/schemas/Member
 type Member struct {
 	Node       string    `json:"node"`
@@ -383,6 +579,52 @@
 	s.Moves = val
 }
 
+// NewOptFloat64 returns new OptFloat64 with value set to v.
+func NewOptFloat64(v float64) OptFloat64 {
+	return OptFloat64{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptFloat64 is optional float64.
+type OptFloat64 struct {
+	Value float64
+	Set   bool
+}
+
+// IsSet returns true if OptFloat64 was set.
+func (o OptFloat64) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptFloat64) Reset() {
+	var v float64
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptFloat64) SetTo(v float64) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptFloat64) Get() (v float64, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptFloat64) Or(d float64) float64 {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptInt returns new OptInt with value set to v.
 func NewOptInt(v int) OptInt {
 	return OptInt{
@@ -671,11 +913,13 @@
 	DataCentre string `json:"data_centre"`
 	Revision   int64  `json:"revision"`
 	// Whether every live node holds this revision.
-	Everywhere          bool         `json:"everywhere"`
-	Members             []Member     `json:"members"`
-	Endpoints           []Endpoint   `json:"endpoints"`
-	Files               []FileStatus `json:"files"`
-	InvariantViolations int64        `json:"invariant_violations"`
+	Everywhere bool         `json:"everywhere"`
+	Members    []Member     `json:"members"`
+	Endpoints  []Endpoint   `json:"endpoints"`
+	Files      []FileStatus `json:"files"`
+	// The services whose hosts the system buys and releases.
+	Fleet               []FleetStatus `json:"fleet"`
+	InvariantViolations int64         `json:"invariant_violations"`
 }
 
 // GetNode returns the value of Node.
@@ -713,6 +957,11 @@
 	return s.Files
 }
 
+// GetFleet returns the value of Fleet.
+func (s *Status) GetFleet() []FleetStatus {
+	return s.Fleet
+}
+
 // GetInvariantViolations returns the value of InvariantViolations.
 func (s *Status) GetInvariantViolations() int64 {
 	return s.InvariantViolations
@@ -753,6 +1002,11 @@
 	s.Files = val
 }
 
+// SetFleet sets the value of Fleet.
+func (s *Status) SetFleet(val []FleetStatus) {
+	s.Fleet = val
+}
+
 // SetInvariantViolations sets the value of InvariantViolations.
 func (s *Status) SetInvariantViolations(val int64) {
 	s.InvariantViolations = val
--- a/api/gen/operators/oas_validators_gen.go
+++ b/api/gen/operators/oas_validators_gen.go
@@ -45,6 +45,94 @@
 	}
 }
 
+func (s *FleetStatus) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if value, ok := s.Demand.Get(); ok {
+			if err := func() error {
+				if err := (validate.Float{}).Validate(float64(value)); err != nil {
+					return errors.Wrap(err, "float")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "demand",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if value, ok := s.Need.Get(); ok {
+			if err := func() error {
+				if err := (validate.Float{}).Validate(float64(value)); err != nil {
+					return errors.Wrap(err, "float")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "need",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if value, ok := s.Capacity.Get(); ok {
+			if err := func() error {
+				if err := (validate.Float{}).Validate(float64(value)); err != nil {
+					return errors.Wrap(err, "float")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "capacity",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.DataCentres == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "data_centres",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.Actions == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "actions",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *Move) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -223,6 +311,34 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		if s.Fleet == nil {
+			return errors.New("nil is invalid value")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Fleet {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "fleet",
+			Error: err,
+		})
+	}
 	if len(failures) > 0 {
 		return &validate.Error{Fields: failures}
 	}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -98,9 +98,40 @@
 	for _, f := range st.Files {
 		fmt.Fprintf(t, "%s\t%s\t%d\t%s\n", f.File, f.State, f.Revision.Or(0), f.Reason.Or(""))
 	}
+	printFleet(t, st.Fleet)
 	return t.Flush()
 }
 
+// printFleet prints the services whose hosts the system buys; nothing for none.
+func printFleet(t io.Writer, fleet []operators.FleetStatus) {
+	if len(fleet) == 0 {
+		return
+	}
+	fmt.Fprintln(t, "\nSERVICE\tDATA CENTRE\tWANTED\tSTARTING\tREADY\tDRAINING")
+	for _, f := range fleet {
+		for _, c := range f.DataCentres {
+			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\n", f.Service, c.DataCentre, c.Wanted, c.Starting, c.Ready, c.Draining)
+		}
+	}
+	for _, f := range fleet {
+		fmt.Fprintf(t, "\n%s: %s\n", f.Service, fleetHeadline(f))
+		for _, a := range f.Actions {
+			fmt.Fprintf(t, "  %s  %s\n", a.At.UTC().Format(time.RFC3339), a.Text)
+		}
+	}
+}
+
+func fleetHeadline(f operators.FleetStatus) string {
+	line := "decided by another node."
+	if f.DecidesHere {
+		line = fmt.Sprintf("demand %.3g requests/s, need %.3g, capacity %.3g.", f.Demand.Or(0), f.Need.Or(0), f.Capacity.Or(0))
+	}
+	if remark := f.Remark.Or(""); remark != "" {
+		line += " " + remark
+	}
+	return line
+}
+
 func printMoves(w io.Writer, moves []operators.Move) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "MOVE\tSERVICE\tFROM\tTO\tSTATE\tSHARE\tREASON\tNEXT")
--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -36,6 +36,9 @@
 	// Engines are read, and ordered what to load.
 	Engines Engines
 	Demand  Demand
+	// Publish shares what this node knows of a service's demand. It is called at
+	// each step of each service, on every node. Optional.
+	Publish func(now time.Time, s ident.Service) error
 	// Marks are told of drains; together they must reach every node within seconds.
 	Marks []Marks
 	// Config returns the configuration in force; nil for none yet.
@@ -71,6 +74,9 @@
 	if o.AbandonAfter == 0 {
 		o.AbandonAfter = 15 * time.Minute
 	}
+	if o.Publish == nil {
+		o.Publish = func(time.Time, ident.Service) error { return nil }
+	}
 	if o.Metrics == nil {
 		o.Metrics = NewMetrics(nil)
 	}
--- a/internal/fleet/controller/duty.go
+++ b/internal/fleet/controller/duty.go
@@ -75,6 +75,9 @@
 func (d *duty) step(ctx context.Context, svc config.Service) {
 	now := d.opts.Now()
 	d.configure(svc)
+	if err := d.opts.Publish(now, d.service); err != nil {
+		d.log.Warn("fleet: Demand can't be shared.", "error", err)
+	}
 	if !d.renew(now) {
 		d.opts.Demand.Rates(now, d.service) // so that the demand is known once the lease is held
 		d.report(now, nil)
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -8,10 +8,12 @@
 	"github.com/jujubeshed/jujubeshed/internal/admit/gate"
 	"github.com/jujubeshed/jujubeshed/internal/config/syncer"
 	"github.com/jujubeshed/jujubeshed/internal/entry"
+	"github.com/jujubeshed/jujubeshed/internal/fleet/controller"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/kernel"
 	"github.com/jujubeshed/jujubeshed/internal/move"
 	"github.com/jujubeshed/jujubeshed/internal/route/balancer"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
 )
 
 // stopFunc is a service that only needs to be stopped.
@@ -58,18 +60,26 @@
 }
 
 // admission lets the entry's requests through the gate.
-type admission struct{ gate *gate.Gate }
+type admission struct {
+	gate   *gate.Gate
+	demand *controller.Meter
+}
 
 var _ entry.Gate = admission{}
 
 // Acquire waits until the request is admitted.
 func (a admission) Acquire(ctx context.Context, r *entry.Request) (func(), error) {
-	return a.gate.Acquire(ctx, admit.Request{
+	release, err := a.gate.Acquire(ctx, admit.Request{
 		Workspace: r.Workspace,
 		Class:     r.Route.Class,
 		Service:   r.Service.Name,
 		Deadline:  r.Deadline,
 	})
+	// What a workspace sends beyond its own limits is no demand.
+	if err == nil || verdict.From(err).Code != verdict.CodeLimited {
+		a.demand.Request(r.Service.Name)
+	}
+	return release, err
 }
 
 // capacityInterval is the time between two updates of the gate's capacity.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -7,6 +7,7 @@
 	"github.com/jujubeshed/jujubeshed/api/gen/operators"
 	"github.com/jujubeshed/jujubeshed/internal/config"
 	"github.com/jujubeshed/jujubeshed/internal/discovery"
+	"github.com/jujubeshed/jujubeshed/internal/fleet/controller"
 	"github.com/jujubeshed/jujubeshed/internal/move"
 	"github.com/jujubeshed/jujubeshed/internal/operator"
 	"github.com/jujubeshed/jujubeshed/internal/peer"
@@ -26,6 +27,7 @@
 	balancer *balancer.Balancer
 	gossip   *gossip.Service
 	moves    *moves
+	fleet    *controller.Controller
 }
 
 var _ operator.Source = (*statusSource)(nil)
@@ -39,6 +41,7 @@
 		Members:    s.members(),
 		Endpoints:  s.endpoints(),
 		Files:      s.files(ctx),
+		Fleet:      s.fleetStatus(ctx),
 	}
 	st.Everywhere = s.everywhere()
 	return st, nil
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -18,6 +18,7 @@
 	"github.com/jujubeshed/jujubeshed/internal/dispatch"
 	"github.com/jujubeshed/jujubeshed/internal/endpoint"
 	"github.com/jujubeshed/jujubeshed/internal/entry"
+	"github.com/jujubeshed/jujubeshed/internal/fleet/controller"
 	"github.com/jujubeshed/jujubeshed/internal/handover"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/kernel"
@@ -78,6 +79,8 @@
 	moves     *moves
 	remote    *handover.Remote
 	capacity  *capacityUpdater
+	demand    *controller.Meter
+	fleet     *controller.Controller
 	gossip    *gossip.Service
 	peers     *peers
 	bulk      *http.Transport // of answers between nodes, apart from membership
@@ -96,6 +99,9 @@
 	if err := w.buildPeers(); err != nil {
 		return err
 	}
+	if err := w.buildFleet(); err != nil {
+		return err
+	}
 	w.buildEntry()
 	return w.register()
 }
@@ -202,7 +208,7 @@
 	}, entry.Parts{
 		Log:     w.log,
 		Config:  w.config,
-		Gate:    admission{w.gate},
+		Gate:    admission{w.gate, w.demand},
 		Sender:  w.sender,
 		Ledger:  dispatch.NewOrders(w.ledger),
 		Answers: w.answers,
@@ -232,6 +238,7 @@
 		{serviceObserver, w.observer},
 		{serviceCapacity, kernel.NewLoop(capacityInterval, func(context.Context) { w.capacity.update() })},
 		{serviceMoves, w.moves},
+		{controller.Name, w.fleet},
 		{serviceSender, w.sender},
 		{serviceOperators, newListener("operators", w.opts.Operators, operators, w.log)},
 		{serviceCallers, newCallers(w.opts, w.entry, w.log)},
@@ -253,7 +260,7 @@
 }
 
 func (w *wiring) operatorsHandler() (http.Handler, error) {
-	api, err := operator.New(&statusSource{opts: w.opts, config: w.config, hosts: w.hosts, balancer: w.balancer, gossip: w.gossip, moves: w.moves})
+	api, err := operator.New(&statusSource{opts: w.opts, config: w.config, hosts: w.hosts, balancer: w.balancer, gossip: w.gossip, moves: w.moves, fleet: w.fleet})
 	if err != nil {
 		return nil, err
 	}
