--- a/internal/e2e/reclaim_test.go
+++ b/internal/e2e/reclaim_test.go
@@ -17,13 +17,13 @@
 // under long streams that outlast the notice, while the host list is so late that
 // it calls them live beyond their end.
 func TestAnnouncedReclaim(t *testing.T) {
+	t.Parallel()
 	const notice = 4 * time.Second
 	s := newSite(t, siteOptions{
 		engine:   []string{"--decode-rate", "10"},
 		spare:    []string{dataCentres[1]},
 		platform: standinplatform.Faults{HostLag: notice},
 	})
-	s.awaitEndpoint(t, s.engines[3].host, operators.EndpointStateLive)
 	staying, leaving := s.engines[:1], s.engines[1:]
 	before := begun(leaving)
 
--- /dev/null
+++ b/internal/e2e/refusal_test.go
@@ -0,0 +1,118 @@
+package e2e
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/jujubeshed/jujubeshed/api/gen/callers"
+	"github.com/jujubeshed/jujubeshed/internal/entry"
+	"github.com/jujubeshed/jujubeshed/internal/standin/service"
+)
+
+// TestBadInput sends requests that can't be served: each gets a problem document
+// that says not-run, none reaches an endpoint, and the node serves on.
+func TestBadInput(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, siteOptions{})
+	before := begun(s.engines)
+	head := func(method, path, key string) string {
+		return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: jujubeshed\r\nConnection: close\r\nAuthorization: Bearer %s\r\n", method, path, key)
+	}
+	body := func(text string) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(text), text) }
+	chatBody := string(chat{prompt: "a line", tokens: 1}.body(true))
+	cases := []struct {
+		name, request string
+		status        int
+	}{
+		{"header too large", head("POST", "/chat", workspaceKey) + "X-Long: " + strings.Repeat("x", 2*entry.MaxHeaderBytes) + "\r\n" + body(chatBody), http.StatusRequestHeaderFieldsTooLarge},
+		{"body too large", head("POST", "/orders", workspaceKey) + "Idempotency-Key: large\r\n" + body(strings.Repeat("x", entry.DefaultMaxBodyBytes+1)), http.StatusRequestEntityTooLarge},
+		{"body too large, in chunks", head("POST", "/chat", workspaceKey) + "Transfer-Encoding: chunked\r\n\r\n" +
+			fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", entry.DefaultMaxBodyBytes+1, strings.Repeat("x", entry.DefaultMaxBodyBytes+1)), http.StatusRequestEntityTooLarge},
+		{"unknown key", head("POST", "/chat", "no-such-key") + body(chatBody), http.StatusUnauthorized},
+		{"no key", "POST /chat HTTP/1.1\r\nHost: jujubeshed\r\nConnection: close\r\n" + body(chatBody), http.StatusUnauthorized},
+		{"unknown route", head("POST", "/no/such/route", workspaceKey) + body(chatBody), http.StatusNotFound},
+		{"unknown method", head("BREW", "/chat", workspaceKey) + body(chatBody), http.StatusNotFound},
+		{"malformed JSON", head("POST", "/chat", workspaceKey) + body(`{"messages": [`), http.StatusBadRequest},
+		{"another shape", head("POST", "/chat", workspaceKey) + body(`{"messages": "none"}`), http.StatusBadRequest},
+		{"no messages", head("POST", "/chat", workspaceKey) + body(`{"messages": []}`), http.StatusBadRequest},
+		{"order without idempotency key", head("POST", "/orders", workspaceKey) + body(plaque), http.StatusBadRequest},
+		{"idempotency key too long", head("POST", "/orders", workspaceKey) + "Idempotency-Key: " + strings.Repeat("k", 300) + "\r\n" + body(plaque), http.StatusBadRequest},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			wantVerdict(t, sendRaw(t, s.nodes[0], c.request), c.status, callers.ProblemVerdictNotRun)
+		})
+	}
+	if n := len(begun(s.engines)); n != len(before) {
+		t.Errorf("engines began %d requests", n-len(before))
+	}
+	var desk service.Status
+	get(t, s.desk, &desk)
+	if desk.Calls != 0 {
+		t.Errorf("the desk got %d calls", desk.Calls)
+	}
+	c := chat{prompt: "a line", seed: 1, tokens: 3}
+	if got, err := c.streamOnce("/chat", s.nodes[0]); err != nil || got != c.want() {
+		t.Errorf("afterwards: %q, error %v", got, err)
+	}
+}
+
+// sendRaw writes a request as it is and reads the response. A node may answer
+// before it has read all.
+func sendRaw(t *testing.T, addr, request string) reply {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	go func() { _, _ = conn.Write([]byte(request)) }()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no response: %v", err)
+	}
+	return readReply(t, resp)
+}
+
+// TestWrongPeerKey starts a node with another key: the others refuse it and it
+// learns nothing from them; an operator with another key is refused too.
+func TestWrongPeerKey(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, siteOptions{})
+	callersAddr, peersAddr, opsAddr := freeAddress(t), freeAddress(t), freeAddress(t)
+	const otherKey = "another-key-of-16-bytes"
+	start(t, "stranger", "node", "--node-id", "stranger", "--data-centre", dataCentres[0],
+		"--callers", callersAddr, "--peers", peersAddr, "--operators", opsAddr,
+		"--platform", s.platform, "--key", otherKey, "--seed", s.peers[0], "--seed", s.peers[1])
+	eventually(t, "the stranger's configuration", ready(callersAddr))
+	eventually(t, "refused calls of the stranger", func() error {
+		n, err := metric(s.ops[0], "peer_calls_refused_total")
+		if err == nil && n < 3 {
+			err = fmt.Errorf("%g calls", n)
+		}
+		return err
+	})
+	stranger := &site{ops: []string{opsAddr}}
+	code, out, _ := tryCommand("status", "--node", opsAddr, "--key", otherKey, "--json")
+	if code != 0 || strings.Contains(string(out), "entry-") {
+		t.Errorf("the stranger knows members: exit code %d, %s", code, out)
+	}
+	if _, err := stranger.status(0); err == nil {
+		t.Error("an operator's call with another key was served")
+	}
+	for i := range s.nodes {
+		st, err := s.status(i)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range st.Members {
+			if m.Node == "stranger" {
+				t.Errorf("node %d took the stranger for a member: %+v", i, m)
+			}
+		}
+	}
+}
--- a/internal/e2e/site_test.go
+++ b/internal/e2e/site_test.go
@@ -1,11 +1,14 @@
 package e2e
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/jujubeshed/jujubeshed/api/gen/operators"
@@ -75,11 +78,11 @@
 	for _, n := range s.nodes {
 		eventually(t, "node "+n, ready(n))
 	}
-	eventually(t, "first chat", func() error {
-		c := chat{prompt: "warm up", seed: 1, tokens: 2}
-		_, _, err := c.stream("/chat", s.nodes)
-		return err
-	})
+	for _, e := range s.engines {
+		s.awaitEndpoint(t, e.host, operators.EndpointStateLive)
+	}
+	s.awaitEndpoint(t, "desk-0", operators.EndpointStateLive)
+	s.everywhere(t, 1)
 	return s
 }
 
@@ -226,14 +229,6 @@
 	return c.Get(context.Background(), key)
 }
 
-// apply puts a folder in force and waits until every node knows that its
-// revision, or a later one, is in force everywhere; it returns the revision.
-func (s *site) apply(t testing.TB, dir string) int64 {
-	t.Helper()
-	runCommand(t, 0, "apply", "--platform", s.platform, dir)
-	return s.everywhere(t, int64(s.accepted(t).Revision))
-}
-
 // everywhere waits until every node says that one revision, at least min, is in
 // force everywhere, and returns it.
 func (s *site) everywhere(t testing.TB, min int64) int64 {
@@ -258,3 +253,26 @@
 	})
 	return revision
 }
+
+// metric returns the sum of a metric over its labels, at a node's operators' address.
+func metric(addr, name string) (float64, error) {
+	resp, err := http.Get("http://" + addr + "/metrics")
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	sum := 0.0
+	scan := bufio.NewScanner(resp.Body)
+	for scan.Scan() {
+		sample, value, _ := strings.Cut(scan.Text(), " ")
+		if base, _, _ := strings.Cut(sample, "{"); base != name {
+			continue
+		}
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return 0, err
+		}
+		sum += v
+	}
+	return sum, scan.Err()
+}
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -18,6 +18,7 @@
 	verdict.CodeUnauthorized: http.StatusUnauthorized,
 	verdict.CodeNotFound:     http.StatusNotFound,
 	verdict.CodeTooLarge:     http.StatusRequestEntityTooLarge,
+	verdict.CodeHeader:       http.StatusRequestHeaderFieldsTooLarge,
 	verdict.CodeConflict:     http.StatusUnprocessableEntity,
 	verdict.CodeOverloaded:   http.StatusServiceUnavailable,
 	verdict.CodeLimited:      http.StatusTooManyRequests,
@@ -34,6 +35,7 @@
 	verdict.CodeUnauthorized: "The workspace key is not accepted.",
 	verdict.CodeNotFound:     "There is nothing here.",
 	verdict.CodeTooLarge:     "The request is too large.",
+	verdict.CodeHeader:       "The header of the request is too large.",
 	verdict.CodeConflict:     "The idempotency key belongs to another request.",
 	verdict.CodeOverloaded:   "The service is overloaded.",
 	verdict.CodeLimited:      "The workspace is over its limit.",
@@ -94,6 +96,20 @@
 	return strconv.Itoa(int(math.Ceil(d.Seconds())))
 }
 
+// checkHeader refuses a request whose head exceeds the limit.
+func checkHeader(r *http.Request) error {
+	n := len(r.Method) + len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	if n > MaxHeaderBytes {
+		return verdict.New(verdict.NotRun, verdict.CodeHeader, "the header exceeds %d bytes", MaxHeaderBytes)
+	}
+	return nil
+}
+
 // readBody reads a request's body within the limit.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.opts.MaxBodyBytes))
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -17,8 +17,11 @@
 
 // Limits of a request, in bytes.
 const (
-	DefaultMaxBodyBytes   = 2 << 20 // a hand-over carries the body and the answer in one call of 4 MiB at most
-	DefaultMaxHeaderBytes = 64 << 10
+	DefaultMaxBodyBytes = 2 << 20 // a hand-over carries the body and the answer in one call of 4 MiB at most
+	MaxHeaderBytes      = 64 << 10
+	// MaxReadHeaderBytes is where the HTTP library stops to read; it then answers
+	// 431 without a problem document.
+	MaxReadHeaderBytes = 8 * MaxHeaderBytes
 )
 
 // abandonGrace is how long an answer goes on without a reader.
@@ -177,6 +180,9 @@
 func (s *Server) identify(r *http.Request) (*Request, error) {
 	now := time.Now()
 	req := &Request{ID: s.newRequestID(), Arrived: now, Key: r.Header.Get("Idempotency-Key")}
+	if err := checkHeader(r); err != nil {
+		return req, err
+	}
 	cfg := s.config.Current()
 	if cfg == nil {
 		return req, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no configuration is in force yet").After(time.Second)
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -35,8 +35,10 @@
 )
 
 func newCallers(opts *Options, s *entry.Server, log *slog.Logger) *callers {
+	l := newListener("callers", opts.Callers, s, log)
+	l.server.MaxHeaderBytes = entry.MaxReadHeaderBytes // the entry refuses what exceeds its limit
 	return &callers{
-		listener: newListener("callers", opts.Callers, s, log),
+		listener: l,
 		opts:     opts, log: log, entry: s, done: make(chan struct{}),
 	}
 }
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -33,7 +33,7 @@
 			Protocols:         protocols,
 			Handler:           h,
 			ReadHeaderTimeout: readHeaderTimeout,
-			MaxHeaderBytes:    entry.DefaultMaxHeaderBytes,
+			MaxHeaderBytes:    entry.MaxHeaderBytes,
 			ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		},
 	}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -57,6 +57,7 @@
 	CodeUnauthorized Code = "unauthorized"
 	CodeNotFound     Code = "not-found"
 	CodeTooLarge     Code = "too-large"
+	CodeHeader       Code = "header-too-large"
 	CodeConflict     Code = "conflict"
 	CodeOverloaded   Code = "overloaded"
 	CodeLimited      Code = "limited"
