--- a/internal/e2e/freeze_test.go
+++ b/internal/e2e/freeze_test.go
@@ -19,6 +19,7 @@
 // it go on later, when other engines have taken them over: its late chunks, and
 // chunks of other requests between them, must not reach callers.
 func TestFrozenEngine(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, siteOptions{})
 	for _, e := range s.engines {
 		post(t, e.addr, control.Path, engine.Faults{CrossRate: 0.2, DuplicateRate: 0.2})
@@ -54,6 +55,7 @@
 // workspace's key away. Once it goes on it must come to that revision, and after
 // its first refusal by it never serve the key again.
 func TestFrozenNode(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, siteOptions{})
 	watch := s.watchRevisions()
 	dir := t.TempDir()
--- a/internal/e2e/orders_test.go
+++ b/internal/e2e/orders_test.go
@@ -101,6 +101,7 @@
 
 // TestOrders makes desk, store and nodes fail under orders and their repeats.
 func TestOrders(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, siteOptions{})
 	t.Run("repeat", s.repeatedOrder)
 	t.Run("cut", s.cutOrder)
@@ -108,8 +109,25 @@
 	t.Run("store down", s.orderWithStoreDown)
 	t.Run("store slow", func(t *testing.T) { s.ordersWith(t, "slow", memstore.Faults{Delay: 300 * time.Millisecond}) })
 	t.Run("store loses answers", func(t *testing.T) { s.ordersWith(t, "lose", memstore.Faults{LoseAnswer: 0.5, Conflict: 0.2}) })
-	t.Run("node killed before the effect", func(t *testing.T) { s.orderOfKilledNode(t, 1, service.Faults{Freeze: true}, 0) })
-	t.Run("node killed after the effect", func(t *testing.T) { s.orderOfKilledNode(t, 2, service.Faults{Delay: time.Minute}, 1) })
+}
+
+// TestOrderOfKilledNode kills a node between an order's claim and its outcome.
+func TestOrderOfKilledNode(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name    string
+		faults  service.Faults
+		effects int
+	}{
+		{"before the effect", service.Faults{Freeze: true}, 0},
+		{"after the effect", service.Faults{Delay: time.Minute}, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			newSite(t, siteOptions{}).orderOfKilledNode(t, c.faults, c.effects)
+		})
+	}
 }
 
 // repeatedOrder places one key at all nodes at once, then with another body.
@@ -225,8 +243,8 @@
 // orderOfKilledNode kills a node between an order's claim and its outcome: the desk
 // holds the order before its effect, or its answer after it. What the desk holds
 // may still take effect; no repeat may run the order again.
-func (s *site) orderOfKilledNode(t *testing.T, node int, f service.Faults, effects int) {
-	key := fmt.Sprintf("killed-%d", node)
+func (s *site) orderOfKilledNode(t *testing.T, f service.Faults, effects int) {
+	const key, node = "killed", 1
 	s.deskFaults(t, f)
 	go func() { _, _, _ = order(s.nodes[node], key, plaque) }()
 	eventually(t, "the order at the desk", func() error {
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -29,6 +29,7 @@
 // TestWholePath serves chats and orders through three nodes while a node and an
 // engine are killed.
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, siteOptions{})
 	var wg sync.WaitGroup
 	s.traffic(t, "/drafts", 12, 60, &wg)
@@ -79,6 +80,7 @@
 
 // TestPlannedStopCutsNothing stops a node while it serves long streams.
 func TestPlannedStopCutsNothing(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, siteOptions{})
 	var wg sync.WaitGroup
 	moved := make([]int, 9)
@@ -108,6 +110,7 @@
 // configuration and hosts from its peers, and serves chats; an order is refused
 // as not run.
 func TestStartWithPlatformDown(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, siteOptions{})
 	s.nodeProc[1].kill()
 	s.storeFaults(t, memstore.Faults{Down: true})
