Apply one operator's files at a time, and tell whose were overwritten

Cause: two operators who apply at once each wrote some of their files, so that a mixture came into force, and the one whose files were gone was told that they were accepted (TestTwoOperators: exit code 0 for other content). Ruled out: telling both only, since a mixture of two copies of an example is nobody's wish. Change: apply runs under a lease of its own; a killed one holds up the next for its term of 8 s; the files' conditional updates hold also without it. A status about other content than one's own is an error now.

--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -9,10 +9,14 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/urfave/cli/v3"
 
 	"github.com/jujubeshed/jujubeshed/internal/config"
 	"github.com/jujubeshed/jujubeshed/internal/config/syncer"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/lease"
+	"github.com/jujubeshed/jujubeshed/internal/lease/holder"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
 )
 
@@ -51,7 +55,12 @@
 		return err
 	}
 	defer store.Close()
-	result, err := syncer.New(syncer.Options{Store: store}).Apply(ctx, files)
+	var result syncer.ApplyResult
+	err = alone(ctx, store, func() error {
+		var err error
+		result, err = syncer.New(syncer.Options{Store: store}).Apply(ctx, files)
+		return err
+	})
 	if asJSON {
 		if err := writeJSON(w, result); err != nil {
 			return err
@@ -69,6 +78,46 @@
 	}
 }
 
+// Settings of the lease under which files are applied.
+const (
+	applyLease        = "apply"
+	applyTerm         = 8 * time.Second
+	applyRenewEvery   = 500 * time.Millisecond
+	applyCallTimeout  = 2 * time.Second
+	applyPollInterval = 10 * time.Millisecond
+)
+
+// alone runs f while no other apply runs: two at once would mix their files. An
+// apply that was killed holds up the next one for the lease's term. Where the
+// lease is lost meanwhile, the files' own conditional updates still hold.
+func alone(ctx context.Context, store platform.Store, f func() error) error {
+	h, err := holder.New(holder.Options{
+		Store: store, Name: applyLease, CallTimeout: applyCallTimeout,
+		Owner: lease.Owner{Node: ident.NodeID(uuid.NewString())},
+		Lease: lease.Options{Term: applyTerm, RenewEvery: applyRenewEvery},
+	})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- h.Run(ctx) }()
+	for {
+		if _, held := h.Held(); held {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(platform.ErrUnavailable, ctx.Err())
+		case <-time.After(applyPollInterval):
+		}
+	}
+	err = f()
+	h.Release(true)
+	return errors.Join(err, <-done)
+}
+
 func printFileStatus(w io.Writer, st config.Status) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "FILE\tSTATE\tREVISION\tREMARK")
--- a/internal/config/syncer/apply.go
+++ b/internal/config/syncer/apply.go
@@ -62,7 +62,22 @@
 			return result, errors.Wrapf(err, "store file %q", f.Name)
 		}
 	}
-	return s.acceptAll(ctx, result)
+	result, err = s.acceptAll(ctx, result)
+	if err == nil && !judged(result.Status, files) {
+		err = ErrChangedMeanwhile
+	}
+	return result, err
+}
+
+// judged tells whether a status is about these contents, and not about others
+// that somebody stored over them.
+func judged(status config.Status, files []config.File) bool {
+	for _, f := range files {
+		if st, ok := status.File(f.Name); !ok || st.Digest != f.Digest() {
+			return false
+		}
+	}
+	return true
 }
 
 // Remove deletes files from the store and has the rest accepted.
