--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -152,7 +152,9 @@
 			var ours, onDemand, cheapest dayResult
 			for seed := range uint64(n) {
 				day := func(run func(*world, time.Duration)) *world {
-					w := newWorld(seed, d.opts, sky.storms, d.demand)
+					opts := d.opts
+					opts.FinalDrains = true // as the controller has it
+					w := newWorld(seed, opts, sky.storms, d.demand)
 					run(w, warmUp)
 					w.measure()
 					run(w, 24*time.Hour)
