Trust a node's own requests over a rumour of its death

A report that this very node had gone made it answer repeats of a request that it was running with "may have run" instead of waiting for the outcome. A claim that runs here is now lost only once its deadline has passed. The script in testdata/killed showed the fault first.

--- a/internal/once/shard.go
+++ b/internal/once/shard.go
@@ -62,14 +62,15 @@
 
 // isLost tells whether a claim's holder is taken for gone.
 func (s *shard) isLost(e *entry, now time.Time) bool {
-	if e.Node == string(s.opts.Node) && e.Incarnation < uint64(s.opts.Incarnation) {
+	if now.UnixNano() > e.ExpiresAt {
 		return true
 	}
-	gone, ok := s.ledger.gone[ident.NodeID(e.Node)]
-	if ok && e.Incarnation <= uint64(gone) {
-		return true
+	if s.isMine(e) {
+		return false
 	}
-	return now.UnixNano() > e.ExpiresAt
+	earlier := e.Node == string(s.opts.Node) && e.Incarnation < uint64(s.opts.Incarnation)
+	gone, ok := s.ledger.gone[ident.NodeID(e.Node)]
+	return earlier || (ok && e.Incarnation <= uint64(gone))
 }
 
 func (s *shard) down() bool { return s.fails >= downAfter }
