Bound the orders of a killed node by a deadline of four seconds

A repeat at a node that knows of another node's attempt waits until the route's deadline, 30 s by default, or is told after 5 s, whichever look of the ledger comes first.

--- a/internal/e2e/orders_test.go
+++ b/internal/e2e/orders_test.go
@@ -242,9 +242,13 @@
 
 // orderOfKilledNode kills a node between an order's claim and its outcome: the desk
 // holds the order before its effect, or its answer after it. What the desk holds
-// may still take effect; no repeat may run the order again.
+// may still take effect; within the route's deadline callers are told that it may
+// have run, and no repeat may run the order again.
 func (s *site) orderOfKilledNode(t *testing.T, f service.Faults, effects int) {
 	const key, node = "killed", 1
+	dir := copyExample(t, "    require_key: true\n", "    require_key: true\n    deadline: 4s\n")
+	runCommand(t, 0, "apply", "--platform", s.platform, dir)
+	s.everywhere(t, int64(s.accepted(t).Revision))
 	s.deskFaults(t, f)
 	go func() { _, _, _ = order(s.nodes[node], key, plaque) }()
 	eventually(t, "the order at the desk", func() error {
