--- a/internal/e2e/freeze_test.go
+++ b/internal/e2e/freeze_test.go
@@ -10,32 +10,56 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/standin/control"
 	"github.com/jujubeshed/jujubeshed/internal/standin/engine"
 )
 
-// TestFrozenEngine stops an engine's process in the middle of its streams and lets
-// it go on later, when other engines have taken them over: its late chunks, and
-// chunks of other requests between them, must not reach callers.
-func TestFrozenEngine(t *testing.T) {
-	t.Parallel()
-	s := newSite(t, siteOptions{})
+// crossedDrafts streams drafts while all engines send chunks twice and chunks of
+// other requests between them. It returns the engines, the busiest first.
+func (s *site) crossedDrafts(t *testing.T, wg *sync.WaitGroup) []*engineProcess {
+	t.Helper()
+	const drafts = 12
 	for _, e := range s.engines {
 		post(t, e.addr, control.Path, engine.Faults{CrossRate: 0.2, DuplicateRate: 0.2})
 	}
 	before := begun(s.engines)
-	var wg sync.WaitGroup
-	s.uncut(t, 12, 150, &wg)
+	s.uncut(t, drafts, 150, wg)
 	eventually(t, "start of all drafts", func() error {
-		if n := len(begun(s.engines)) - len(before); n < 12 {
+		if n := len(begun(s.engines)) - len(before); n < drafts {
 			return fmt.Errorf("%d began", n)
 		}
 		return nil
 	})
-	slices.SortFunc(s.engines, func(a, b *engineProcess) int { return len(b.runs()) - len(a.runs()) })
-	frozen, others := s.engines[0], s.engines[1:]
-	held := begun([]*engineProcess{frozen})
+	return slices.SortedFunc(slices.Values(s.engines), func(a, b *engineProcess) int { return len(b.runs()) - len(a.runs()) })
+}
+
+// TestPausedEngine stops an engine's process in the middle of its streams and lets
+// it go on soon: its late chunks are the callers' own, whole and in order.
+func TestPausedEngine(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, siteOptions{})
+	var wg sync.WaitGroup
+	busiest := s.crossedDrafts(t, &wg)[0]
+	for range 3 {
+		busiest.freeze(t)
+		time.Sleep(500 * time.Millisecond)
+		busiest.thaw(t)
+		time.Sleep(100 * time.Millisecond)
+	}
+	wg.Wait()
+}
+
+// TestFrozenEngine lets the engine go on only when other engines have taken its
+// streams over: what it then sends must not reach callers.
+func TestFrozenEngine(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, siteOptions{})
+	var wg sync.WaitGroup
+	engines := s.crossedDrafts(t, &wg)
+	frozen, others := engines[0], engines[1:]
+	held := begun(engines[:1])
 	frozen.freeze(t)
 	eventually(t, "take-over of a draft", func() error {
 		for id := range begun(others) {
