Tell an operator whose file another one replaced before the acceptance

Two operators apply copies of one example at once. Where the second one's writes fall between the first one's last write and its acceptance, the acceptance takes the second one's content, and the first one's apply printed "accepted" and exited with 0. The report held the other content's digest, which the table does not show.

apply compares the digests now and exits with 1, "somebody else changed the file at the same time". Ruled out: a write that is lost (both contents were in the store in turn) and a revision that reverts (none did). The check stands in the command line; package syncer still returns no error there.

--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -52,6 +52,9 @@
 	}
 	defer store.Close()
 	result, err := syncer.New(syncer.Options{Store: store}).Apply(ctx, files)
+	if err == nil {
+		err = checkOwn(files, result.Status)
+	}
 	if asJSON {
 		if err := writeJSON(w, result); err != nil {
 			return err
@@ -69,6 +72,17 @@
 	}
 }
 
+// checkOwn returns an error where another operator replaced one of the files
+// before it was accepted.
+func checkOwn(files []config.File, st config.Status) error {
+	for _, f := range files {
+		if got, ok := st.File(f.Name); !ok || got.Digest != f.Digest() {
+			return fmt.Errorf("file %q: %w", f.Name, syncer.ErrChangedMeanwhile)
+		}
+	}
+	return nil
+}
+
 func printFileStatus(w io.Writer, st config.Status) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "FILE\tSTATE\tREVISION\tREMARK")
