--- a/internal/config/syncer/watch_test.go
+++ b/internal/config/syncer/watch_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/config"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
 	"github.com/jujubeshed/jujubeshed/internal/standin/memstore"
 )
 
@@ -47,3 +49,41 @@
 		}
 	}
 }
+
+// between runs f once, after the put of a key.
+type between struct {
+	platform.Store
+	after platform.Key
+	f     func()
+}
+
+func (b *between) Put(ctx context.Context, key platform.Key, value []byte, expect platform.Version) (platform.Version, error) {
+	v, err := b.Store.Put(ctx, key, value, expect)
+	if key == b.after && b.f != nil {
+		f := b.f
+		b.f = nil
+		f()
+	}
+	return v, err
+}
+
+// TestApplyTellsOfOverwrittenFiles lets another operator's files replace one's own
+// between their last write and their acceptance.
+func TestApplyTellsOfOverwrittenFiles(t *testing.T) {
+	store := memstore.New(memstore.Options{})
+	file := func(version string) []config.File {
+		return []config.File{{Name: "10-a.yaml", Data: []byte("services:\n  s: {kind: engine, version: " + version + "}\n")}}
+	}
+	ctx := context.Background()
+	first := New(Options{Store: &between{Store: store, after: config.FileKey("10-a.yaml"), f: func() {
+		if _, err := New(Options{Store: store}).Apply(ctx, file("v2")); err != nil {
+			t.Error(err)
+		}
+	}}})
+	if _, err := first.Apply(ctx, file("v1")); !errors.Is(err, ErrChangedMeanwhile) {
+		t.Errorf("error = %v, want that somebody else changed the file", err)
+	}
+	if got := first.Current().Services["s"].Version; got != "v2" {
+		t.Errorf("version in force = %q, want that of the last write", got)
+	}
+}
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -53,18 +53,16 @@
 // may be used, CodeDeadline where the estimate passes the deadline.
 func (t *Table) Pick(now time.Time, rng *rand.Rand, r Request) (Choice, *verdict.Error) {
 	t.stats.Picks++
-	p, eligible := t.pickVersion(now, rng, r)
-	if p == nil {
-		t.stats.Refused++
-		return Choice{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable,
-			"service %q has no usable endpoint of an allowed version", r.Service).After(t.opts.RetryAfter)
+	best, err := t.pick(now, rng, r)
+	if err != nil && err.Code == verdict.CodeDeadline {
+		// The version drawn may be the slow one: a fallback may be in time.
+		if other, otherErr := t.pick(now, rng, fallbacks(r)); otherErr == nil {
+			best, err = other, nil
+		}
 	}
-	p.index.rotate(now)
-	best := t.best(now, p, r, t.candidates(now, rng, p, r, eligible))
-	if late := t.late(now, r, best.estimate); late > 0 {
+	if err != nil {
 		t.stats.Refused++
-		return Choice{}, verdict.New(verdict.NotRun, verdict.CodeDeadline,
-			"service %q: estimated first token after %s passes the deadline", r.Service, best.estimate.Total()).After(late)
+		return Choice{}, err
 	}
 	m := best.m
 	return Choice{
@@ -77,6 +75,28 @@
 	}, nil
 }
 
+// pick returns the best candidate of a version drawn by its share.
+func (t *Table) pick(now time.Time, rng *rand.Rand, r Request) (candidate, *verdict.Error) {
+	p, eligible := t.pickVersion(now, rng, r)
+	if p == nil {
+		return candidate{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable,
+			"service %q has no usable endpoint of an allowed version", r.Service).After(t.opts.RetryAfter)
+	}
+	p.index.rotate(now)
+	best := t.best(now, p, r, t.candidates(now, rng, p, r, eligible))
+	if late := t.late(now, r, best.estimate); late > 0 {
+		return candidate{}, verdict.New(verdict.NotRun, verdict.CodeDeadline,
+			"service %q: estimated first token after %s passes the deadline", r.Service, best.estimate.Total()).After(late)
+	}
+	return best, nil
+}
+
+// fallbacks returns the request with the versions that take others' work only.
+func fallbacks(r Request) Request {
+	r.Shares = slices.DeleteFunc(slices.Clone(r.Shares), func(s Share) bool { return !s.Fallback })
+	return r
+}
+
 // late returns by how much an estimate passes the request's deadline.
 func (t *Table) late(now time.Time, r Request, e Estimate) time.Duration {
 	if r.Deadline.IsZero() {
--- a/internal/route/usage_test.go
+++ b/internal/route/usage_test.go
@@ -1,12 +1,14 @@
 package route
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/endpoint"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
 )
 
 // TestUsage counts slots of usable endpoints only, and running requests of all.
@@ -28,3 +30,29 @@
 		t.Errorf("usage = %+v, want %+v", got, want)
 	}
 }
+
+// TestLateVersionFallsBack fills the endpoints of a new version: requests drawn to
+// it go to the proven version, which is in time, and aren't refused.
+func TestLateVersionFallsBack(t *testing.T) {
+	now := time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+	table := New(Options{Node: "n", DataCentre: "dc"})
+	var hosts []platform.HostInfo
+	for id, v := range map[ident.EndpointID]ident.Version{"old": "v1", "new": "v2"} {
+		e := platform.EndpointInfo{ID: id, Kind: platform.KindEngine, Service: "s", Version: v}
+		hosts = append(hosts, platform.HostInfo{Host: ident.Host(id), DataCentre: "dc", Incarnation: 1, State: platform.HostLive, Endpoints: []platform.EndpointInfo{e}})
+	}
+	table.SetHosts(now, hosts)
+	table.Report(now, endpoint.LoadReport{Endpoint: "new", MaxRunning: 1, Running: 1, Queued: 100, QueuedTokens: 1e6, PrefillPerSec: 1000})
+	rng := rand.New(rand.NewPCG(1, 1))
+	r := Request{Service: "s", Deadline: now.Add(10 * time.Second), PromptTokens: 100}
+	r.Shares = []Share{{Version: "v1", Weight: 1, Fallback: true}, {Version: "v2", Weight: 1}}
+	for range 50 {
+		if c, err := table.Pick(now, rng, r); err != nil || c.Endpoint != "old" {
+			t.Fatalf("picked %q, error %v", c.Endpoint, err)
+		}
+	}
+	r.Shares = r.Shares[1:]
+	if _, err := table.Pick(now, rng, r); err == nil || err.Code != verdict.CodeDeadline {
+		t.Errorf("without a fallback the error is %v", err)
+	}
+}
