List orders without outcome, drain the ledger, count tokens for the fleet

Cause: an order whose sender died was known to the ledger only; a planned stop could end before an outcome was recorded; the fleet's demand lacked tokens; the evidence of ended moves stayed. Change: jujubeshed orders and its API; the ledger drains after the callers' listener; whole answers count their tokens; evidence is dropped at a move's end; one observer an endpoint and 2 KiB/s of reads, as two every second would cost 50 KB/s a node at the target (docs/design/peer.md).

--- a/api/gen/operators/oas_client_gen.go
+++ b/api/gen/operators/oas_client_gen.go
@@ -28,6 +28,10 @@
 	//
 	// GET /v1/status
 	GetStatus(ctx context.Context) (*Status, error)
+	// GetUnconfirmedOrders invokes getUnconfirmedOrders operation.
+	//
+	// GET /v1/orders/unconfirmed
+	GetUnconfirmedOrders(ctx context.Context) (*OrderList, error)
 }
 
 // Client implements OAS client.
@@ -150,3 +154,44 @@
 
 	return result, nil
 }
+
+// GetUnconfirmedOrders invokes getUnconfirmedOrders operation.
+//
+// GET /v1/orders/unconfirmed
+func (c *Client) GetUnconfirmedOrders(ctx context.Context) (*OrderList, error) {
+	res, err := c.sendGetUnconfirmedOrders(ctx)
+	return res, err
+}
+
+func (c *Client) sendGetUnconfirmedOrders(ctx context.Context) (res *OrderList, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/orders/unconfirmed"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeGetUnconfirmedOrdersResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
--- a/api/gen/operators/oas_handlers_gen.go
+++ b/api/gen/operators/oas_handlers_gen.go
@@ -174,3 +174,77 @@
 		return
 	}
 }
+
+// handleGetUnconfirmedOrdersRequest handles getUnconfirmedOrders operation.
+//
+// GET /v1/orders/unconfirmed
+func (s *Server) handleGetUnconfirmedOrdersRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err error
+	)
+
+	var rawBody []byte
+
+	var response *OrderList
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    GetUnconfirmedOrdersOperation,
+			OperationSummary: "",
+			OperationID:      "getUnconfirmedOrders",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = *OrderList
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.GetUnconfirmedOrders(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.GetUnconfirmedOrders(ctx)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ProblemStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeGetUnconfirmedOrdersResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
--- a/api/gen/operators/oas_json_gen.go
+++ b/api/gen/operators/oas_json_gen.go
@@ -1677,6 +1677,112 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *OrderList) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *OrderList) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("orders")
+		e.ArrStart()
+		for _, elem := range s.Orders {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfOrderList = [1]string{
+	0: "orders",
+}
+
+// Decode decodes OrderList from json.
+func (s *OrderList) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode OrderList to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "orders":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				s.Orders = make([]UnconfirmedOrder, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem UnconfirmedOrder
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Orders = append(s.Orders, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"orders\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode OrderList")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfOrderList) {
+					name = jsonFieldsNameOfOrderList[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *OrderList) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OrderList) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Problem) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -2170,3 +2276,205 @@
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
+
+// Encode implements json.Marshaler.
+func (s *UnconfirmedOrder) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *UnconfirmedOrder) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("workspace")
+		e.Str(s.Workspace)
+	}
+	{
+		e.FieldStart("key")
+		e.Str(s.Key)
+	}
+	{
+		e.FieldStart("node")
+		e.Str(s.Node)
+	}
+	{
+		e.FieldStart("claimed")
+		json.EncodeDateTime(e, s.Claimed)
+	}
+	{
+		e.FieldStart("state")
+		s.State.Encode(e)
+	}
+}
+
+var jsonFieldsNameOfUnconfirmedOrder = [5]string{
+	0: "workspace",
+	1: "key",
+	2: "node",
+	3: "claimed",
+	4: "state",
+}
+
+// Decode decodes UnconfirmedOrder from json.
+func (s *UnconfirmedOrder) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode UnconfirmedOrder to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "workspace":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Workspace = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"workspace\"")
+			}
+		case "key":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Key = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"key\"")
+			}
+		case "node":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Node = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"node\"")
+			}
+		case "claimed":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := json.DecodeDateTime(d)
+				s.Claimed = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"claimed\"")
+			}
+		case "state":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				if err := s.State.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"state\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode UnconfirmedOrder")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00011111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfUnconfirmedOrder) {
+					name = jsonFieldsNameOfUnconfirmedOrder[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *UnconfirmedOrder) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *UnconfirmedOrder) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode encodes UnconfirmedOrderState as json.
+func (s UnconfirmedOrderState) Encode(e *jx.Encoder) {
+	e.Str(string(s))
+}
+
+// Decode decodes UnconfirmedOrderState from json.
+func (s *UnconfirmedOrderState) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode UnconfirmedOrderState to nil")
+	}
+	v, err := d.StrBytes()
+	if err != nil {
+		return err
+	}
+	// Try to use constant string.
+	switch UnconfirmedOrderState(v) {
+	case UnconfirmedOrderStateRunning:
+		*s = UnconfirmedOrderStateRunning
+	case UnconfirmedOrderStateUnconfirmed:
+		*s = UnconfirmedOrderStateUnconfirmed
+	default:
+		*s = UnconfirmedOrderState(v)
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s UnconfirmedOrderState) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *UnconfirmedOrderState) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
--- a/api/gen/operators/oas_operations_gen.go
+++ b/api/gen/operators/oas_operations_gen.go
@@ -6,6 +6,7 @@
 type OperationName = string
 
 const (
-	GetMovesOperation  OperationName = "GetMoves"
-	GetStatusOperation OperationName = "GetStatus"
+	GetMovesOperation             OperationName = "GetMoves"
+	GetStatusOperation            OperationName = "GetStatus"
+	GetUnconfirmedOrdersOperation OperationName = "GetUnconfirmedOrders"
 )
--- a/api/gen/operators/oas_response_decoders_gen.go
+++ b/api/gen/operators/oas_response_decoders_gen.go
@@ -214,3 +214,104 @@
 	}
 	return res, errors.Wrap(defRes, "error")
 }
+
+func decodeGetUnconfirmedOrdersResponse(resp *http.Response) (res *OrderList, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response OrderList
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/problem+json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &ProblemStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
--- a/api/gen/operators/oas_response_encoders_gen.go
+++ b/api/gen/operators/oas_response_encoders_gen.go
@@ -52,6 +52,27 @@
 	return nil
 }
 
+func encodeGetUnconfirmedOrdersResponse(response *OrderList, w http.ResponseWriter) error {
+	if err := func() error {
+		if err := response.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "validate")
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeErrorResponse(response *ProblemStatusCode, w http.ResponseWriter) error {
 	if err := func() error {
 		if err := response.Validate(); err != nil {
--- a/api/gen/operators/oas_router_gen.go
+++ b/api/gen/operators/oas_router_gen.go
@@ -85,6 +85,31 @@
 					return
 				}
 
+			case 'o': // Prefix: "orders/unconfirmed"
+
+				if l := len("orders/unconfirmed"); len(elem) >= l && elem[0:l] == "orders/unconfirmed" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch r.Method {
+					case "GET":
+						s.handleGetUnconfirmedOrdersRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: nil,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+
 			case 's': // Prefix: "status"
 
 				if l := len("status"); len(elem) >= l && elem[0:l] == "status" {
@@ -235,6 +260,31 @@
 					}
 				}
 
+			case 'o': // Prefix: "orders/unconfirmed"
+
+				if l := len("orders/unconfirmed"); len(elem) >= l && elem[0:l] == "orders/unconfirmed" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch method {
+					case "GET":
+						r.name = GetUnconfirmedOrdersOperation
+						r.summary = ""
+						r.operationID = "getUnconfirmedOrders"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/orders/unconfirmed"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+
 			case 's': // Prefix: "status"
 
 				if l := len("status"); len(elem) >= l && elem[0:l] == "status" {
--- a/api/gen/operators/oas_schemas_gen.go
+++ b/api/gen/operators/oas_schemas_gen.go
@@ -763,6 +763,21 @@
 	return d
 }
 
+// Ref: #/components/schemas/OrderList
+type OrderList struct {
+	Orders []UnconfirmedOrder `json:"orders"`
+}
+
+// GetOrders returns the value of Orders.
+func (s *OrderList) GetOrders() []UnconfirmedOrder {
+	return s.Orders
+}
+
+// SetOrders sets the value of Orders.
+func (s *OrderList) SetOrders(val []UnconfirmedOrder) {
+	s.Orders = val
+}
+
 // Ref: #/components/schemas/Problem
 type Problem struct {
 	Title        string         `json:"title"`
@@ -1011,3 +1026,104 @@
 func (s *Status) SetInvariantViolations(val int64) {
 	s.InvariantViolations = val
 }
+
+// Ref: #/components/schemas/UnconfirmedOrder
+type UnconfirmedOrder struct {
+	Workspace string `json:"workspace"`
+	Key       string `json:"key"`
+	// The node that sent it.
+	Node    string                `json:"node"`
+	Claimed time.Time             `json:"claimed"`
+	State   UnconfirmedOrderState `json:"state"`
+}
+
+// GetWorkspace returns the value of Workspace.
+func (s *UnconfirmedOrder) GetWorkspace() string {
+	return s.Workspace
+}
+
+// GetKey returns the value of Key.
+func (s *UnconfirmedOrder) GetKey() string {
+	return s.Key
+}
+
+// GetNode returns the value of Node.
+func (s *UnconfirmedOrder) GetNode() string {
+	return s.Node
+}
+
+// GetClaimed returns the value of Claimed.
+func (s *UnconfirmedOrder) GetClaimed() time.Time {
+	return s.Claimed
+}
+
+// GetState returns the value of State.
+func (s *UnconfirmedOrder) GetState() UnconfirmedOrderState {
+	return s.State
+}
+
+// SetWorkspace sets the value of Workspace.
+func (s *UnconfirmedOrder) SetWorkspace(val string) {
+	s.Workspace = val
+}
+
+// SetKey sets the value of Key.
+func (s *UnconfirmedOrder) SetKey(val string) {
+	s.Key = val
+}
+
+// SetNode sets the value of Node.
+func (s *UnconfirmedOrder) SetNode(val string) {
+	s.Node = val
+}
+
+// SetClaimed sets the value of Claimed.
+func (s *UnconfirmedOrder) SetClaimed(val time.Time) {
+	s.Claimed = val
+}
+
+// SetState sets the value of State.
+func (s *UnconfirmedOrder) SetState(val UnconfirmedOrderState) {
+	s.State = val
+}
+
+type UnconfirmedOrderState string
+
+const (
+	UnconfirmedOrderStateRunning     UnconfirmedOrderState = "running"
+	UnconfirmedOrderStateUnconfirmed UnconfirmedOrderState = "unconfirmed"
+)
+
+// AllValues returns all UnconfirmedOrderState values.
+func (UnconfirmedOrderState) AllValues() []UnconfirmedOrderState {
+	return []UnconfirmedOrderState{
+		UnconfirmedOrderStateRunning,
+		UnconfirmedOrderStateUnconfirmed,
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s UnconfirmedOrderState) MarshalText() ([]byte, error) {
+	switch s {
+	case UnconfirmedOrderStateRunning:
+		return []byte(s), nil
+	case UnconfirmedOrderStateUnconfirmed:
+		return []byte(s), nil
+	default:
+		return nil, errors.Errorf("invalid value: %q", s)
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *UnconfirmedOrderState) UnmarshalText(data []byte) error {
+	switch UnconfirmedOrderState(data) {
+	case UnconfirmedOrderStateRunning:
+		*s = UnconfirmedOrderStateRunning
+		return nil
+	case UnconfirmedOrderStateUnconfirmed:
+		*s = UnconfirmedOrderStateUnconfirmed
+		return nil
+	default:
+		return errors.Errorf("invalid value: %q", data)
+	}
+}
--- a/api/gen/operators/oas_server_gen.go
+++ b/api/gen/operators/oas_server_gen.go
@@ -16,6 +16,10 @@
 	//
 	// GET /v1/status
 	GetStatus(ctx context.Context) (*Status, error)
+	// GetUnconfirmedOrders implements getUnconfirmedOrders operation.
+	//
+	// GET /v1/orders/unconfirmed
+	GetUnconfirmedOrders(ctx context.Context) (*OrderList, error)
 	// NewError creates *ProblemStatusCode from error returned by handler.
 	//
 	// Used for common default response.
--- a/api/gen/operators/oas_validators_gen.go
+++ b/api/gen/operators/oas_validators_gen.go
@@ -196,6 +196,46 @@
 	return nil
 }
 
+func (s *OrderList) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Orders == nil {
+			return errors.New("nil is invalid value")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Orders {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "orders",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *Problem) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -344,3 +384,37 @@
 	}
 	return nil
 }
+
+func (s *UnconfirmedOrder) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := s.State.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "state",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s UnconfirmedOrderState) Validate() error {
+	switch s {
+	case "running":
+		return nil
+	case "unconfirmed":
+		return nil
+	default:
+		return errors.Errorf("invalid value: %v", s)
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -74,6 +74,7 @@
 		applyCommand(),
 		statusCommand(),
 		movesCommand(),
+		ordersCommand(),
 		standinCommand(),
 		loadCommand(),
 		experimentCommand(),
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -30,10 +30,12 @@
 	return operators.NewClient("http://"+cmd.String("node"), operators.WithClient(client))
 }
 
-func statusCommand() *cli.Command {
+// operatorCommand returns a command that makes one call of the operators' API and
+// prints its answer, as JSON or by the function that the call returns.
+func operatorCommand(name, usage string, call func(context.Context, *operators.Client) (any, func(io.Writer) error, error)) *cli.Command {
 	return &cli.Command{
-		Name:  "status",
-		Usage: "tells what a node knows: nodes, endpoints, files and whether a revision is in force everywhere",
+		Name:  name,
+		Usage: usage,
 		Flags: operatorFlags(),
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			ctx, cancel := context.WithTimeout(ctx, statusTimeout)
@@ -42,40 +44,32 @@
 			if err != nil {
 				return usageError{err}
 			}
-			st, err := c.GetStatus(ctx)
+			answer, print, err := call(ctx, c)
 			if err != nil {
 				return offlineError{err}
 			}
 			if cmd.Bool("json") {
-				return writeJSON(cmd.Root().Writer, st)
+				return writeJSON(cmd.Root().Writer, answer)
 			}
-			return printStatus(cmd.Root().Writer, st)
+			return print(cmd.Root().Writer)
 		},
 	}
 }
 
+func statusCommand() *cli.Command {
+	return operatorCommand("status", "tells what a node knows: nodes, endpoints, files and whether a revision is in force everywhere",
+		func(ctx context.Context, c *operators.Client) (any, func(io.Writer) error, error) {
+			st, err := c.GetStatus(ctx)
+			return st, func(w io.Writer) error { return printStatus(w, st) }, err
+		})
+}
+
 func movesCommand() *cli.Command {
-	return &cli.Command{
-		Name:  "moves",
-		Usage: "tells whether each version move is done, undone or under way, and why",
-		Flags: operatorFlags(),
-		Action: func(ctx context.Context, cmd *cli.Command) error {
-			ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-			defer cancel()
-			c, err := operatorsClient(cmd)
-			if err != nil {
-				return usageError{err}
-			}
+	return operatorCommand("moves", "tells whether each version move is done, undone or under way, and why",
+		func(ctx context.Context, c *operators.Client) (any, func(io.Writer) error, error) {
 			list, err := c.GetMoves(ctx)
-			if err != nil {
-				return offlineError{err}
-			}
-			if cmd.Bool("json") {
-				return writeJSON(cmd.Root().Writer, list)
-			}
-			return printMoves(cmd.Root().Writer, list.Moves)
-		},
-	}
+			return list, func(w io.Writer) error { return printMoves(w, list.Moves) }, err
+		})
 }
 
 func printStatus(w io.Writer, st *operators.Status) error {
--- a/internal/dispatch/sender.go
+++ b/internal/dispatch/sender.go
@@ -48,6 +48,9 @@
 	// StallBetween is the longest silence between two tokens, after which a stream
 	// goes on at another endpoint. Default: 3s.
 	StallBetween time.Duration
+	// Tokens is called with the uncached prompt tokens and the generated ones of each
+	// whole answer; nil for nobody.
+	Tokens func(service ident.Service, prompt, output int)
 }
 
 // DefaultCosts estimate a model engine's KV cache on a 10 Gbit/s network.
@@ -115,6 +118,9 @@
 		end = answer.End{Err: verdict.From(err)}
 	}
 	job.Answer.Close(time.Now(), end)
+	if err == nil && s.opts.Tokens != nil {
+		s.opts.Tokens(job.Request.Service.Name, end.Usage.PromptTokens-end.Usage.CachedTokens, end.Usage.CompletionTokens)
+	}
 }
 
 // Forward sends a plain request and gives its response to take, once. The error
--- a/internal/node/moves.go
+++ b/internal/node/moves.go
@@ -34,12 +34,14 @@
 	loop   *kernel.Loop
 	cancel context.CancelFunc
 	done   chan struct{}
+
+	forgotten map[ident.MoveName]bool // ended moves whose evidence was dropped; used by the loop only
 }
 
 var _ dispatch.Versions = (*moves)(nil)
 
 func newMoves(p *peers, opts mover.Options) *moves {
-	m := &moves{mover: mover.New(opts), peers: p, done: make(chan struct{})}
+	m := &moves{mover: mover.New(opts), peers: p, done: make(chan struct{}), forgotten: make(map[ident.MoveName]bool)}
 	m.loop = kernel.NewLoop(exchangeInterval, func(context.Context) {
 		m.publish()
 		m.collect()
@@ -108,6 +110,7 @@
 
 // publish shares this node's evidence, and the marks and records that it knows.
 func (m *moves) publish() {
+	m.forgetEnded()
 	for _, e := range m.mover.Own() {
 		if err := m.peers.gossip.SetEvidence(evidenceKey(e.Key), e.Counter.Flatten()); err != nil {
 			m.peers.log.Warn("move: Evidence can't be shared.", "service", string(e.Key.Service), "error", err)
@@ -122,6 +125,27 @@
 	}
 }
 
+// forgetEnded drops the shared evidence of moves that have come to their end.
+func (m *moves) forgetEnded() {
+	cfg := m.peers.config.Current()
+	if cfg == nil {
+		return
+	}
+	for _, st := range m.mover.Statuses() {
+		if !st.State.Terminal() || m.forgotten[st.Move] {
+			continue
+		}
+		m.forgotten[st.Move] = true
+		for name, r := range cfg.Routes {
+			for _, v := range []ident.Version{st.From, st.To} {
+				if r.Service == st.Service {
+					m.peers.gossip.ForgetEvidence(evidenceKey(move.Key{Service: st.Service, Version: v, Route: name}))
+				}
+			}
+		}
+	}
+}
+
 func (m *moves) share(kind peer.MarkKind, name ident.MoveName, number uint64, v any) {
 	if known, ok := m.peers.gossip.Marked(kind, string(name)); ok && known >= number {
 		return
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -12,6 +12,7 @@
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/kernel"
 	"github.com/jujubeshed/jujubeshed/internal/move"
+	"github.com/jujubeshed/jujubeshed/internal/once/committer"
 	"github.com/jujubeshed/jujubeshed/internal/route/balancer"
 	"github.com/jujubeshed/jujubeshed/internal/verdict"
 )
@@ -27,6 +28,30 @@
 	return nil
 }
 
+// ledgerService drains and stops the ledger.
+type ledgerService struct{ *committer.Committer }
+
+var (
+	_ kernel.Drainer = ledgerService{}
+	_ kernel.Stopper = ledgerService{}
+)
+
+// Drain waits until every outcome is recorded, within the ledger's bound.
+func (l ledgerService) Drain(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, ledgerDrainTimeout)
+	defer cancel()
+	return l.Committer.Drain(ctx)
+}
+
+// Stop ends the ledger.
+func (l ledgerService) Stop(context.Context) error {
+	l.Committer.Stop()
+	return nil
+}
+
+// ledgerDrainTimeout bounds the wait for outcomes to be recorded at a stop.
+const ledgerDrainTimeout = 10 * time.Second
+
 // configService runs a syncer.
 type configService struct {
 	*syncer.Syncer
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -35,6 +35,9 @@
 	kindHosts  = "hosts"
 	// relayDelay is how long a load report is on its way between nodes.
 	relayDelay = time.Second
+	// refreshInterval is the time between two hand-outs of the membership, besides
+	// those that its changes cause.
+	refreshInterval = 10 * time.Second
 	// watchAlone is how long after its start a node watches the store, whether or
 	// not it is a delegate.
 	watchAlone = 15 * time.Second
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -9,11 +9,13 @@
 	"github.com/jujubeshed/jujubeshed/internal/discovery"
 	"github.com/jujubeshed/jujubeshed/internal/fleet/controller"
 	"github.com/jujubeshed/jujubeshed/internal/move"
+	"github.com/jujubeshed/jujubeshed/internal/once/committer"
 	"github.com/jujubeshed/jujubeshed/internal/operator"
 	"github.com/jujubeshed/jujubeshed/internal/peer"
 	"github.com/jujubeshed/jujubeshed/internal/peer/gossip"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
 	"github.com/jujubeshed/jujubeshed/internal/route/balancer"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
 )
 
 // fileStatusTimeout bounds the read of the files' status from the store.
@@ -27,6 +29,7 @@
 	balancer *balancer.Balancer
 	gossip   *gossip.Service
 	moves    *moves
+	ledger   *committer.Committer
 	fleet    *controller.Controller
 }
 
@@ -138,3 +141,22 @@
 	}
 	return out, nil
 }
+
+// Unconfirmed returns the orders without a recorded outcome.
+func (s *statusSource) Unconfirmed(ctx context.Context) ([]operators.UnconfirmedOrder, error) {
+	open, err := s.ledger.OpenClaims(ctx)
+	if err != nil {
+		return nil, verdict.Wrap(verdict.NotRun, verdict.CodeStore, err)
+	}
+	out := []operators.UnconfirmedOrder{}
+	for _, o := range open {
+		state := operators.UnconfirmedOrderStateRunning
+		if o.Unconfirmed {
+			state = operators.UnconfirmedOrderStateUnconfirmed
+		}
+		out = append(out, operators.UnconfirmedOrder{
+			Workspace: string(o.Key.Workspace), Key: o.Key.Name, Node: string(o.Node), Claimed: o.Claimed, State: state,
+		})
+	}
+	return out, nil
+}
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -44,6 +44,7 @@
 	serviceBulk      kernel.Name = "handover.connections"
 	serviceAdmission kernel.Name = "admit.gate"
 	serviceCapacity  kernel.Name = "admit.capacity"
+	serviceRefresh   kernel.Name = "peer.refresh"
 	serviceMoves     kernel.Name = "move.mover"
 	serviceSender    kernel.Name = "dispatch.sender"
 	servicePeers     kernel.Name = "listener.peers" // the peer service starts after it
@@ -200,7 +201,7 @@
 
 func (w *wiring) buildEntry() {
 	w.answers = answer.NewTable()
-	w.sender = dispatch.New(dispatch.Options{}, w.endpoints, w.balancer, w.moves)
+	w.sender = dispatch.New(dispatch.Options{Tokens: w.demand.Tokens}, w.endpoints, w.balancer, w.moves)
 	w.remote = handover.NewRemote(w.log, w.peers, w.gossip.HTTPClient(w.bulk))
 	w.entry = entry.New(entry.Options{
 		Node: w.opts.ID, DataCentre: w.opts.DataCentre, Incarnation: w.life,
@@ -227,7 +228,7 @@
 		s    kernel.Service
 	}{
 		{serviceStore, stopFunc(w.store.Close)},
-		{serviceLedger, stopFunc(w.ledger.Stop)},
+		{serviceLedger, ledgerService{w.ledger}},
 		{serviceEndpoints, stopFunc(w.endpoints.Close)},
 		{serviceBulk, stopFunc(w.bulk.CloseIdleConnections)},
 		{serviceAdmission, stopFunc(w.gate.Close)},
@@ -237,6 +238,7 @@
 		{serviceDiscovery, w.hosts},
 		{serviceObserver, w.observer},
 		{serviceCapacity, kernel.NewLoop(capacityInterval, func(context.Context) { w.capacity.update() })},
+		{serviceRefresh, kernel.NewLoop(refreshInterval, func(context.Context) { w.peers.refresh() })},
 		{serviceMoves, w.moves},
 		{controller.Name, w.fleet},
 		{serviceSender, w.sender},
@@ -260,7 +262,7 @@
 }
 
 func (w *wiring) operatorsHandler() (http.Handler, error) {
-	api, err := operator.New(&statusSource{opts: w.opts, config: w.config, hosts: w.hosts, balancer: w.balancer, gossip: w.gossip, moves: w.moves, fleet: w.fleet})
+	api, err := operator.New(&statusSource{opts: w.opts, config: w.config, hosts: w.hosts, balancer: w.balancer, gossip: w.gossip, moves: w.moves, ledger: w.ledger, fleet: w.fleet})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -20,8 +20,8 @@
 // Defaults of the options.
 const (
 	DefaultInterval       = time.Second
-	DefaultObservers      = 2
-	DefaultBytesPerSecond = 4 << 10
+	DefaultObservers      = 1
+	DefaultBytesPerSecond = 2 << 10
 )
 
 // bytesPerRead is what one read of an endpoint costs on the wire, both ways.
@@ -36,10 +36,10 @@
 	DataCentre ident.DataCentre
 	// Interval between two reads of an endpoint. Default: 1 s.
 	Interval time.Duration
-	// Observers of an endpoint. Default: 2.
+	// Observers of an endpoint. Default: 1; where it goes, the next node takes over.
 	Observers int
 	// BytesPerSecond bounds the traffic of all reads; the interval grows to keep
-	// it. Default: 4 KiB/s.
+	// it. Default: 2 KiB/s.
 	BytesPerSecond int
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -14,6 +14,7 @@
 type Source interface {
 	Status(ctx context.Context) (*operators.Status, error)
 	Moves(ctx context.Context) ([]operators.Move, error)
+	Unconfirmed(ctx context.Context) ([]operators.UnconfirmedOrder, error)
 }
 
 // Handler answers operators' calls.
@@ -49,6 +50,15 @@
 	return &operators.MoveList{Moves: moves}, nil
 }
 
+// GetUnconfirmedOrders returns the orders whose outcome is not recorded.
+func (h *Handler) GetUnconfirmedOrders(ctx context.Context) (*operators.OrderList, error) {
+	orders, err := h.source.Unconfirmed(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &operators.OrderList{Orders: orders}, nil
+}
+
 // NewError turns an error into a problem document.
 func (h *Handler) NewError(_ context.Context, err error) *operators.ProblemStatusCode {
 	e := verdict.From(err)
