--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -18,6 +18,7 @@
 	"github.com/jujubeshed/jujubeshed/internal/dispatch"
 	"github.com/jujubeshed/jujubeshed/internal/endpoint"
 	"github.com/jujubeshed/jujubeshed/internal/entry"
+	"github.com/jujubeshed/jujubeshed/internal/fleet/controller"
 	"github.com/jujubeshed/jujubeshed/internal/handover"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/kernel"
@@ -43,6 +44,7 @@
 	serviceBulk      kernel.Name = "handover.connections"
 	serviceAdmission kernel.Name = "admit.gate"
 	serviceCapacity  kernel.Name = "admit.capacity"
+	serviceRefresh   kernel.Name = "peer.refresh"
 	serviceMoves     kernel.Name = "move.mover"
 	serviceSender    kernel.Name = "dispatch.sender"
 	servicePeers     kernel.Name = "listener.peers" // the peer service starts after it
@@ -78,6 +80,8 @@
 	moves     *moves
 	remote    *handover.Remote
 	capacity  *capacityUpdater
+	demand    *controller.Meter
+	fleet     *controller.Controller
 	gossip    *gossip.Service
 	peers     *peers
 	bulk      *http.Transport // of answers between nodes, apart from membership
@@ -96,6 +100,9 @@
 	if err := w.buildPeers(); err != nil {
 		return err
 	}
+	if err := w.buildFleet(); err != nil {
+		return err
+	}
 	w.buildEntry()
 	return w.register()
 }
@@ -194,7 +201,7 @@
 
 func (w *wiring) buildEntry() {
 	w.answers = answer.NewTable()
-	w.sender = dispatch.New(dispatch.Options{}, w.endpoints, w.balancer, w.moves)
+	w.sender = dispatch.New(dispatch.Options{Tokens: w.demand.Tokens}, w.endpoints, w.balancer, w.moves)
 	w.remote = handover.NewRemote(w.log, w.peers, w.gossip.HTTPClient(w.bulk))
 	w.entry = entry.New(entry.Options{
 		Node: w.opts.ID, DataCentre: w.opts.DataCentre, Incarnation: w.life,
@@ -202,7 +209,7 @@
 	}, entry.Parts{
 		Log:     w.log,
 		Config:  w.config,
-		Gate:    admission{w.gate},
+		Gate:    admission{w.gate, w.demand},
 		Sender:  w.sender,
 		Ledger:  dispatch.NewOrders(w.ledger),
 		Answers: w.answers,
@@ -221,7 +228,7 @@
 		s    kernel.Service
 	}{
 		{serviceStore, stopFunc(w.store.Close)},
-		{serviceLedger, stopFunc(w.ledger.Stop)},
+		{serviceLedger, ledgerService{w.ledger}},
 		{serviceEndpoints, stopFunc(w.endpoints.Close)},
 		{serviceBulk, stopFunc(w.bulk.CloseIdleConnections)},
 		{serviceAdmission, stopFunc(w.gate.Close)},
@@ -231,7 +238,9 @@
 		{serviceDiscovery, w.hosts},
 		{serviceObserver, w.observer},
 		{serviceCapacity, kernel.NewLoop(capacityInterval, func(context.Context) { w.capacity.update() })},
+		{serviceRefresh, kernel.NewLoop(refreshInterval, func(context.Context) { w.peers.refresh() })},
 		{serviceMoves, w.moves},
+		{controller.Name, w.fleet},
 		{serviceSender, w.sender},
 		{serviceOperators, newListener("operators", w.opts.Operators, operators, w.log)},
 		{serviceCallers, newCallers(w.opts, w.entry, w.log)},
@@ -253,7 +262,7 @@
 }
 
 func (w *wiring) operatorsHandler() (http.Handler, error) {
-	api, err := operator.New(&statusSource{opts: w.opts, config: w.config, hosts: w.hosts, balancer: w.balancer, gossip: w.gossip, moves: w.moves})
+	api, err := operator.New(&statusSource{opts: w.opts, config: w.config, hosts: w.hosts, balancer: w.balancer, gossip: w.gossip, moves: w.moves, ledger: w.ledger, fleet: w.fleet})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/once/wait.go
+++ b/internal/once/wait.go
@@ -12,6 +12,7 @@
 		s.pollGap = min(max(2*s.pollGap, s.opts.PollInterval), s.opts.PollMax)
 		s.pollAt = now.Add(s.pollGap)
 	}
+	p.waited = true
 	s.parked = append(s.parked, p)
 }
 
@@ -46,14 +47,16 @@
 	s.queue = nil
 	for _, p := range queue {
 		if p.kind == opClaim && due(p) {
-			acts = append(acts, s.refuse(p, Unavailable, s.errStore(p, now))...)
+			kind, err := s.errExpired(p, now)
+			acts = append(acts, s.refuse(p, kind, err)...)
 			continue
 		}
 		s.queue = append(s.queue, p)
 	}
 	for _, p := range s.away() {
 		if p.kind == opClaim && !p.silent && due(p) {
-			acts = append(acts, s.reply(p, Unavailable, s.errStore(p, now)))
+			kind, err := s.errExpired(p, now)
+			acts = append(acts, s.reply(p, kind, err))
 		}
 	}
 	return acts
@@ -140,6 +143,22 @@
 	each(s.away())
 }
 
+// pending counts what must not be lost.
+func (s *shard) pending() int {
+	n := len(s.live) + len(s.parked)
+	for _, p := range s.queue {
+		if p.kind != opSeal {
+			n++
+		}
+	}
+	for _, p := range s.toStore {
+		if p.kind != opSeal {
+			n++
+		}
+	}
+	return n + s.storing + len(s.away())
+}
+
 // idle tells whether the shard's state may be dropped.
 func (s *shard) idle(now time.Time) bool {
 	busy := s.flight != nil || len(s.queue)+len(s.parked)+len(s.toStore)+len(s.live)+len(s.reads)+s.storing > 0
--- a/internal/peer/slopes/cost.go
+++ b/internal/peer/slopes/cost.go
@@ -18,6 +18,7 @@
 	messages, bytes float64 // sent a second
 	core            float64 // share of a core, codec included
 	heap            float64 // bytes
+	delegateBytes   float64 // sent a second by a delegate
 }
 
 // cost prints what a node spends at several sizes and the fitted slopes.
@@ -41,27 +42,32 @@
 		row(w, s.name, fmt.Sprintf("%.4f", a), fmt.Sprintf("%.5f", b))
 	}
 	fmt.Fprintln(w)
-	head(w, "nodes", "data centres", "messages/s", "bytes/s", "core %", "heap KB")
+	head(w, "nodes", "data centres", "messages/s", "bytes/s", "of a delegate", "core %", "heap KB")
 	for _, s := range []shape{{8, 4, 2 * time.Millisecond}, {64, 4, 2 * time.Millisecond}, {256, 8, 100 * time.Millisecond}, {710, 21, 100 * time.Millisecond}} {
 		u := measure(s, nil)
-		row(w, s.nodes, s.dcs, u.messages, u.bytes, 100*u.core, u.heap/1024)
+		row(w, s.nodes, s.dcs, u.messages, u.bytes, u.delegateBytes, 100*u.core, u.heap/1024)
 	}
 }
 
 // detail prints what entries of endpoint load cost in a data centre of 34 nodes.
 func detail(w io.Writer) {
 	head(w, "entries a node", "changed every", "bytes/s", "core %", "heap KB")
-	var x, y []float64
+	var x, y, held, heap []float64
 	for _, entries := range []int{0, 8, 32, 64} {
 		for _, every := range []time.Duration{time.Second, 5 * time.Second} {
 			u := measure(shape{34, 1, 2 * time.Millisecond}, &load{entries: entries, every: every})
 			row(w, entries, every, u.bytes, 100*u.core, u.heap/1024)
 			x = append(x, float64(34*entries)/every.Seconds())
 			y = append(y, u.bytes)
+			if every == time.Second {
+				held, heap = append(held, float64(34*entries)), append(heap, u.heap)
+			}
 		}
 	}
 	a, b := fit(x, y)
 	fmt.Fprintf(w, "\nbytes/s a node = %.0f + %.1f for each change a second in the data centre\n", a, b)
+	a, b = fit(held, heap)
+	fmt.Fprintf(w, "heap of a node = %.0f + %.0f bytes for each entry in the data centre\n", a, b)
 }
 
 // load is a number of entries of endpoint load that each node changes.
@@ -88,6 +94,7 @@
 func measure(s shape, l *load) usage {
 	before := heapBytes()
 	n := newNet(s, virtual.Options{Seed: 1, Encode: true})
+	n.OnEvent = func(p *virtual.Proc) { p.Node.Changes() } // as the driver does
 	run(n, joinFor, l)
 	var sent, bytes uint64
 	for _, p := range n.Procs() {
@@ -96,9 +103,14 @@
 	cpu := processorTime()
 	run(n, costFor, l)
 	cpu = processorTime() - cpu
+	var delegates, delegateBytes uint64
 	for _, p := range n.Procs() {
 		sent += p.Sent
 		bytes += p.SentBytes
+		if p.Node.IsDelegate() {
+			delegates++
+			delegateBytes += p.SentBytes
+		}
 	}
 	heap := heapBytes() - before
 	runtime.KeepAlive(n)
@@ -108,6 +120,8 @@
 		bytes:    float64(bytes) / nodeSeconds,
 		core:     cpu.Seconds() / nodeSeconds,
 		heap:     heap / float64(s.nodes),
+
+		delegateBytes: float64(delegateBytes) / float64(delegates) / costFor.Seconds(),
 	}
 }
 
--- a/internal/route/balancer/balancer.go
+++ b/internal/route/balancer/balancer.go
@@ -1,10 +1,8 @@
-// Package balancer drives a route.Table: it owns the lock, the clock and the
-// random source.
+// Package balancer is the route table as the other parts of a node use it: they
+// tell it of hosts, marks, reports and attempts, and ask it for endpoints.
 package balancer
 
 import (
-	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/config"
@@ -12,47 +10,28 @@
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
 	"github.com/jujubeshed/jujubeshed/internal/route"
+	"github.com/jujubeshed/jujubeshed/internal/route/picker"
 )
 
-// Balancer is a route.Table that is safe for concurrent use.
+// Balancer is a node's shared table with a method for each event.
 type Balancer struct {
-	mu struct {
-		sync.Mutex
-		table *route.Table
-		rng   *rand.Rand
-	}
+	picker *picker.Picker
 }
 
 // New returns a balancer over an empty table. The seed makes its choices repeatable.
 func New(opts route.Options, seed uint64) *Balancer {
-	b := &Balancer{}
-	b.mu.table = route.New(opts)
-	b.mu.rng = rand.New(rand.NewPCG(seed, seed))
-	return b
+	return &Balancer{picker: picker.New(picker.Options{Route: opts, Seed: seed})}
 }
 
 // with runs f on the table.
 func (b *Balancer) with(f func(now time.Time, t *route.Table)) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	f(time.Now(), b.mu.table)
+	b.picker.Update(f)
 }
 
 // Dispatch chooses an endpoint and counts the attempt as in flight there until
 // Finish. The error is a *verdict.Error with verdict NotRun.
 func (b *Balancer) Dispatch(attempt ident.AttemptID, r route.Request) (route.Choice, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := time.Now()
-	c, err := b.mu.table.Pick(now, b.mu.rng, r)
-	if err != nil {
-		return route.Choice{}, err
-	}
-	b.mu.table.Dispatched(now, route.Dispatch{
-		Attempt: attempt, Endpoint: c.Endpoint, Chain: r.Chain,
-		PromptTokens: r.PromptTokens, CachedTokens: c.Estimate.CachedTokens,
-	})
-	return c, nil
+	return b.picker.Pick(r, route.Dispatch{Attempt: attempt, Chain: r.Chain, PromptTokens: r.PromptTokens})
 }
 
 // Finish tells how an attempt ended.
