--- a/internal/ident/ident.go
+++ b/internal/ident/ident.go
@@ -77,6 +77,21 @@
 	return classNames[c]
 }
 
+// MarshalText returns the name.
+func (c Class) MarshalText() ([]byte, error) {
+	return []byte(c.String()), nil
+}
+
+// UnmarshalText takes a name.
+func (c *Class) UnmarshalText(b []byte) error {
+	parsed, err := ParseClass(string(b))
+	if err != nil && string(b) != classNames[ClassUnknown] {
+		return err
+	}
+	*c = parsed
+	return nil
+}
+
 // ParseClass returns the class of that name.
 func ParseClass(s string) (Class, error) {
 	for _, c := range Classes {
--- a/internal/once/bucket.go
+++ b/internal/once/bucket.go
@@ -7,8 +7,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	oncev1 "github.com/jujubeshed/jujubeshed/api/gen/once/v1"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
-	"github.com/jujubeshed/jujubeshed/internal/once/oncepb"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
 )
 
@@ -25,12 +25,12 @@
 // endOverhead bounds what an outcome adds to an entry besides headers and body.
 const endOverhead = 128
 
-type entry = oncepb.Entry
+type entry = oncev1.Entry
 
 const (
-	claimed     = oncepb.State_STATE_CLAIMED
-	finished    = oncepb.State_STATE_FINISHED
-	unconfirmed = oncepb.State_STATE_UNCONFIRMED
+	claimed     = oncev1.State_STATE_CLAIMED
+	finished    = oncev1.State_STATE_FINISHED
+	unconfirmed = oncev1.State_STATE_UNCONFIRMED
 )
 
 // bucket is the state of one bucket object at one version. Entries are immutable.
@@ -42,7 +42,7 @@
 	open    int // entries without outcome
 	ended   int // bytes of finished entries
 
-	segments []*oncepb.Segment // immutable each
+	segments []*oncev1.Segment // immutable each
 }
 
 func newBucket() *bucket { return &bucket{entries: make(map[Key]*entry)} }
@@ -55,7 +55,7 @@
 
 // decodeBucket reads a bucket object.
 func decodeBucket(o platform.Object) (*bucket, error) {
-	var m oncepb.Bucket
+	var m oncev1.Bucket
 	if err := proto.Unmarshal(o.Value, &m); err != nil {
 		return nil, fmt.Errorf("bucket %q: %w", o.Key, err)
 	}
@@ -117,7 +117,7 @@
 // encode returns the value of the bucket object.
 func (b *bucket) encode() ([]byte, error) {
 	b.compact()
-	m := oncepb.Bucket{Format: bucketFormat, Entries: make([]*entry, 0, len(b.order))}
+	m := oncev1.Bucket{Format: bucketFormat, Entries: make([]*entry, 0, len(b.order))}
 	for _, k := range b.order {
 		m.Entries = append(m.Entries, b.entries[k])
 	}
@@ -129,7 +129,7 @@
 func (b *bucket) clone() *bucket {
 	c := *b
 	c.order = append(make([]Key, 0, len(b.order)+1), b.order...)
-	c.segments = append([]*oncepb.Segment(nil), b.segments...)
+	c.segments = append([]*oncev1.Segment(nil), b.segments...)
 	c.entries = make(map[Key]*entry, len(b.entries)+1)
 	for k, e := range b.entries {
 		c.entries[k] = e
@@ -199,7 +199,7 @@
 }
 
 // withState returns a copy of the entry in another state.
-func withState(e *entry, s oncepb.State, a *oncepb.Answer, now time.Time) *entry {
+func withState(e *entry, s oncev1.State, a *oncev1.Answer, now time.Time) *entry {
 	return &entry{
 		Workspace: e.Workspace, Key: e.Key, BodyDigest: e.BodyDigest, Attempt: e.Attempt,
 		Node: e.Node, Incarnation: e.Incarnation, State: s,
@@ -211,14 +211,14 @@
 
 // storedAnswer returns the stored form of an answer. Where the body is larger than
 // limit it stands in an object of its own.
-func storedAnswer(a Answer, limit int) *oncepb.Answer {
-	m := &oncepb.Answer{Status: int32(a.Status), Size: int64(len(a.Body)), Omitted: a.Omitted}
+func storedAnswer(a Answer, limit int) *oncev1.Answer {
+	m := &oncev1.Answer{Status: int32(a.Status), Size: int64(len(a.Body)), Omitted: a.Omitted}
 	room := maxHeaderBytes
 	for _, h := range a.Headers {
 		if room -= len(h.Name) + len(h.Value) + entryOverhead; room < 0 {
 			break
 		}
-		m.Headers = append(m.Headers, &oncepb.HeaderField{Name: h.Name, Value: h.Value})
+		m.Headers = append(m.Headers, &oncev1.HeaderField{Name: h.Name, Value: h.Value})
 	}
 	d := DigestOf(a.Body)
 	m.Digest = d[:]
@@ -229,12 +229,12 @@
 }
 
 // external tells whether the body stands in an object of its own.
-func external(m *oncepb.Answer) bool {
+func external(m *oncev1.Answer) bool {
 	return m != nil && !m.Omitted && m.Size > int64(len(m.Body))
 }
 
 // givenAnswer returns the answer as it was given.
-func givenAnswer(m *oncepb.Answer, body []byte) Answer {
+func givenAnswer(m *oncev1.Answer, body []byte) Answer {
 	a := Answer{Status: int(m.Status), Body: body, Omitted: m.Omitted}
 	for _, h := range m.Headers {
 		a.Headers = append(a.Headers, HeaderField{Name: h.Name, Value: h.Value})
--- a/internal/once/seal.go
+++ b/internal/once/seal.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/jujubeshed/jujubeshed/internal/once/oncepb"
+	oncev1 "github.com/jujubeshed/jujubeshed/api/gen/once/v1"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
 )
 
@@ -22,7 +22,7 @@
 
 // seal is a move of finished entries to a segment.
 type seal struct {
-	ref     *oncepb.Segment
+	ref     *oncev1.Segment
 	entries []*entry
 }
 
@@ -38,7 +38,7 @@
 	ops    []*op
 }
 
-func (b *bucket) addSegment(s *oncepb.Segment) {
+func (b *bucket) addSegment(s *oncev1.Segment) {
 	b.segments = append(b.segments, s)
 	b.bytes += proto.Size(s) + entryOverhead
 }
@@ -139,14 +139,14 @@
 	if s.sealing != nil || s.base == nil || s.base.ended <= s.opts.SealBytes {
 		return
 	}
-	m := &seal{ref: &oncepb.Segment{}}
+	m := &seal{ref: &oncev1.Segment{}}
 	for _, k := range s.base.order {
 		if e := s.base.entries[k]; e != nil && e.State == finished && !slices.Contains(m.entries, e) {
 			m.add(s, k, e)
 		}
 	}
 	slices.Sort(m.ref.Hashes)
-	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(&oncepb.Bucket{Format: bucketFormat, Entries: m.entries})
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(&oncev1.Bucket{Format: bucketFormat, Entries: m.entries})
 	if err != nil {
 		panic(err) // the entries came out of a bucket
 	}
