--- /dev/null
+++ b/internal/config/seed_test.go
@@ -0,0 +1,3 @@
+package config
+
+import _ "github.com/jujubeshed/jujubeshed/internal/testseed" // fixes the cases drawn
--- /dev/null
+++ b/internal/move/seed_test.go
@@ -0,0 +1,3 @@
+package move
+
+import _ "github.com/jujubeshed/jujubeshed/internal/testseed" // fixes the cases drawn
