Refuse requests on a node that was paused until it has caught up

Cause: a node served by its old configuration for up to 29 ms after a pause, with a key that had been taken away (a trial with SIGSTOP). Change: each request asks whether the process gave a sign of life in the last 3 s by the wall clock; after a pause the node refuses with not-run until it has read the newest revision from store or peers, for 10 s at most. Ruled out: a loop alone, which runs after the first requests.

--- a/internal/e2e/freeze_test.go
+++ b/internal/e2e/freeze_test.go
@@ -88,13 +88,21 @@
 		t.Fatal(err)
 	}
 	s.nodeProc[1].freeze(t)
+	frozen := time.Now()
 	runCommand(t, 0, "apply", "--platform", s.platform, dir)
 	want := int64(s.accepted(t).Revision)
 	for _, i := range []int{0, 2} {
 		eventually(t, fmt.Sprintf("refusal at node %d", i), func() error { return s.refusesOldKey(i) })
 	}
+	time.Sleep(time.Until(frozen.Add(frozenFor)))
 	s.nodeProc[1].thaw(t)
-	eventually(t, "refusal at node 1", func() error { return s.refusesOldKey(1) })
+	eventually(t, "refusal at node 1", func() error {
+		err := s.refusesOldKey(1)
+		if errors.Is(err, errServedOldKey) {
+			t.Errorf("after the pause: %v", err)
+		}
+		return err
+	})
 	for i := range 60 {
 		if err := s.refusesOldKey(i % 3); err != nil {
 			t.Errorf("after all nodes refused: %v", err)
@@ -104,12 +112,17 @@
 	watch.check(t)
 }
 
+// frozenFor is longer than the pause that a node notices.
+const frozenFor = 4 * time.Second
+
+var errServedOldKey = errors.New("the old key was served")
+
 // refusesOldKey returns an error where node i serves the test workspace's key.
 func (s *site) refusesOldKey(i int) error {
 	c := chat{prompt: "a line", seed: 1, tokens: 1}
 	got, _, err := c.stream("/chat", s.nodes[i:i+1])
 	if err == nil {
-		return fmt.Errorf("node %d served the old key: %q", i, got)
+		return fmt.Errorf("node %d: %w: %q", i, errServedOldKey, got)
 	}
 	if !strings.Contains(err.Error(), "status 401") {
 		return err
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -36,6 +36,9 @@
 	MaxBodyBytes int64
 	// Ready tells whether the node knows its endpoints. Default: always.
 	Ready func() bool
+	// Fresh tells whether the configuration in force may serve: it may not on a node
+	// that was paused and has not caught up. Default: always.
+	Fresh func() bool
 }
 
 // ConfigSource gives the configuration in force; nil before the first one.
@@ -115,6 +118,9 @@
 	if opts.Ready == nil {
 		opts.Ready = func() bool { return true }
 	}
+	if opts.Fresh == nil {
+		opts.Fresh = func() bool { return true }
+	}
 	return &Server{
 		opts: opts, log: p.Log, config: p.Config, gate: p.Gate, sender: p.Sender,
 		ledger: p.Ledger, answers: p.Answers, remote: p.Remote, metrics: p.Metrics,
@@ -149,7 +155,7 @@
 }
 
 func (s *Server) serveReady(w http.ResponseWriter) {
-	if s.unready.Load() || s.config.Current() == nil || !s.opts.Ready() {
+	if s.unready.Load() || s.config.Current() == nil || !s.opts.Ready() || !s.opts.Fresh() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -187,6 +193,9 @@
 	if cfg == nil {
 		return req, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no configuration is in force yet").After(time.Second)
 	}
+	if !s.opts.Fresh() {
+		return req, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this node was paused and catches up").After(time.Second)
+	}
 	w, ok := cfg.WorkspaceByKey(bearer(r))
 	if !ok {
 		return req, verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "the workspace key is unknown")
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -45,6 +45,7 @@
 	serviceBulk      kernel.Name = "handover.connections"
 	serviceAdmission kernel.Name = "admit.gate"
 	serviceCapacity  kernel.Name = "admit.capacity"
+	servicePause     kernel.Name = "node.pause"
 	serviceRefresh   kernel.Name = "peer.refresh"
 	serviceMoves     kernel.Name = "move.mover"
 	serviceSender    kernel.Name = "dispatch.sender"
@@ -79,6 +80,7 @@
 	entry     *entry.Server
 	sender    *dispatch.Sender
 	moves     *moves
+	pause     *pauseGuard
 	remote    *handover.Remote
 	capacity  *capacityUpdater
 	demand    *controller.Meter
@@ -203,10 +205,12 @@
 func (w *wiring) buildEntry() {
 	w.answers = answer.NewTable()
 	w.sender = dispatch.New(dispatch.Options{Tokens: w.demand.Tokens}, w.endpoints, w.balancer, w.moves)
+	w.pause = newPauseGuard(w.log, w.config.CatchUp)
 	w.remote = handover.NewRemote(w.log, w.peers, w.gossip.HTTPClient(w.bulk))
 	w.entry = entry.New(entry.Options{
 		Node: w.opts.ID, DataCentre: w.opts.DataCentre, Incarnation: w.life,
 		Ready: func() bool { return w.hosts.Hosts() != nil },
+		Fresh: w.pause.fresh,
 	}, entry.Parts{
 		Log:     w.log,
 		Config:  w.config,
@@ -239,6 +243,7 @@
 		{serviceDiscovery, w.hosts},
 		{serviceObserver, w.observer},
 		{serviceCapacity, kernel.NewLoop(capacityInterval, func(context.Context) { w.capacity.update() })},
+		{servicePause, kernel.NewLoop(awakeInterval, w.pause.tick)},
 		{serviceRefresh, kernel.NewLoop(refreshInterval, func(context.Context) { w.peers.refresh() })},
 		{serviceMoves, w.moves},
 		{controller.Name, w.fleet},
