Stop a node whose own host is reclaimed, in time

Cause: a node heard of its end by a signal only; the platform's notice for its own host was taken for that of any other, so that accepted work was cut at the deadline.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -30,6 +30,7 @@
 			&cli.StringFlag{Name: "peers", Value: "127.0.0.1:8082", Usage: "IP:port to serve other nodes at", Sources: env("peers")},
 			&cli.StringFlag{Name: "advertise", Usage: "IP:port at which other nodes reach --peers (default: the same)", Sources: env("advertise")},
 			&cli.StringSliceFlag{Name: "join", Usage: "IP:port of another node's --peers; may be repeated", Sources: env("join")},
+			&cli.StringFlag{Name: "host", Usage: "platform's name of this node's host, to hear of its reclaim", Sources: env("host")},
 			platformFlag(),
 			keyFlag(),
 			&cli.DurationFlag{Name: "drain-delay", Value: node.DefaultDrainDelay, Usage: "how long to accept after the readiness check fails", Sources: env("drain-delay")},
@@ -65,6 +66,7 @@
 	opts := node.Options{
 		ID:           ident.NodeID(cmd.String("node-id")),
 		DataCentre:   ident.DataCentre(cmd.String("data-centre")),
+		Host:         ident.Host(cmd.String("host")),
 		Callers:      cmd.String("callers"),
 		Operators:    cmd.String("operators"),
 		Peers:        cmd.String("peers"),
@@ -85,8 +87,12 @@
 	if err := n.Start(ctx); err != nil {
 		return err
 	}
-	<-ctx.Done()
-	log.Info("node: Stop requested.")
+	select {
+	case <-ctx.Done():
+		log.Info("node: Stop requested.")
+	case deadline := <-n.Reclaimed():
+		log.Warn("node: Host is reclaimed, stop.", "deadline", deadline)
+	}
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), opts.DrainDelay+opts.DrainTimeout+stopTimeout)
 	defer cancel()
 	return n.Stop(stopCtx)
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -1,6 +1,8 @@
 package e2e
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -8,7 +10,10 @@
 	"testing"
 	"time"
 
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
 	"github.com/jujubeshed/jujubeshed/internal/standin/memstore"
+	standinplatform "github.com/jujubeshed/jujubeshed/internal/standin/platform"
 )
 
 // traffic sends chats of a class through all nodes at once.
@@ -82,22 +87,48 @@
 func TestPlannedStopCutsNothing(t *testing.T) {
 	t.Parallel()
 	s := newSite(t, siteOptions{})
+	s.draftsMoveFrom(t, 0, s.nodeProc[0].terminate)
+}
+
+// TestReclaimOfEntryHost announces the end of a node's own host while it serves
+// long streams: it stops by itself, and each goes on at another node.
+func TestReclaimOfEntryHost(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, siteOptions{})
+	const notice = 30 * time.Second
+	host := platform.HostInfo{Host: "entry-host-0", DataCentre: ident.DataCentre(dataCentres[0]), Incarnation: 1, State: platform.HostLive}
+	if err := standinplatform.RegisterHost(context.Background(), s.platform, host); err != nil {
+		t.Fatal(err)
+	}
+	s.draftsMoveFrom(t, 0, func() {
+		post(t, s.platform, standinplatform.PathReclaim, standinplatform.Reclaim{Host: host.Host, Notice: notice})
+		eventually(t, "the node's end", func() error {
+			if s.nodeProc[0].alive() {
+				return errors.New("it still runs")
+			}
+			return nil
+		})
+	})
+}
+
+// draftsMoveFrom streams long drafts through a node while stop ends it. Each must
+// be whole, and none may end there.
+func (s *site) draftsMoveFrom(t *testing.T, node int, stop func()) {
+	t.Helper()
 	var wg sync.WaitGroup
 	moved := make([]int, 9)
 	for i := range moved {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
+		wg.Go(func() {
 			c := chat{prompt: fmt.Sprintf("a long letter, %d", i), seed: 7, tokens: 150}
-			got, reconnects, err := c.stream("/drafts", s.from(0))
+			got, reconnects, err := c.stream("/drafts", s.from(node))
 			if err != nil || got != c.want() {
 				t.Errorf("draft %d: error %v, %d bytes, want %d", i, err, len(got), len(c.want()))
 			}
 			moved[i] = reconnects
-		}()
+		})
 	}
 	time.Sleep(500 * time.Millisecond)
-	s.nodeProc[0].terminate()
+	stop()
 	wg.Wait()
 	for i, n := range moved {
 		if n == 0 {
--- a/internal/e2e/site_test.go
+++ b/internal/e2e/site_test.go
@@ -90,7 +90,7 @@
 	t.Helper()
 	args := []string{"node", "--node-id", fmt.Sprintf("entry-%d", i), "--data-centre", dataCentres[i],
 		"--callers", s.nodes[i], "--peers", s.peers[i], "--operators", s.ops[i],
-		"--platform", s.platform, "--key", sharedKey, "--drain-delay", "200ms", "--drain-timeout", "500ms"}
+		"--host", fmt.Sprintf("entry-host-%d", i), "--platform", s.platform, "--key", sharedKey, "--drain-delay", "200ms", "--drain-timeout", "500ms"}
 	for j, p := range s.peers {
 		if j != i {
 			args = append(args, "--join", p)
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -22,10 +22,11 @@
 // callers is the callers' listener with its drain.
 type callers struct {
 	*listener
-	opts  *Options
-	log   *slog.Logger
-	entry *entry.Server
-	loop  *kernel.Loop
+	opts    *Options
+	reclaim *reclaim
+	log     *slog.Logger
+	entry   *entry.Server
+	loop    *kernel.Loop
 }
 
 var (
@@ -34,12 +35,12 @@
 	_ kernel.Stopper = (*callers)(nil)
 )
 
-func newCallers(opts *Options, s *entry.Server, log *slog.Logger) *callers {
+func newCallers(opts *Options, s *entry.Server, r *reclaim, log *slog.Logger) *callers {
 	l := newListener("callers", opts.Callers, s, log)
 	l.server.MaxHeaderBytes = entry.MaxReadHeaderBytes // the entry refuses what exceeds its limit
 	return &callers{
 		listener: l,
-		opts:     opts, log: log, entry: s,
+		opts:     opts, reclaim: r, log: log, entry: s,
 		loop: kernel.NewLoop(expireInterval, func(context.Context) { s.ExpireAnswers(time.Now()) }),
 	}
 }
@@ -55,8 +56,9 @@
 // Drain makes the balancer move on, then ends or hands over what runs.
 func (c *callers) Drain(ctx context.Context) error {
 	c.entry.Unready()
-	sleep(ctx, c.opts.DrainDelay)
-	running, cancel := context.WithTimeout(ctx, c.opts.DrainTimeout)
+	delay, timeout := c.reclaim.drainTimes(c.opts, time.Now())
+	sleep(ctx, delay)
+	running, cancel := context.WithTimeout(ctx, timeout)
 	moved, lost := c.entry.FinishOrHandOver(running, handOverBudget)
 	cancel()
 	c.log.Info("node: Drained.", "handed_over", moved, "lost", lost)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/kernel"
 )
@@ -12,6 +13,7 @@
 	opts     Options
 	log      *slog.Logger
 	registry *kernel.Registry
+	reclaim  *reclaim
 }
 
 // New wires a node. The options must have passed Check.
@@ -19,8 +21,8 @@
 	if opts.Advertise == "" {
 		opts.Advertise = opts.Peers
 	}
-	n := &Node{opts: opts, log: log, registry: kernel.New(log)}
-	w := &wiring{opts: &n.opts, log: log, registry: n.registry}
+	n := &Node{opts: opts, log: log, registry: kernel.New(log), reclaim: newReclaim(opts.Host)}
+	w := &wiring{opts: &n.opts, log: log, registry: n.registry, reclaim: n.reclaim}
 	return n, w.run()
 }
 
@@ -29,6 +31,12 @@
 	return n.registry.Start(ctx)
 }
 
+// Reclaimed gets the deadline when the platform announces the end of the node's
+// host. A Stop after it ends in time.
+func (n *Node) Reclaimed() <-chan time.Time {
+	return n.reclaim.announce
+}
+
 // Stop drains the node, then stops it. Accepted work ends or moves to other nodes.
 func (n *Node) Stop(ctx context.Context) error {
 	if err := n.registry.Drain(ctx); err != nil {
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -22,6 +22,9 @@
 type Options struct {
 	ID         ident.NodeID
 	DataCentre ident.DataCentre
+	// Host is the platform's name of the node's own host, by which it hears of its
+	// reclaim. Default: none; then only a signal stops the node.
+	Host ident.Host
 	// Callers, Operators and Peers are the addresses to listen at.
 	Callers   string
 	Operators string
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -55,6 +55,7 @@
 	moves    *moves
 	gate     *gate.Gate
 	ledger   *committer.Committer
+	reclaim  *reclaim
 	started  time.Time
 }
 
@@ -235,9 +236,9 @@
 func (p *peers) marked(m peer.Mark) {
 	switch m.Kind {
 	case peer.MarkHostLeaving:
-		p.balancer.MarkHost(platform.Notice{
-			Host: ident.Host(m.Subject), Incarnation: ident.Incarnation(m.Number), Deadline: decodeTime(m.Value),
-		})
+		n := platform.Notice{Host: ident.Host(m.Subject), Incarnation: ident.Incarnation(m.Number), Deadline: decodeTime(m.Value)}
+		p.balancer.MarkHost(n)
+		p.reclaim.notice(n)
 	case peer.MarkEndpointLeaving:
 		p.balancer.MarkEndpoint(ident.EndpointID(m.Subject), endpoint.LeavingState{
 			Leaving: true, Incarnation: ident.Incarnation(m.Number), Deadline: decodeTime(m.Value),
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -65,6 +65,7 @@
 	opts     *Options
 	log      *slog.Logger
 	registry *kernel.Registry
+	reclaim  *reclaim
 	metrics  *prometheus.Registry
 	life     ident.Incarnation
 
@@ -130,7 +131,7 @@
 		Log:     w.log,
 		Metrics: committer.NewMetrics(w.metrics),
 	})
-	w.peers = &peers{opts: w.opts, log: w.log, ledger: w.ledger}
+	w.peers = &peers{opts: w.opts, log: w.log, ledger: w.ledger, reclaim: w.reclaim}
 	w.hosts = discovery.New(discovery.Options{Cloud: store, FromPeers: w.peers.hostsFromPeers}, w.log, store)
 	w.peers.hosts = w.hosts
 	return nil
@@ -149,6 +150,7 @@
 	w.hosts.OnHosts(w.observer.SetHosts)
 	w.hosts.OnNotice(w.balancer.MarkHost)
 	w.hosts.OnNotice(w.peers.markHost)
+	w.hosts.OnNotice(w.reclaim.notice)
 }
 
 func (w *wiring) buildConfig() {
@@ -249,7 +251,7 @@
 		{controller.Name, w.fleet},
 		{serviceSender, w.sender},
 		{serviceOperators, newListener("operators", w.opts.Operators, operators, w.log)},
-		{serviceCallers, newCallers(w.opts, w.entry, w.log)},
+		{serviceCallers, newCallers(w.opts, w.entry, w.reclaim, w.log)},
 	}
 	for _, s := range services {
 		if err := w.registry.Register(s.name, s.s); err != nil {
