Let delegates read the host list and notices for their data centre

Cause: every node read both each second: at 710 nodes 1,420 of the platform's 2,000 reads a second. Change: nodes that aren't delegates read the list at every tenth interval and leave the notices to marks; a node without a list reads at each. Figures at 710 nodes, computed: 84 reads/s by delegates and 67 by the others.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -15,6 +15,9 @@
 	"github.com/jujubeshed/jujubeshed/internal/platform"
 )
 
+// idleRounds is how many intervals a node that isn't on duty lets pass.
+const idleRounds = 10
+
 // DefaultInterval is the time between two reads of the host list.
 const DefaultInterval = time.Second
 
@@ -22,6 +25,10 @@
 type Options struct {
 	// Interval between two reads. Default: 1 s.
 	Interval time.Duration
+	// OnDuty tells whether this node reads at every interval. One that isn't reads
+	// the list at every idleRounds-th only and leaves the notices to the others, whose
+	// marks reach it through peers. Default: always.
+	OnDuty func() bool
 	// Cloud gives reclaim notices; nil for none.
 	Cloud platform.Cloud
 	// FromPeers gives the list that another node read last, for a node that starts
@@ -35,7 +42,8 @@
 	log   *slog.Logger
 	hosts platform.Hosts
 
-	loop *kernel.Loop
+	loop  *kernel.Loop
+	round int // of the loop
 
 	mu struct {
 		sync.Mutex
@@ -52,7 +60,10 @@
 		opts.Interval = DefaultInterval
 	}
 	w := &Watcher{opts: opts, log: log, hosts: hosts}
-	w.loop = kernel.NewLoop(opts.Interval, w.poll)
+	if opts.OnDuty == nil {
+		w.opts.OnDuty = func() bool { return true }
+	}
+	w.loop = kernel.NewLoop(opts.Interval, w.turn)
 	return w
 }
 
@@ -89,6 +100,14 @@
 	return w.loop.Stop(ctx)
 }
 
+// turn reads where it is this node's turn, and always until it has a list.
+func (w *Watcher) turn(ctx context.Context) {
+	w.round++
+	if w.opts.OnDuty() || w.round%idleRounds == 0 || w.Hosts() == nil {
+		w.poll(ctx)
+	}
+}
+
 func (w *Watcher) poll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, w.opts.Interval)
 	defer cancel()
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -106,7 +106,13 @@
 	p.balancer.SetNodes(route.Nodes{Live: live, Local: local})
 	p.observer.SetNodes(local)
 	p.gate.SetLiveNodes(live)
-	p.config.SetWatching(p.gossip.IsDelegate() || time.Since(p.started) < watchAlone)
+	p.config.SetWatching(p.onDuty())
+}
+
+// onDuty tells whether this node reads the platform for its data centre: delegates
+// do, and a node that may not know its peers yet.
+func (p *peers) onDuty() bool {
+	return p.gossip.IsDelegate() || time.Since(p.started) < watchAlone
 }
 
 // localIDs returns the live nodes of this data centre, this one included.
