--- a/internal/e2e/reclaim_test.go
+++ b/internal/e2e/reclaim_test.go
@@ -91,7 +91,7 @@
 }
 
 // awaitEndpoint waits until every node reports the endpoint of a host in a state.
-func (s *site) awaitEndpoint(t *testing.T, host string, want operators.EndpointState) {
+func (s *site) awaitEndpoint(t testing.TB, host string, want operators.EndpointState) {
 	t.Helper()
 	for i := range s.nodes {
 		eventually(t, fmt.Sprintf("%s at node %d", host, i), func() error {
--- a/internal/e2e/site_test.go
+++ b/internal/e2e/site_test.go
@@ -49,7 +49,7 @@
 	platform standinplatform.Faults
 }
 
-func newSite(t *testing.T, opts siteOptions) *site {
+func newSite(t testing.TB, opts siteOptions) *site {
 	t.Helper()
 	s := &site{platform: freeAddress(t)}
 	start(t, "platform", "standin", "platform", "--listen", s.platform, "--faults", toJSON(opts.platform))
