--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -12,7 +12,7 @@
 
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/node"
-	"github.com/jujubeshed/jujubeshed/internal/peerauth"
+	"github.com/jujubeshed/jujubeshed/internal/sharedkey"
 )
 
 // stopTimeout bounds a whole planned stop after the drain.
@@ -73,7 +73,7 @@
 		Advertise:    cmd.String("advertise"),
 		Seeds:        cmd.StringSlice("join"),
 		Platform:     cmd.String("platform"),
-		Key:          peerauth.Key(cmd.String("key")),
+		Key:          sharedkey.Key(cmd.String("key")),
 		DrainDelay:   cmd.Duration("drain-delay"),
 		DrainTimeout: cmd.Duration("drain-timeout"),
 	}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -11,7 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/jujubeshed/jujubeshed/api/gen/operators"
-	"github.com/jujubeshed/jujubeshed/internal/peerauth"
+	"github.com/jujubeshed/jujubeshed/internal/sharedkey"
 )
 
 // statusTimeout bounds a call of the operators' API.
@@ -26,7 +26,7 @@
 }
 
 func operatorsClient(cmd *cli.Command) (*operators.Client, error) {
-	client := &http.Client{Transport: peerauth.Key(cmd.String("key")).Transport(http.DefaultTransport)}
+	client := &http.Client{Transport: sharedkey.Key(cmd.String("key")).Transport(http.DefaultTransport)}
 	return operators.NewClient("http://"+cmd.String("node"), operators.WithClient(client))
 }
 
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -20,8 +20,8 @@
 	"github.com/jujubeshed/jujubeshed/internal/endpoint"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/node"
-	"github.com/jujubeshed/jujubeshed/internal/peerauth"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
+	"github.com/jujubeshed/jujubeshed/internal/sharedkey"
 	"github.com/jujubeshed/jujubeshed/internal/standin/engine"
 	standinplatform "github.com/jujubeshed/jujubeshed/internal/standin/platform"
 	"github.com/jujubeshed/jujubeshed/internal/standin/process"
@@ -41,7 +41,7 @@
 const firstVersion ident.Version = "v1"
 
 // siteKey is the shared key of a site's nodes.
-const siteKey peerauth.Key = "demo-key-of-16-bytes"
+const siteKey sharedkey.Key = "demo-key-of-16-bytes"
 
 // SiteOptions are the settings of a Site.
 type SiteOptions struct {
--- a/internal/fleet/controller/node_test.go
+++ b/internal/fleet/controller/node_test.go
@@ -12,7 +12,7 @@
 	"github.com/jujubeshed/jujubeshed/internal/config"
 	"github.com/jujubeshed/jujubeshed/internal/config/syncer"
 	"github.com/jujubeshed/jujubeshed/internal/demo"
-	"github.com/jujubeshed/jujubeshed/internal/peerauth"
+	"github.com/jujubeshed/jujubeshed/internal/sharedkey"
 )
 
 // fleetFile wants two hosts more than the site has.
@@ -54,7 +54,7 @@
 }
 
 func status(t *testing.T, site *demo.Site, node int) *operators.Status {
-	client := &http.Client{Transport: peerauth.Key("demo-key-of-16-bytes").Transport(http.DefaultTransport)}
+	client := &http.Client{Transport: sharedkey.Key("demo-key-of-16-bytes").Transport(http.DefaultTransport)}
 	c, err := operators.NewClient("http://"+site.Operators[node], operators.WithClient(client))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -16,7 +16,7 @@
 	"github.com/jujubeshed/jujubeshed/internal/endpoint"
 	"github.com/jujubeshed/jujubeshed/internal/entry"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
-	"github.com/jujubeshed/jujubeshed/internal/peerauth"
+	"github.com/jujubeshed/jujubeshed/internal/sharedkey"
 	"github.com/jujubeshed/jujubeshed/internal/verdict"
 )
 
@@ -58,7 +58,7 @@
 }
 
 // newPeer starts a node whose data centre has the other nodes given.
-func newPeer(t *testing.T, key peerauth.Key, local ...*peer) *peer {
+func newPeer(t *testing.T, key sharedkey.Key, local ...*peer) *peer {
 	t.Helper()
 	p := &peer{adopter: &adopter{answers: answer.NewTable()}}
 	mux := http.NewServeMux()
@@ -69,7 +69,7 @@
 	return p
 }
 
-func newRemote(t *testing.T, key peerauth.Key, peers ...*peer) *Remote {
+func newRemote(t *testing.T, key sharedkey.Key, peers ...*peer) *Remote {
 	t.Helper()
 	return newRemoteOf(t, key, members{local: named(peers)})
 }
@@ -82,7 +82,7 @@
 	return out
 }
 
-func newRemoteOf(t *testing.T, key peerauth.Key, ms members) *Remote {
+func newRemoteOf(t *testing.T, key sharedkey.Key, ms members) *Remote {
 	t.Helper()
 	base := &http.Transport{}
 	t.Cleanup(base.CloseIdleConnections)
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -7,6 +7,7 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 )
 
 type recorder struct {
@@ -106,3 +107,29 @@
 		t.Error("a service was found under another type")
 	}
 }
+
+func TestLoop(t *testing.T) {
+	if err := NewLoop(time.Hour, nil).Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	calls := make(chan struct{})
+	l := NewLoop(time.Millisecond, func(ctx context.Context) {
+		select {
+		case calls <- struct{}{}:
+		case <-ctx.Done():
+		}
+	})
+	if err := l.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	<-calls
+	<-calls
+	if err := l.Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-calls:
+		t.Error("called after its stop")
+	default:
+	}
+}
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -9,7 +9,7 @@
 
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/peer/gossip"
-	"github.com/jujubeshed/jujubeshed/internal/peerauth"
+	"github.com/jujubeshed/jujubeshed/internal/sharedkey"
 )
 
 // Defaults of the options.
@@ -36,7 +36,7 @@
 	// Platform is the address of the platform's API.
 	Platform string
 	// Key is shared by all nodes and the operators.
-	Key peerauth.Key
+	Key sharedkey.Key
 	// DrainDelay is how long the node still accepts after its readiness check
 	// fails. Default: 5 s.
 	DrainDelay time.Duration
--- a/internal/peerauth/peerauth.go
+++ b/internal/sharedkey/sharedkey.go
@@ -1,5 +1,6 @@
-// Package peerauth authenticates calls between nodes by a key that they share.
-package peerauth
+// Package sharedkey authenticates operators' calls by the key that all nodes share.
+// Calls between nodes are signed one by one; see package gossip.
+package sharedkey
 
 import (
 	"crypto/hmac"
@@ -9,15 +10,15 @@
 	"net/http"
 )
 
-const header = "X-Peer-Token"
+const header = "X-Operator-Token"
 
-// Key is the secret that all nodes of a deployment share.
+// Key is the secret that the nodes and operators of a deployment share.
 type Key string
 
 // token is sent instead of the key, so that the key itself never crosses the network.
 func (k Key) token() string {
 	mac := hmac.New(sha256.New, []byte(k))
-	_, _ = mac.Write([]byte("jujubeshed peer call"))
+	_, _ = mac.Write([]byte("jujubeshed operator call"))
 	return hex.EncodeToString(mac.Sum(nil))
 }
 
@@ -27,7 +28,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if subtle.ConstantTimeCompare([]byte(r.Header.Get(header)), want) != 1 {
 			rejected()
-			http.Error(w, "peer call without the shared key", http.StatusUnauthorized)
+			http.Error(w, "call without the shared key", http.StatusUnauthorized)
 			return
 		}
 		next.ServeHTTP(w, r)
