Report the usage of an answer, and say which key is wrong

Cause, found by a newcomer's read-through: an answer's prompt tokens were always 0, as the usage was kept by a pointer into memory that the next chunk takes; the fleet's demand lacked them too. status with a wrong key ended with a decoder's error and exit code 3. Change: the usage is copied; a call without the key gets a problem document, and the commands name the flag and exit with 2; a revision in force is logged once. Measured: TestChat asks for the usage, failed before and passes.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -45,7 +46,11 @@
 				return usageError{err}
 			}
 			answer, print, err := call(ctx, c)
-			if err != nil {
+			var problem *operators.ProblemStatusCode
+			switch {
+			case errors.As(err, &problem) && problem.StatusCode == http.StatusUnauthorized:
+				return usageError{fmt.Errorf("--key: node %s does not accept it; the key that its nodes share is allowed", cmd.String("node"))}
+			case err != nil:
 				return offlineError{err}
 			}
 			if cmd.Bool("json") {
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -123,7 +123,8 @@
 		c.Tokens = f.token[:]
 	}
 	if s.chunk.FinishReason != "" {
-		s.run.last.Store(&s.chunk.Usage)
+		usage := s.chunk.Usage // the chunk's memory is used again
+		s.run.last.Store(&usage)
 		s.run.work.size.Store(int64(s.chunk.Usage.CompletionTokens))
 		c.Total = s.chunk.Usage.CompletionTokens
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -171,6 +171,9 @@
 			if end := job.Answer.End(); end.Err != nil || end.Reason == "" || job.Answer.Text() != want {
 				t.Errorf("answer of %d tokens, end %+v", job.Answer.Len(), end)
 			}
+			if u := job.Answer.End().Usage; u.PromptTokens == 0 || u.CompletionTokens != 40 {
+				t.Errorf("usage = %+v", u)
+			}
 			if got := b.outcomes["first"]; !slices.Equal(got, []route.Outcome{tt.outcome}) {
 				t.Errorf("outcomes of the first engine = %v, want %v", got, tt.outcome)
 			}
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -172,7 +172,6 @@
 	w.gate.SetWorkspaces(c.Workspaces)
 	w.capacity.update()
 	w.peers.announce(c)
-	w.log.Info("config: In force.", "revision", uint64(c.Revision))
 }
 
 func (w *wiring) buildPeers() error {
--- a/internal/sharedkey/sharedkey.go
+++ b/internal/sharedkey/sharedkey.go
@@ -12,6 +12,9 @@
 
 const header = "X-Operator-Token"
 
+// refusal is the problem document of a call without the key.
+const refusal = `{"title":"The key is not accepted.","status":401,"code":"unauthorized","verdict":"not-run"}`
+
 // Key is the secret that the nodes and operators of a deployment share.
 type Key string
 
@@ -28,7 +31,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if subtle.ConstantTimeCompare([]byte(r.Header.Get(header)), want) != 1 {
 			rejected()
-			http.Error(w, "call without the shared key", http.StatusUnauthorized)
+			w.Header().Set("Content-Type", "application/problem+json")
+			w.WriteHeader(http.StatusUnauthorized)
+			_, _ = w.Write([]byte(refusal))
 			return
 		}
 		next.ServeHTTP(w, r)
