--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -190,9 +190,10 @@
 }
 
 // Slots returns the number of requests of a service that this node may have in
-// flight: its own now, and its part of the free slots.
+// flight: its own now, and its part of the free slots. Where the nodes together
+// have more in flight than there are slots, each gives up its part of the excess.
 func (t *Table) Slots(now time.Time, service ident.Service) int {
-	var free, own float64
+	var free, own, total, busy float64
 	for _, p := range t.sortedPools(service) {
 		t.refresh(now, p)
 		poolFree := 0.0
@@ -203,10 +204,16 @@
 			own += float64(len(m.inflight))
 			if m.usable() && !m.health.ejected(now) {
 				slots := float64(m.slots(t.slots[service], t.opts.Concurrency))
-				poolFree += max(0, slots-m.running(t.others(now, p, m)))
+				running := m.running(t.others(now, p, m))
+				total += slots
+				busy += running
+				poolFree += max(0, slots-running)
 			}
 		}
 		free += poolFree / t.sharers(p)
 	}
+	if busy > total {
+		return int(own * total / busy)
+	}
 	return int(own + math.Ceil(free))
 }
--- a/internal/route/usage_test.go
+++ b/internal/route/usage_test.go
@@ -56,3 +56,23 @@
 		t.Errorf("without a fallback the error is %v", err)
 	}
 }
+
+// TestSlotsGiveUpExcess lets other nodes fill an endpoint beyond its slots, by a
+// report that came late: this node's part shrinks until all fit.
+func TestSlotsGiveUpExcess(t *testing.T) {
+	now := time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+	table := New(Options{Node: "n", DataCentre: "dc"})
+	e := platform.EndpointInfo{ID: "e", Kind: platform.KindEngine, Service: "s", Version: "v1"}
+	table.SetHosts(now, []platform.HostInfo{{Host: "h", DataCentre: "dc", Incarnation: 1, State: platform.HostLive, Endpoints: []platform.EndpointInfo{e}}})
+	for i := range 10 {
+		table.Dispatched(now, Dispatch{Attempt: ident.AttemptID(rune('a' + i)), Endpoint: "e"})
+	}
+	table.Report(now.Add(time.Second), endpoint.LoadReport{Endpoint: "e", MaxRunning: 16, Running: 16, Queued: 14})
+	if got, want := table.Slots(now.Add(time.Second), "s"), 10*16/30; got != want {
+		t.Errorf("%d slots with 10 of 30 requests in flight for 16 slots, want %d", got, want)
+	}
+	table.Report(now.Add(2*time.Second), endpoint.LoadReport{Endpoint: "e", MaxRunning: 16, Running: 12})
+	if got := table.Slots(now.Add(2*time.Second), "s"); got < 10 || got > 14 {
+		t.Errorf("%d slots with 10 of 12 requests in flight for 16 slots, want 10 to 14", got)
+	}
+}
