--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -36,8 +36,8 @@
 	"github.com/jujubeshed/jujubeshed/internal/route/balancer"
 )
 
-// Names of a node's services. They start in this order, and drain and stop in
-// the reverse one.
+// Names of a node's services. They start in the order of wiring.register, and drain
+// and stop in the reverse one.
 const (
 	serviceStore     kernel.Name = "platform.client"
 	serviceLedger    kernel.Name = "once.ledger"
@@ -49,7 +49,7 @@
 	serviceRefresh   kernel.Name = "peer.refresh"
 	serviceMoves     kernel.Name = "move.mover"
 	serviceSender    kernel.Name = "dispatch.sender"
-	servicePeers     kernel.Name = "listener.peers" // the peer service starts after it
+	servicePeers     kernel.Name = "listener.peers"
 	serviceConfig    kernel.Name = "config.syncer"
 	serviceDiscovery kernel.Name = "discovery.hosts"
 	serviceObserver  kernel.Name = "observe.endpoints"
