Probe an engine that has sent no token yet

Ruled out: a short bound on the first byte, which would move work that only waits in a queue. Change: an attempt without a first byte asks its engine for its load every 3 s; no answer within 1 s ends it.

--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -40,8 +40,12 @@
 	body.Stream = true
 	body.ResumeOffset = call.Dispatch.ResumeOffset
 	body.PrefixText = call.Dispatch.PrefixText
-	guard := newStallGuard(ctx, firstByteWait(c.work.request.Deadline))
-	s, err := c.work.sender.client.Chat(guard.ctx, call.Choice.Address, c.work.meta(call.Dispatch.Attempt), &body)
+	client := c.work.sender.client
+	guard := newProbingGuard(ctx, c.work.sender.opts.StallBetween, firstByteWait(c.work.request.Deadline), func(ctx context.Context) error {
+		_, err := client.Load(ctx, call.Choice.Address)
+		return err
+	})
+	s, err := client.Chat(guard.ctx, call.Choice.Address, c.work.meta(call.Dispatch.Attempt), &body)
 	if err != nil {
 		err = guard.explain(err)
 		guard.stop()
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -230,29 +230,59 @@
 	}
 }
 
-// TestStall freezes an engine in mid-stream, its connections open: the stream goes
-// on at another one.
+// TestStall freezes an engine, its connections open, before its first token and in
+// mid-stream: the stream goes on at another one.
 func TestStall(t *testing.T) {
+	for name, after := range map[string]int{"before the first token": 0, "in mid-stream": 5} {
+		t.Run(name, func(t *testing.T) {
+			b := newInOrder()
+			first := engine.New(engine.Options{ID: "first", Version: "v1", Speed: 2, Faults: engine.Faults{Freeze: after == 0}})
+			b.add(t, "first", first.Handler())
+			b.add(t, "second", engine.New(engine.Options{ID: "second", Version: "v1", Speed: 1000}).Handler())
+			s := newSender(t, b)
+			s.opts.StallBetween = 200 * time.Millisecond
+			job, want := newJob(30)
+			go func() {
+				for job.Answer.Len() < after {
+					time.Sleep(time.Millisecond)
+				}
+				first.SetFaults(engine.Faults{Freeze: true})
+			}()
+			s.Chat(context.Background(), job)
+			first.SetFaults(engine.Faults{})
+			if job.Answer.End().Err != nil || job.Answer.Text() != want {
+				t.Errorf("answer of %d tokens, end %+v", job.Answer.Len(), job.Answer.End())
+			}
+			if got := b.outcomes["first"]; !slices.Equal(got, []route.Outcome{route.OutcomeFault}) {
+				t.Errorf("outcomes of the frozen engine = %v", got)
+			}
+		})
+	}
+}
+
+// TestQueuedIsNoStall lets a chat wait in its engine's queue for longer than the
+// silence allowed: the engine answers probes, and the chat stays there.
+func TestQueuedIsNoStall(t *testing.T) {
 	b := newInOrder()
-	first := engine.New(engine.Options{ID: "first", Version: "v1", Speed: 2})
+	first := engine.New(engine.Options{ID: "first", Version: "v1", MaxRunning: 1})
 	b.add(t, "first", first.Handler())
-	b.add(t, "second", engine.New(engine.Options{ID: "second", Version: "v1", Speed: 1000}).Handler())
 	s := newSender(t, b)
-	s.opts.StallBetween = 200 * time.Millisecond
-	job, want := newJob(30)
+	s.opts.StallBetween = 50 * time.Millisecond
+	ahead, _ := newJob(20)
+	ahead.Request.ID = "n~dc.1.2"
+	done := make(chan struct{})
 	go func() {
-		for job.Answer.Len() < 5 {
-			time.Sleep(time.Millisecond)
-		}
-		first.SetFaults(engine.Faults{Freeze: true})
+		defer close(done)
+		s.Chat(context.Background(), ahead)
 	}()
-	s.Chat(context.Background(), job)
-	first.SetFaults(engine.Faults{})
-	if job.Answer.End().Err != nil || job.Answer.Text() != want {
-		t.Errorf("answer of %d tokens, end %+v", job.Answer.Len(), job.Answer.End())
+	for ahead.Answer.Len() == 0 {
+		time.Sleep(time.Millisecond)
 	}
-	if got := b.outcomes["first"]; !slices.Equal(got, []route.Outcome{route.OutcomeFault}) {
-		t.Errorf("outcomes of the frozen engine = %v", got)
+	job, want := newJob(5)
+	s.Chat(context.Background(), job)
+	<-done
+	if job.Answer.Text() != want || len(b.outcomes["first"]) != 2 {
+		t.Errorf("answer of %d tokens after the attempts %v", job.Answer.Len(), b.outcomes["first"])
 	}
 }
 
--- a/internal/dispatch/sender.go
+++ b/internal/dispatch/sender.go
@@ -46,7 +46,8 @@
 	// Default: 100ms.
 	LeavingInterval time.Duration
 	// StallBetween is the longest silence between two tokens, after which a stream
-	// goes on at another endpoint. Default: 3s.
+	// goes on at another endpoint; one that has sent no token yet has to answer a
+	// probe as often. Default: 3s.
 	StallBetween time.Duration
 	// Tokens is called with the uncached prompt tokens and the generated ones of each
 	// whole answer; nil for nobody.
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,7 +12,8 @@
 
 // Bounds of the silence of an endpoint.
 const (
-	// DefaultStallBetween is the longest silence between two tokens of a stream.
+	// DefaultStallBetween is the longest silence between two tokens of a stream, and
+	// the time between two probes of an engine that has sent none yet.
 	DefaultStallBetween = 3 * time.Second
 	// The wait for a first byte is a part of the time left, so that a third attempt
 	// still has some; within these bounds.
@@ -23,11 +25,16 @@
 // errStalled ends an attempt whose endpoint went silent without closing its connection.
 var errStalled = errors.New("endpoint went silent")
 
+// probeTimeout bounds the question whether an endpoint still answers.
+const probeTimeout = time.Second
+
 // stallGuard cancels an attempt when its endpoint is silent for too long.
 type stallGuard struct {
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
+	// spoke is set once something of the answer came.
+	spoke atomic.Bool
 }
 
 // newStallGuard returns a guard whose context ends after the wait, unless it is
@@ -39,8 +46,36 @@
 	return g
 }
 
+// newProbingGuard returns a guard for an answer that may have to wait in its
+// endpoint's queue: up to the limit the first byte may take as long as the endpoint
+// answers a probe at each interval.
+func newProbingGuard(ctx context.Context, interval, limit time.Duration, probe func(context.Context) error) *stallGuard {
+	g := &stallGuard{}
+	g.ctx, g.cancel = context.WithCancelCause(ctx)
+	end := time.Now().Add(limit)
+	ready := make(chan struct{})
+	defer close(ready)
+	g.timer = time.AfterFunc(interval, func() {
+		<-ready // g.timer is set
+		if !g.spoke.Load() && time.Now().Before(end) && g.answers(probe) {
+			g.timer.Reset(interval)
+			return
+		}
+		g.cancel(errStalled)
+	})
+	return g
+}
+
+// answers tells whether the endpoint answers the probe, or has spoken meanwhile.
+func (g *stallGuard) answers(probe func(context.Context) error) bool {
+	ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
+	defer cancel()
+	return probe(ctx) == nil || g.spoke.Load()
+}
+
 // reset allows another silence of the wait.
 func (g *stallGuard) reset(wait time.Duration) {
+	g.spoke.Store(true)
 	g.timer.Reset(wait)
 }
 
