--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -289,14 +289,15 @@
 	return message, nil
 }
 
-// fromPeers asks members for what leads from a revision to a higher one.
-func (p *peers) fromPeers(ctx context.Context, since ident.Revision) ([]byte, error) {
+// fetch asks members for the bytes under a name until one has them. It returns nil
+// without an error where all that answered have none.
+func (p *peers) fetch(ctx context.Context, kind, name string) ([]byte, error) {
 	var last error
 	for _, m := range append(p.Local(), p.Delegates()...) {
-		message, err := p.gossip.FetchFrom(ctx, m.Address, kindConfig, strconv.FormatUint(uint64(since), 10))
+		raw, err := p.gossip.FetchFrom(ctx, m.Address, kind, name)
 		switch {
 		case err == nil:
-			return message, nil
+			return raw, nil
 		case !errors.Is(err, gossip.ErrNotFound):
 			last = err
 		}
@@ -304,6 +305,11 @@
 	return nil, last
 }
 
+// fromPeers asks members for what leads from a revision to a higher one.
+func (p *peers) fromPeers(ctx context.Context, since ident.Revision) ([]byte, error) {
+	return p.fetch(ctx, kindConfig, strconv.FormatUint(uint64(since), 10))
+}
+
 // provideHosts returns the host list that this node read last.
 func (p *peers) provideHosts(context.Context, string) ([]byte, error) {
 	list := p.hosts.Hosts()
@@ -317,19 +323,16 @@
 func (p *peers) hostsFromPeers(ctx context.Context) ([]platform.HostInfo, error) {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	err := errors.New("no other node is known")
-	for _, m := range append(p.Local(), p.Delegates()...) {
-		var raw []byte
-		raw, err = p.gossip.FetchFrom(ctx, m.Address, kindHosts, "")
-		if err != nil {
-			continue
-		}
-		var list []platform.HostInfo
-		if err = json.Unmarshal(raw, &list); err == nil {
-			return list, nil
-		}
+	raw, err := p.fetch(ctx, kindHosts, "")
+	if err != nil {
+		return nil, err
+	}
+	if raw == nil {
+		return nil, errors.New("no other node has a host list")
 	}
-	return nil, err
+	var list []platform.HostInfo
+	err = json.Unmarshal(raw, &list)
+	return list, errors.Wrap(err, "host list of a peer")
 }
 
 // catchUp fetches an announced revision from the peers, unless this node has it.
