--- a/internal/admit/limits.go
+++ b/internal/admit/limits.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -63,9 +64,9 @@
 // up, so that each node can serve a request.
 func (c *Controller) applyLimit(now time.Time, w *workspace) {
 	cfg := c.configs[w.name]
-	w.weight = float64(orDefault(cfg.Weight, DefaultWeight))
-	w.limit = (orDefault(cfg.Concurrency, DefaultConcurrency) + c.divisor - 1) / c.divisor
-	perSec := orDefault(cfg.RatePerSecond, DefaultRatePerSecond) / float64(c.divisor)
+	w.weight = float64(cmp.Or(cfg.Weight, DefaultWeight))
+	w.limit = (cmp.Or(cfg.Concurrency, DefaultConcurrency) + c.divisor - 1) / c.divisor
+	perSec := cmp.Or(cfg.RatePerSecond, DefaultRatePerSecond) / float64(c.divisor)
 	burst := max(1, int(math.Ceil(perSec*c.opts.BurstTime.Seconds())))
 	if w.bucket == nil {
 		w.bucket = rate.NewLimiter(rate.Limit(perSec), burst)
--- a/internal/admit/options.go
+++ b/internal/admit/options.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/ident"
@@ -87,20 +88,12 @@
 			o.Classes[c] = def
 		}
 	}
-	o.AgedShare = orDefault(o.AgedShare, 0.2)
-	o.ReserveShare = orDefault(o.ReserveShare, 0.05)
-	o.Capacity = orDefault(o.Capacity, 64)
-	o.MaxQueued = orDefault(o.MaxQueued, 1024)
-	o.BurstTime = orDefault(o.BurstTime, 2*time.Second)
-	o.PeakMemory = orDefault(o.PeakMemory, 10*time.Minute)
-	o.MinRetryAfter = orDefault(o.MinRetryAfter, 100*time.Millisecond)
+	o.AgedShare = cmp.Or(o.AgedShare, 0.2)
+	o.ReserveShare = cmp.Or(o.ReserveShare, 0.05)
+	o.Capacity = cmp.Or(o.Capacity, 64)
+	o.MaxQueued = cmp.Or(o.MaxQueued, 1024)
+	o.BurstTime = cmp.Or(o.BurstTime, 2*time.Second)
+	o.PeakMemory = cmp.Or(o.PeakMemory, 10*time.Minute)
+	o.MinRetryAfter = cmp.Or(o.MinRetryAfter, 100*time.Millisecond)
 	return o
 }
-
-func orDefault[T comparable](v, def T) T {
-	var zero T
-	if v == zero {
-		return def
-	}
-	return v
-}
--- a/internal/config/syncer/syncer.go
+++ b/internal/config/syncer/syncer.go
@@ -8,6 +8,7 @@
 package syncer
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -52,10 +53,10 @@
 }
 
 func (o *Options) setDefaults() {
-	setDefault(&o.Resync, 3*time.Second)
-	setDefault(&o.ResyncBytesPerSecond, 4096)
-	setDefault(&o.CallTimeout, 2*time.Second)
-	setDefault(&o.AcceptSpread, 500*time.Millisecond)
+	o.Resync = cmp.Or(o.Resync, 3*time.Second)
+	o.ResyncBytesPerSecond = cmp.Or(o.ResyncBytesPerSecond, 4096)
+	o.CallTimeout = cmp.Or(o.CallTimeout, 2*time.Second)
+	o.AcceptSpread = cmp.Or(o.AcceptSpread, 500*time.Millisecond)
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
@@ -67,13 +68,6 @@
 	}
 }
 
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
-
 // Syncer keeps the configuration of one node current.
 type Syncer struct {
 	opts Options
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -52,27 +52,20 @@
 	RetryEvery time.Duration
 }
 
-func setDefault[T comparable](v *T, def T) {
-	var zero T
-	if *v == zero {
-		*v = def
-	}
-}
-
 func (o Options) withDefaults() Options {
-	setDefault(&o.StartTime, time.Minute)
-	setDefault(&o.LoadBytes, 16e9)
-	setDefault(&o.WeightBytesPerSec, 1e9)
-	setDefault(&o.Margin, 0.1)
-	setDefault(&o.Floor, 0.001)
-	setDefault(&o.Trend, 10*time.Minute)
-	setDefault(&o.Hold, 15*time.Minute)
-	setDefault(&o.ListLag, 30*time.Second)
-	setDefault(&o.Backoff, 2*time.Minute)
-	setDefault(&o.MaxBackoff, 30*time.Minute)
-	setDefault(&o.DrainDelay, 10*time.Second)
-	setDefault(&o.RetryEvery, 5*time.Second)
-	setDefault(&o.ReadyTimeout, 4*o.lead(o.maxStarting()))
+	o.StartTime = cmp.Or(o.StartTime, time.Minute)
+	o.LoadBytes = cmp.Or(o.LoadBytes, 16e9)
+	o.WeightBytesPerSec = cmp.Or(o.WeightBytesPerSec, 1e9)
+	o.Margin = cmp.Or(o.Margin, 0.1)
+	o.Floor = cmp.Or(o.Floor, 0.001)
+	o.Trend = cmp.Or(o.Trend, 10*time.Minute)
+	o.Hold = cmp.Or(o.Hold, 15*time.Minute)
+	o.ListLag = cmp.Or(o.ListLag, 30*time.Second)
+	o.Backoff = cmp.Or(o.Backoff, 2*time.Minute)
+	o.MaxBackoff = cmp.Or(o.MaxBackoff, 30*time.Minute)
+	o.DrainDelay = cmp.Or(o.DrainDelay, 10*time.Second)
+	o.RetryEvery = cmp.Or(o.RetryEvery, 5*time.Second)
+	o.ReadyTimeout = cmp.Or(o.ReadyTimeout, 4*o.lead(o.maxStarting()))
 	return o
 }
 
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -81,21 +82,15 @@
 
 // WithDefaults returns the options with defaults filled in.
 func (o Options) WithDefaults() Options {
-	setDefault(&o.Term, 10*time.Second)
-	setDefault(&o.HoldFor, o.Term*2/3)
-	setDefault(&o.RenewEvery, o.Term/4)
-	setDefault(&o.ObserveEvery, o.Term/2)
-	setDefault(&o.Retry, o.Term/20)
-	setDefault(&o.MaxPause, 30*time.Second)
+	o.Term = cmp.Or(o.Term, 10*time.Second)
+	o.HoldFor = cmp.Or(o.HoldFor, o.Term*2/3)
+	o.RenewEvery = cmp.Or(o.RenewEvery, o.Term/4)
+	o.ObserveEvery = cmp.Or(o.ObserveEvery, o.Term/2)
+	o.Retry = cmp.Or(o.Retry, o.Term/20)
+	o.MaxPause = cmp.Or(o.MaxPause, 30*time.Second)
 	return o
 }
 
-func setDefault(d *time.Duration, v time.Duration) {
-	if *d == 0 {
-		*d = v
-	}
-}
-
 // Validate refuses options under which two nodes could hold at once.
 func (o Options) Validate() error {
 	if o.HoldFor > o.Term*4/5 {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -7,6 +7,7 @@
 package load
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -59,23 +60,16 @@
 	Platform string
 }
 
-func setDefault[T comparable](v *T, def T) {
-	var zero T
-	if *v == zero {
-		*v = def
-	}
-}
-
 func (o Options) withDefaults() (Options, error) {
-	setDefault(&o.Rate, 10)
-	setDefault(&o.Duration, 10*time.Second)
-	setDefault(&o.Grace, time.Minute)
-	setDefault(&o.Retries, 20)
-	setDefault(&o.RetryPause, 250*time.Millisecond)
-	setDefault(&o.Paths.Quick, "/chat")
-	setDefault(&o.Paths.Long, "/drafts")
-	setDefault(&o.Paths.Order, "/orders")
-	setDefault(&o.Paths.Lookup, "/catalogue/")
+	o.Rate = cmp.Or(o.Rate, 10)
+	o.Duration = cmp.Or(o.Duration, 10*time.Second)
+	o.Grace = cmp.Or(o.Grace, time.Minute)
+	o.Retries = cmp.Or(o.Retries, 20)
+	o.RetryPause = cmp.Or(o.RetryPause, 250*time.Millisecond)
+	o.Paths.Quick = cmp.Or(o.Paths.Quick, "/chat")
+	o.Paths.Long = cmp.Or(o.Paths.Long, "/drafts")
+	o.Paths.Order = cmp.Or(o.Paths.Order, "/orders")
+	o.Paths.Lookup = cmp.Or(o.Paths.Lookup, "/catalogue/")
 	if len(o.Mix) == 0 {
 		o.Mix = DefaultMix
 	}
--- a/internal/move/options.go
+++ b/internal/move/options.go
@@ -1,6 +1,7 @@
 package move
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/ident"
@@ -39,22 +40,15 @@
 
 // WithDefaults returns the options with defaults filled in.
 func (o Options) WithDefaults() Options {
-	setDefault(&o.Alpha, 0.005)
-	setDefault(&o.Evaluators, 8)
-	setDefault(&o.FirstShare, 10)
-	setDefault(&o.SmallShare, 50)
-	setDefault(&o.ProofRequests, 50)
-	setDefault(&o.StepRequests, 10)
-	setDefault(&o.DoubtOdds, 3)
-	setDefault(&o.Dwell, 20*time.Second)
-	setDefault(&o.ShadowPerSecond, 0.2)
-	setDefault(&o.ReadEvery, 10*time.Second)
+	o.Alpha = cmp.Or(o.Alpha, 0.005)
+	o.Evaluators = cmp.Or(o.Evaluators, 8)
+	o.FirstShare = cmp.Or(o.FirstShare, 10)
+	o.SmallShare = cmp.Or(o.SmallShare, 50)
+	o.ProofRequests = cmp.Or(o.ProofRequests, 50)
+	o.StepRequests = cmp.Or(o.StepRequests, 10)
+	o.DoubtOdds = cmp.Or(o.DoubtOdds, 3)
+	o.Dwell = cmp.Or(o.Dwell, 20*time.Second)
+	o.ShadowPerSecond = cmp.Or(o.ShadowPerSecond, 0.2)
+	o.ReadEvery = cmp.Or(o.ReadEvery, 10*time.Second)
 	return o
 }
-
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
--- a/internal/once/types.go
+++ b/internal/once/types.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"time"
 
@@ -61,28 +62,21 @@
 	IdleAfter time.Duration
 }
 
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
-
 func (o Options) withDefaults() Options {
-	setDefault(&o.Prefix, "once/")
-	setDefault(&o.Buckets, 64)
-	setDefault(&o.Retention, 24*time.Hour)
-	setDefault(&o.ClockSkew, time.Minute)
-	setDefault(&o.DispatchBound, 5*time.Second)
-	setDefault(&o.LostAfter, 10*time.Second)
-	setDefault(&o.MaxInlineBody, 4<<10)
-	setDefault(&o.SealBytes, 16<<10)
-	setDefault(&o.MaxBucketBytes, platform.MaxObjectBytes)
-	setDefault(&o.PollInterval, 100*time.Millisecond)
-	setDefault(&o.PollMax, time.Second)
-	setDefault(&o.RetryMin, 20*time.Millisecond)
-	setDefault(&o.RetryMax, 2*time.Second)
-	setDefault(&o.IdleAfter, time.Minute)
+	o.Prefix = cmp.Or(o.Prefix, "once/")
+	o.Buckets = cmp.Or(o.Buckets, 64)
+	o.Retention = cmp.Or(o.Retention, 24*time.Hour)
+	o.ClockSkew = cmp.Or(o.ClockSkew, time.Minute)
+	o.DispatchBound = cmp.Or(o.DispatchBound, 5*time.Second)
+	o.LostAfter = cmp.Or(o.LostAfter, 10*time.Second)
+	o.MaxInlineBody = cmp.Or(o.MaxInlineBody, 4<<10)
+	o.SealBytes = cmp.Or(o.SealBytes, 16<<10)
+	o.MaxBucketBytes = cmp.Or(o.MaxBucketBytes, platform.MaxObjectBytes)
+	o.PollInterval = cmp.Or(o.PollInterval, 100*time.Millisecond)
+	o.PollMax = cmp.Or(o.PollMax, time.Second)
+	o.RetryMin = cmp.Or(o.RetryMin, 20*time.Millisecond)
+	o.RetryMax = cmp.Or(o.RetryMax, 2*time.Second)
+	o.IdleAfter = cmp.Or(o.IdleAfter, time.Minute)
 	return o
 }
 
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/ident"
@@ -71,20 +72,13 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Interval, DefaultInterval)
-	setDefault(&o.SuspectAfter, DefaultSuspectAfter)
-	setDefault(&o.DropAfter, DefaultDropAfter)
-	setDefault(&o.TombstoneFor, DefaultTombstoneFor)
-	setDefault(&o.LeavingFor, DefaultLeavingFor)
-	setDefault(&o.BadFor, DefaultBadFor)
-	setDefault(&o.Fanout, DefaultFanout)
-	setDefault(&o.MessageBytes, DefaultMessageBytes)
+	o.Interval = cmp.Or(o.Interval, DefaultInterval)
+	o.SuspectAfter = cmp.Or(o.SuspectAfter, DefaultSuspectAfter)
+	o.DropAfter = cmp.Or(o.DropAfter, DefaultDropAfter)
+	o.TombstoneFor = cmp.Or(o.TombstoneFor, DefaultTombstoneFor)
+	o.LeavingFor = cmp.Or(o.LeavingFor, DefaultLeavingFor)
+	o.BadFor = cmp.Or(o.BadFor, DefaultBadFor)
+	o.Fanout = cmp.Or(o.Fanout, DefaultFanout)
+	o.MessageBytes = cmp.Or(o.MessageBytes, DefaultMessageBytes)
 	return o
 }
-
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
--- a/internal/route/options.go
+++ b/internal/route/options.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/ident"
@@ -70,34 +71,26 @@
 }
 
 func (o Options) withDefaults() Options {
-	o.Candidates = min(orDefault(o.Candidates, MaxCandidates), MaxCandidates)
-	o.LocalShare = orDefault(o.LocalShare, 0.75)
-	o.RemoteRoundTrip = orDefault(o.RemoteRoundTrip, 2*time.Millisecond)
-	o.PrefillPerSec = orDefault(o.PrefillPerSec, 8000)
-	o.Concurrency = orDefault(o.Concurrency, 16)
-	o.ServiceTime = orDefault(o.ServiceTime, time.Second)
-	o.Homes = orDefault(o.Homes, 1)
-	o.HomeBlocks = orDefault(o.HomeBlocks, 16)
-	o.LoadBound = orDefault(o.LoadBound, 3)
-	o.HerdCorrelation = orDefault(o.HerdCorrelation, 0.25)
-	o.PrefixBlocks = orDefault(o.PrefixBlocks, 1<<17)
-	o.PrefixDecay = orDefault(o.PrefixDecay, 5*time.Minute)
-	o.SlowStart = orDefault(o.SlowStart, 30*time.Second)
-	o.FaultsInRow = orDefault(o.FaultsInRow, 5)
-	o.EjectTime = orDefault(o.EjectTime, 10*time.Second)
-	o.MaxEjectTime = orDefault(o.MaxEjectTime, 5*time.Minute)
-	o.MaxEjected = orDefault(o.MaxEjected, 0.3)
-	o.FaultPenalty = orDefault(o.FaultPenalty, 250*time.Millisecond)
-	o.TieWindow = orDefault(o.TieWindow, 2*time.Millisecond)
-	o.MarkRetention = orDefault(o.MarkRetention, time.Hour)
-	o.RetryAfter = orDefault(o.RetryAfter, time.Second)
+	o.Candidates = min(cmp.Or(o.Candidates, MaxCandidates), MaxCandidates)
+	o.LocalShare = cmp.Or(o.LocalShare, 0.75)
+	o.RemoteRoundTrip = cmp.Or(o.RemoteRoundTrip, 2*time.Millisecond)
+	o.PrefillPerSec = cmp.Or(o.PrefillPerSec, 8000)
+	o.Concurrency = cmp.Or(o.Concurrency, 16)
+	o.ServiceTime = cmp.Or(o.ServiceTime, time.Second)
+	o.Homes = cmp.Or(o.Homes, 1)
+	o.HomeBlocks = cmp.Or(o.HomeBlocks, 16)
+	o.LoadBound = cmp.Or(o.LoadBound, 3)
+	o.HerdCorrelation = cmp.Or(o.HerdCorrelation, 0.25)
+	o.PrefixBlocks = cmp.Or(o.PrefixBlocks, 1<<17)
+	o.PrefixDecay = cmp.Or(o.PrefixDecay, 5*time.Minute)
+	o.SlowStart = cmp.Or(o.SlowStart, 30*time.Second)
+	o.FaultsInRow = cmp.Or(o.FaultsInRow, 5)
+	o.EjectTime = cmp.Or(o.EjectTime, 10*time.Second)
+	o.MaxEjectTime = cmp.Or(o.MaxEjectTime, 5*time.Minute)
+	o.MaxEjected = cmp.Or(o.MaxEjected, 0.3)
+	o.FaultPenalty = cmp.Or(o.FaultPenalty, 250*time.Millisecond)
+	o.TieWindow = cmp.Or(o.TieWindow, 2*time.Millisecond)
+	o.MarkRetention = cmp.Or(o.MarkRetention, time.Hour)
+	o.RetryAfter = cmp.Or(o.RetryAfter, time.Second)
 	return o
 }
-
-func orDefault[T comparable](v, def T) T {
-	var zero T
-	if v == zero {
-		return def
-	}
-	return v
-}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -4,6 +4,7 @@
 package engine
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"math/rand/v2"
@@ -58,26 +59,19 @@
 	Faults Faults
 }
 
-func or[T comparable](v *T, def T) {
-	var zero T
-	if *v == zero {
-		*v = def
-	}
-}
-
 func (o Options) withDefaults() Options {
-	or(&o.MaxRunning, 16)
-	or(&o.MaxQueue, 256)
-	or(&o.PrefillPerSec, 8000)
-	or(&o.DecodePerSec, 50)
-	or(&o.BatchSlowdown, 0.02)
-	or(&o.CacheBlocks, 4096)
-	or(&o.EventDelay, time.Second)
-	or(&o.LoadLag, 500*time.Millisecond)
-	or(&o.LoadTime, 10*time.Second)
-	or(&o.KVBytesPerToken, 128<<10)
-	or(&o.KVBytesPerSec, 1e9)
-	or(&o.Speed, 1)
+	o.MaxRunning = cmp.Or(o.MaxRunning, 16)
+	o.MaxQueue = cmp.Or(o.MaxQueue, 256)
+	o.PrefillPerSec = cmp.Or(o.PrefillPerSec, 8000)
+	o.DecodePerSec = cmp.Or(o.DecodePerSec, 50)
+	o.BatchSlowdown = cmp.Or(o.BatchSlowdown, 0.02)
+	o.CacheBlocks = cmp.Or(o.CacheBlocks, 4096)
+	o.EventDelay = cmp.Or(o.EventDelay, time.Second)
+	o.LoadLag = cmp.Or(o.LoadLag, 500*time.Millisecond)
+	o.LoadTime = cmp.Or(o.LoadTime, 10*time.Second)
+	o.KVBytesPerToken = cmp.Or(o.KVBytesPerToken, 128<<10)
+	o.KVBytesPerSec = cmp.Or(o.KVBytesPerSec, 1e9)
+	o.Speed = cmp.Or(o.Speed, 1)
 	return o
 }
 
