Order a result after the call that fills it, and assert the end of a request

Cause: 'return out, call(&out)' leaves it to the compiler whether out is read before the call; the invariant accepted_finishes was asserted in tests only, though the users ask for it inside the program; a call to cancel attempts had no caller (the closed connection cancels). Change: the call comes first; the entry asserts that a request which was run has an end; the dead call is gone.

--- a/internal/config/accepted.go
+++ b/internal/config/accepted.go
@@ -176,7 +176,8 @@
 	if len(b) == 0 {
 		return s, nil
 	}
-	return s, errors.Wrapf(unpack(b, &s), "decode object %q", KeyStatus)
+	err := unpack(b, &s)
+	return s, errors.Wrapf(err, "decode object %q", KeyStatus)
 }
 
 // maxUnpackedBytes bounds what a compressed object may grow to.
--- a/internal/endpoint/calls.go
+++ b/internal/endpoint/calls.go
@@ -17,42 +17,43 @@
 // Load reads the endpoint's load report.
 func (c *Client) Load(ctx context.Context, addr string) (LoadReport, error) {
 	var out LoadReport
-	return out, c.call(ctx, http.MethodGet, addr, PathLoad, nil, &out)
+	err := c.call(ctx, http.MethodGet, addr, PathLoad, nil, &out)
+	return out, err
 }
 
 // CacheEvents reads the cache events after the sequence number.
 func (c *Client) CacheEvents(ctx context.Context, addr string, after uint64) (CacheEvents, error) {
 	var out CacheEvents
-	return out, c.call(ctx, http.MethodGet, addr, PathCacheEvents+"?after="+strconv.FormatUint(after, 10), nil, &out)
+	err := c.call(ctx, http.MethodGet, addr, PathCacheEvents+"?after="+strconv.FormatUint(after, 10), nil, &out)
+	return out, err
 }
 
 // Leaving reads the endpoint's own word on whether it leaves.
 func (c *Client) Leaving(ctx context.Context, addr string) (LeavingState, error) {
 	var out LeavingState
-	return out, c.call(ctx, http.MethodGet, addr, PathLeaving, nil, &out)
-}
-
-// Cancel stops an attempt.
-func (c *Client) Cancel(ctx context.Context, addr string, req CancelRequest) error {
-	return c.call(ctx, http.MethodPost, addr, PathCancel, req, nil)
+	err := c.call(ctx, http.MethodGet, addr, PathLeaving, nil, &out)
+	return out, err
 }
 
 // Order states the desired end of an engine and returns its state.
 func (c *Client) Order(ctx context.Context, addr string, order EngineOrder) (EngineState, error) {
 	var out EngineState
-	return out, c.call(ctx, http.MethodPost, addr, PathEngineOrder, order, &out)
+	err := c.call(ctx, http.MethodPost, addr, PathEngineOrder, order, &out)
+	return out, err
 }
 
 // EngineState reads what an engine serves.
 func (c *Client) EngineState(ctx context.Context, addr string) (EngineState, error) {
 	var out EngineState
-	return out, c.call(ctx, http.MethodGet, addr, PathEngineOrder, nil, &out)
+	err := c.call(ctx, http.MethodGet, addr, PathEngineOrder, nil, &out)
+	return out, err
 }
 
 // ExportKV exports the KV cache of an attempt.
 func (c *Client) ExportKV(ctx context.Context, addr string, req KVExportRequest) (KVBlob, error) {
 	var out KVBlob
-	return out, c.call(ctx, http.MethodPost, addr, PathKVExport, req, &out)
+	err := c.call(ctx, http.MethodPost, addr, PathKVExport, req, &out)
+	return out, err
 }
 
 // ImportKV imports a KV cache.
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -13,6 +13,7 @@
 	"github.com/jujubeshed/jujubeshed/internal/answer"
 	"github.com/jujubeshed/jujubeshed/internal/endpoint"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/invariant"
 	"github.com/jujubeshed/jujubeshed/internal/verdict"
 )
 
@@ -55,6 +56,7 @@
 		defer release()
 		defer s.jobs.remove(job.Request.ID)
 		s.sender.Chat(ctx, job)
+		invariant.Check(job.Answer.End().Done, invariant.AcceptedFinishes, "request %s has no end", job.Request.ID)
 		s.metrics.finished(job.Request, job.Answer.End().Err)
 	}()
 }
