--- a/internal/attempt/answer.go
+++ b/internal/attempt/answer.go
@@ -84,8 +84,10 @@
 
 func (m *Machine) emit(t *try, tokens []string) Action {
 	e := Emit{Offset: m.offset, Tokens: tokens}
-	for _, s := range tokens {
-		m.text.WriteString(s)
+	if !m.req.Opaque {
+		for _, s := range tokens {
+			m.text.WriteString(s)
+		}
 	}
 	m.offset += len(tokens)
 	m.barren = 0
--- a/internal/attempt/machine.go
+++ b/internal/attempt/machine.go
@@ -19,10 +19,11 @@
 	opts   Options
 	budget *Budget
 
-	tries  []*try // under way, in the order of their dispatch
-	source *try   // whose tokens are delivered
-	made   int    // attempts so far, elsewhere too
-	barren int    // attempts in a row that brought no token
+	tries   []*try // under way, in the order of their dispatch
+	source  *try   // whose tokens are delivered
+	made    int    // attempts so far, elsewhere too
+	barren  int    // attempts in a row that brought no token
+	refused int    // attempts that provably did not run
 
 	offset int // tokens delivered
 	text   strings.Builder
@@ -281,10 +282,10 @@
 	return append(acts, HandOver{State: s})
 }
 
-// callerGone ends an idempotent request. Any other goes on so that its outcome
-// is known.
+// callerGone ends an idempotent request, and one whose answer is for its caller
+// only. Any other goes on so that its outcome is known.
 func (m *Machine) callerGone() []Action {
-	if !m.req.Idempotent {
+	if !m.req.Idempotent && !m.req.EndWithCaller {
 		return nil
 	}
 	acts := m.cancelAll(nil, nil)
--- a/internal/attempt/retry.go
+++ b/internal/attempt/retry.go
@@ -17,8 +17,8 @@
 	if len(m.tries) > 0 {
 		return nil
 	}
-	if !ev.NoEndpoint && m.mayRetry(now) && m.budget.Take() {
-		m.exclude(t)
+	if !ev.NoEndpoint && m.mayRetryRefused(now) && m.budget.Take() {
+		m.excludeRefused(t)
 		return m.dispatch(now, Dispatch{Prefer: m.prefer})
 	}
 	if m.worthWaiting() {
@@ -103,6 +103,27 @@
 	return m.barren+1 < m.opts.MaxAttempts && now.Before(m.req.Deadline)
 }
 
+// mayRetryRefused tells whether a request that an endpoint did not run may be sent
+// to another one.
+func (m *Machine) mayRetryRefused(now time.Time) bool {
+	if m.opts.MaxRefusals == 0 {
+		return m.mayRetry(now)
+	}
+	return m.refused < m.opts.MaxRefusals && now.Before(m.req.Deadline)
+}
+
+// excludeRefused keeps an endpoint that refused from being chosen next.
+func (m *Machine) excludeRefused(t *try) {
+	if m.opts.MaxRefusals == 0 {
+		m.exclude(t)
+		return
+	}
+	m.refused++
+	if t.endpoint != "" {
+		m.excluded = append(m.excluded, t.endpoint)
+	}
+}
+
 func (m *Machine) isLeaving(e ident.EndpointID) bool {
 	_, ok := m.leaves(e)
 	return ok
--- a/internal/attempt/types.go
+++ b/internal/attempt/types.go
@@ -13,7 +13,13 @@
 	Class      ident.Class
 	Idempotent bool
 	// Stream tells that the answer comes in chunks of tokens.
-	Stream   bool
+	Stream bool
+	// EndWithCaller ends a request that isn't idempotent, too, when its caller has
+	// gone: its answer is of no use to anybody else.
+	EndWithCaller bool
+	// Opaque tokens are events that the endpoint resumes after by their number;
+	// their text is not kept.
+	Opaque   bool
 	Deadline time.Time
 	// DispatchBy bounds the dispatch of a request that the ledger granted; zero
 	// where there is no such bound.
@@ -41,6 +47,9 @@
 type Options struct {
 	// MaxAttempts bounds the attempts in a row that bring no token. Default: 4.
 	MaxAttempts int
+	// MaxRefusals bounds the endpoints that refuse a request without having run it,
+	// where they are to be counted apart from MaxAttempts. Default: 0, counted there.
+	MaxRefusals int
 	// HedgeAfter is the wait for a first byte after which a quick or lookup
 	// request is dispatched once more. Default: 0, no hedge.
 	HedgeAfter time.Duration
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -70,6 +70,7 @@
 	return []*cli.Command{
 		demoCommand(),
 		nodeCommand(),
+		serveCommand(),
 		checkCommand(),
 		applyCommand(),
 		statusCommand(),
--- /dev/null
+++ b/internal/duty/usage.go
@@ -0,0 +1,127 @@
+package duty
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+)
+
+// keptWindows is the number of windows whose counts a node keeps: reports are due
+// two windows after their end, and a holder may take over late.
+const keptWindows = 8
+
+// Counts are requests by workspace.
+type Counts map[ident.Workspace]uint64
+
+// Report is the usage of one window.
+type Report struct {
+	Window int64
+	Counts Counts
+}
+
+// Record is what a node tells of itself in the store.
+type Record struct {
+	// Address of the node's service for other nodes.
+	Address string `json:"address"`
+	// AsOf is the time up to which Windows is complete, in Unix milliseconds.
+	AsOf    int64            `json:"as_of"`
+	Windows map[int64]Counts `json:"windows"`
+}
+
+// Meter counts the requests of each window on this node.
+type Meter struct {
+	window time.Duration
+	mu     struct {
+		sync.Mutex
+		windows map[int64]Counts
+		changed bool
+	}
+}
+
+// NewMeter returns a meter of windows of that length.
+func NewMeter(window time.Duration) *Meter {
+	m := &Meter{window: window}
+	m.mu.windows = make(map[int64]Counts)
+	return m
+}
+
+// WindowAt returns the number of the window that a time lies in.
+func (m *Meter) WindowAt(t time.Time) int64 { return t.UnixMilli() / m.window.Milliseconds() }
+
+// End returns the end of a window.
+func (m *Meter) End(window int64) time.Time {
+	return time.UnixMilli((window + 1) * m.window.Milliseconds())
+}
+
+// Count counts a request that has begun to run at a time.
+func (m *Meter) Count(t time.Time, w ident.Workspace) {
+	k := m.WindowAt(t)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.mu.windows[k] == nil {
+		m.mu.windows[k] = make(Counts)
+	}
+	m.mu.windows[k][w]++
+	m.mu.changed = true
+}
+
+// Restore adds the counts of this node's former life.
+func (m *Meter) Restore(windows map[int64]Counts) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for k, counts := range windows {
+		if m.mu.windows[k] == nil {
+			m.mu.windows[k] = make(Counts)
+		}
+		for w, n := range counts {
+			m.mu.windows[k][w] += n
+		}
+	}
+}
+
+// Snapshot returns the counts of the latest windows, and whether they have changed
+// since the last snapshot.
+func (m *Meter) Snapshot() (map[int64]Counts, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	keys := slices.Sorted(maps.Keys(m.mu.windows))
+	for len(keys) > keptWindows {
+		delete(m.mu.windows, keys[0])
+		keys = keys[1:]
+	}
+	out := make(map[int64]Counts, len(m.mu.windows))
+	for k, counts := range m.mu.windows {
+		out[k] = maps.Clone(counts)
+	}
+	changed := m.mu.changed
+	m.mu.changed = false
+	return out, changed
+}
+
+// sum adds the counts of one window over all nodes.
+func sum(records []Record, window int64) Counts {
+	out := make(Counts)
+	for _, r := range records {
+		for w, n := range r.Windows[window] {
+			out[w] += n
+		}
+	}
+	return out
+}
+
+// complete tells whether every node that is alive has told its counts past the end
+// of a window.
+func complete(records []Record, alive []string, end time.Time) bool {
+	for _, address := range alive {
+		told := slices.ContainsFunc(records, func(r Record) bool {
+			return r.Address == address && r.AsOf >= end.UnixMilli()
+		})
+		if !told {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,335 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/jujubeshed/jujubeshed/internal/attempt"
+	"github.com/jujubeshed/jujubeshed/internal/directory"
+	"github.com/jujubeshed/jujubeshed/internal/duty"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/kernel"
+	"github.com/jujubeshed/jujubeshed/internal/lease"
+	"github.com/jujubeshed/jujubeshed/internal/lease/holder"
+	"github.com/jujubeshed/jujubeshed/internal/placement"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+	"github.com/jujubeshed/jujubeshed/internal/quota"
+	"github.com/jujubeshed/jujubeshed/internal/scaling"
+	"github.com/jujubeshed/jujubeshed/internal/serve"
+	"github.com/jujubeshed/jujubeshed/internal/sharing"
+	"github.com/jujubeshed/jujubeshed/internal/site"
+)
+
+// Names of a node's services. They start in the order of register, and drain and
+// stop in the reverse one.
+const (
+	serviceTransport kernel.Name = "endpoint.transport"
+	serviceConfig    kernel.Name = "directory.config"
+	serviceEndpoints kernel.Name = "directory.endpoints"
+	serviceTicker    kernel.Name = "gateway.ticker"
+	servicePeers     kernel.Name = "listener.peers"
+	serviceMetrics   kernel.Name = "listener.metrics"
+	serviceSharing   kernel.Name = "sharing"
+	serviceKeeper    kernel.Name = "duty.keeper"
+	serviceLease     kernel.Name = "duty.lease"
+	serviceOfficer   kernel.Name = "duty.officer"
+	serviceReady     kernel.Name = "listener.ready"
+	serviceCallers   kernel.Name = "listener.callers"
+)
+
+// MetricsPort is where a node serves its metrics, under MetricsPath.
+const (
+	MetricsPort = 7601
+	MetricsPath = "/metrics"
+)
+
+const (
+	// tickEvery is the resolution of what ends by time: missing endpoints, lost nodes.
+	tickEvery = 100 * time.Millisecond
+	// dutyLease is the name of the lease on the duties.
+	dutyLease = "duty"
+	// leasePause is the longest time assumed from a holder's check of its right to
+	// the arrival of its call: the call's own time limit and some more.
+	leasePause = time.Second
+	// dutyCallTimeout bounds a call for the lease: a slow store answers in 250 ms.
+	leaseCallTimeout = 600 * time.Millisecond
+	// retryShare and retryInitial divide the bound on retries: this node uses less
+	// than its part of the ratio, and of the slack while eight nodes share it.
+	retryShare   = 0.6
+	retryInitial = 0.08
+)
+
+// Transport sends attempts, and closes connections that are idle.
+type Transport interface {
+	serve.Transport
+	kernel.Starter
+	kernel.Stopper
+}
+
+// Platform is what the process runs on.
+type Platform struct {
+	Store     platform.Feed
+	Cloud     duty.Cloud
+	Transport Transport
+	// DecodeConfig and DecodeEndpoint decode what lies in the store; ConfigKey names
+	// the operator's configuration, EndpointKind the registrations.
+	DecodeConfig   directory.Decoder
+	DecodeEndpoint directory.EndpointDecoder
+	ConfigKey      platform.Key
+	EndpointKind   platform.Key
+	// Callers returns the handler of the callers' listener, Ready that of the
+	// readiness check.
+	Callers func(h *serve.Handler, closing func() bool) http.Handler
+	Ready   func(ready func() bool) http.Handler
+}
+
+// Node is the process of an entry host.
+type Node struct {
+	settings site.Settings
+	platform Platform
+	log      *slog.Logger
+	metrics  *prometheus.Registry
+	registry *kernel.Registry
+	life     quota.NodeLife
+
+	current  *directory.Current
+	entries  *directory.Registry
+	state    *state
+	sharing  *sharing.Service
+	meter    *duty.Meter
+	planner  *scaling.Planner
+	holder   *holder.Holder
+	draining atomic.Bool
+}
+
+// New builds a node. Metrics are registered with reg, which the node serves.
+func New(settings site.Settings, p Platform, reg *prometheus.Registry, log *slog.Logger) (*Node, error) {
+	n := &Node{
+		settings: settings, platform: p, log: log, metrics: reg, registry: kernel.New(log),
+		life: quota.NodeLife{Node: settings.Node, Life: ident.Incarnation(time.Now().UnixMilli())},
+	}
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	n.meter = duty.NewMeter(max(settings.Bounds.UsageWindow, time.Second))
+	n.current = directory.NewCurrent(p.ConfigKey, p.DecodeConfig, log)
+	n.state = newState(settings.DataCentre, n.life, n.current, n.meter)
+	n.entries = directory.NewRegistry(p.DecodeEndpoint, n.state.setEndpoints, log)
+	n.current.OnChange(n.onConfig)
+	n.buildSharing()
+	if err := n.buildDuties(); err != nil {
+		return nil, err
+	}
+	return n, n.register()
+}
+
+// onConfig puts a configuration in force in the decision packages.
+func (n *Node) onConfig(cfg *site.Config) {
+	n.state.setWorkspaces(cfg)
+	if n.planner != nil {
+		n.planner.SetServices(cfg.Services)
+	}
+	n.entries.Refresh()
+}
+
+// peerAddress is where other nodes reach this one.
+func (n *Node) peerAddress() string {
+	if n.settings.ControlAddress != "" {
+		return n.settings.ControlAddress
+	}
+	return net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.PeerPort))
+}
+
+func (n *Node) buildSharing() {
+	n.sharing = sharing.New(sharing.Options{
+		Self: n.life, Address: n.peerAddress(), Seeds: n.settings.Seeds, Log: n.log, Metrics: n.metrics,
+		Compose: n.compose, OnRows: n.onRows,
+		Config:   n.current.Raw,
+		OnConfig: func(raw []byte, from string) { n.current.Offer(raw, "peer "+from) },
+	})
+}
+
+// compose returns this node's row.
+func (n *Node) compose() sharing.Row {
+	r := sharing.Row{ConfigVersion: n.current.Version(), Leaving: n.draining.Load()}
+	r.Spent, r.Levels, r.Loads = n.state.own()
+	return r
+}
+
+// onRows takes what other nodes tell.
+func (n *Node) onRows(now time.Time, fresh []sharing.Row) {
+	for _, r := range fresh {
+		n.state.heard(now, r.Life, r.Spent, r.Levels)
+		if r.ConfigVersion > n.current.Version() {
+			n.sharing.FetchConfig(r.Address)
+		}
+	}
+	loads := make(map[ident.EndpointID]placement.Load)
+	for _, r := range n.sharing.Others(peerLoadAge) {
+		for id, l := range r.Loads {
+			sum := loads[id]
+			loads[id] = placement.Load{Running: sum.Running + l.Running, Prefill: sum.Prefill + l.Prefill, Context: sum.Context + l.Context}
+		}
+	}
+	n.state.setPeers(loads)
+}
+
+// aliveFor is the age of a row up to which its node counts as alive.
+const aliveFor = 3 * time.Second
+
+// alive returns the addresses of the nodes that are alive, this one included.
+func (n *Node) alive() []string {
+	out := []string{n.peerAddress()}
+	for _, r := range n.sharing.Others(aliveFor) {
+		out = append(out, r.Address)
+	}
+	return out
+}
+
+func (n *Node) buildDuties() error {
+	term := max(n.settings.Bounds.Lease, time.Second)
+	h, err := holder.New(holder.Options{
+		Store: n.platform.Store, Name: dutyLease, Owner: lease.Owner{Node: n.life.Node, Incarnation: n.life.Life},
+		Lease:       lease.Options{Term: term, MaxPause: leasePause},
+		CallTimeout: leaseCallTimeout, Log: n.log, Metrics: holder.NewMetrics(n.metrics),
+	})
+	n.holder = h
+	if n.settings.Autoscale {
+		n.planner = scaling.New(scaling.Options{}, n.state.usage)
+	}
+	return err
+}
+
+// retryBudget is this node's part of the bound on retries.
+func (n *Node) retryBudget() attempt.BudgetOptions {
+	initial := retryInitial * n.settings.Bounds.RetrySlack
+	return attempt.BudgetOptions{Share: retryShare * n.settings.Bounds.RetryRatio, Initial: initial, Max: initial}
+}
+
+func (n *Node) register() error {
+	handler := serve.NewHandler(serve.Parts{
+		View: n.state, Places: n.state, Versions: anyVersion{}, Transport: n.platform.Transport, Log: n.log,
+		Metrics: serve.NewMetrics(n.metrics), Budget: n.retryBudget(),
+	})
+	peers := http.NewServeMux()
+	peers.Handle(n.sharing.Handler())
+	metrics := http.NewServeMux()
+	metrics.Handle(MetricsPath, promhttp.HandlerFor(n.metrics, promhttp.HandlerOpts{}))
+	callers := n.platform.Callers(handler, n.draining.Load)
+	metricsAddress := net.JoinHostPort(n.settings.IP, strconv.Itoa(MetricsPort))
+	for _, s := range []struct {
+		name    kernel.Name
+		service kernel.Service
+	}{
+		{serviceTransport, n.platform.Transport},
+		{serviceConfig, directory.NewWatcher(n.platform.Store, kindOf(n.platform.ConfigKey), n.current, n.log)},
+		{serviceEndpoints, directory.NewWatcher(n.platform.Store, n.platform.EndpointKind, n.entries, n.log)},
+		{serviceTicker, kernel.NewLoop(tickEvery, n.tick)},
+		{serviceMetrics, newListener(metricsAddress, metrics, n.log)},
+		{servicePeers, newListener(n.peerAddress(), peers, n.log)},
+		{serviceSharing, n.sharing},
+		{serviceKeeper, duty.NewKeeper(n.platform.Store, n.life.Node, n.peerAddress(), n.meter, n.log)},
+		{serviceLease, &leaseService{holder: n.holder}},
+		{serviceOfficer, n.officer()},
+		{serviceReady, newListener(n.settings.ReadyAddress, n.platform.Ready(n.ready), n.log)},
+		{serviceCallers, newListener(n.settings.CallersAddress, callers, n.log)},
+	} {
+		if err := n.registry.Register(s.name, s.service); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// kindOf returns the kind of an object's key.
+func kindOf(key platform.Key) platform.Key {
+	for i := range key {
+		if key[i] == '/' {
+			return key[:i]
+		}
+	}
+	return key
+}
+
+func (n *Node) officer() *duty.Officer {
+	o := duty.Options{
+		Store: n.platform.Store, Cloud: n.platform.Cloud, Right: n.holder, Meter: n.meter,
+		Late: n.settings.Bounds.UsageLate, Alive: n.alive, Usage: n.settings.Usage, Log: n.log,
+	}
+	if n.planner != nil {
+		o.Planner = n.planner
+	}
+	return duty.NewOfficer(o)
+}
+
+// ready tells whether the node can serve: it knows a configuration and endpoints,
+// and is not about to stop.
+func (n *Node) ready() bool {
+	return !n.draining.Load() && n.current.Config() != nil && n.entries.Loaded()
+}
+
+func (n *Node) tick(context.Context) {
+	now := time.Now()
+	n.entries.Tick(now)
+	for _, life := range n.state.tick(now) {
+		n.log.Warn("sharing: Node is silent; its part of the limits is kept for it.", "node", life.Node, "life", life.Life)
+	}
+}
+
+// Start starts the node's services.
+func (n *Node) Start(ctx context.Context) error {
+	n.log.Info("gateway: Start.", "node", n.settings.Node, "data_centre", n.settings.DataCentre, "life", n.life.Life,
+		"callers", n.settings.CallersAddress, "peers", n.peerAddress(), "store", n.settings.StoreAddress)
+	return n.registry.Start(ctx)
+}
+
+const (
+	// balancerDelay is how long a stopping node goes on accepting: the balancer
+	// asks once a second and moves on after two misses.
+	balancerDelay = 2500 * time.Millisecond
+	// exitMargin is kept of the time until SIGKILL.
+	exitMargin = 600 * time.Millisecond
+)
+
+// Stop drains the node: it turns unready, goes on accepting until the balancer has
+// moved on, ends its requests and stops.
+func (n *Node) Stop(ctx context.Context) error {
+	n.draining.Store(true)
+	n.log.Info("gateway: Stop.", "grace", n.settings.Bounds.Grace)
+	ctx, cancel := context.WithTimeout(ctx, max(n.settings.Bounds.Grace-exitMargin, time.Second))
+	defer cancel()
+	n.holder.Release(true)
+	pause(ctx, min(balancerDelay, n.settings.Bounds.Grace/2))
+	err := n.registry.Drain(ctx)
+	stopCtx, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), exitMargin/2)
+	defer cancelStop()
+	if stopErr := n.registry.Stop(stopCtx); err == nil {
+		err = stopErr
+	}
+	n.log.Info("gateway: Stopped.", "error", err)
+	return err
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// anyVersion lets requests go to every version.
+type anyVersion struct{}
+
+func (anyVersion) Draw(ident.Service) (only, avoid ident.Version) { return "", "" }
+
+func (anyVersion) Record(ident.Service, ident.Version, placement.Outcome, ident.RouteName, time.Duration) {
+}
--- /dev/null
+++ b/internal/gateway/listener.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jujubeshed/jujubeshed/internal/keepalive"
+)
+
+const (
+	// readHeaderTimeout is above what configurations allow a caller for its head.
+	readHeaderTimeout = 15 * time.Second
+	// idleTimeout is above what configurations allow a caller's connection: the
+	// callers go by the configuration's own figure.
+	idleTimeout = 5 * time.Minute
+	// maxHeaderBytes is above what configurations allow.
+	maxHeaderBytes = 64 << 10
+)
+
+// listener serves HTTP at an address.
+type listener struct {
+	address string
+	server  *http.Server
+	log     *slog.Logger
+}
+
+func newListener(address string, h http.Handler, log *slog.Logger) *listener {
+	return &listener{address: address, log: log, server: &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}}
+}
+
+// Start implements kernel.Starter.
+func (l *listener) Start(ctx context.Context) error {
+	config := keepalive.ListenConfig()
+	ln, err := config.Listen(ctx, "tcp", l.address)
+	if err != nil {
+		return errors.Wrapf(err, "listen at %s", l.address)
+	}
+	go func() {
+		if err := l.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			l.log.Error("listener: Ended.", "address", l.address, "error", err)
+		}
+	}()
+	return nil
+}
+
+// Drain implements kernel.Drainer: it accepts no more and waits for the requests
+// under way.
+func (l *listener) Drain(ctx context.Context) error {
+	return errors.Wrapf(l.server.Shutdown(ctx), "drain %s", l.address)
+}
+
+// Stop implements kernel.Stopper.
+func (l *listener) Stop(context.Context) error {
+	return l.server.Close()
+}
--- /dev/null
+++ b/internal/gateway/state.go
@@ -0,0 +1,166 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/directory"
+	"github.com/jujubeshed/jujubeshed/internal/duty"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/placement"
+	"github.com/jujubeshed/jujubeshed/internal/quota"
+	"github.com/jujubeshed/jujubeshed/internal/serve"
+	"github.com/jujubeshed/jujubeshed/internal/site"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
+)
+
+// peerLoadAge is how old the load that another node told of may be: after it the
+// requests it spoke of have mostly ended.
+const peerLoadAge = 2 * time.Second
+
+// state guards the decision packages of a node: the table of endpoints and the
+// ledger of limits.
+type state struct {
+	current *directory.Current
+	meter   *duty.Meter
+
+	mu struct {
+		sync.Mutex
+		table  *placement.Table
+		ledger *quota.Ledger
+		rng    *rand.Rand
+	}
+}
+
+var (
+	_ serve.View   = (*state)(nil)
+	_ serve.Places = (*state)(nil)
+)
+
+func newState(dc ident.DataCentre, self quota.NodeLife, current *directory.Current, meter *duty.Meter) *state {
+	s := &state{current: current, meter: meter}
+	s.mu.table = placement.New(placement.Options{DataCentre: dc})
+	s.mu.ledger = quota.New(quota.Options{Self: self})
+	s.mu.rng = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return s
+}
+
+// Config implements serve.View.
+func (s *state) Config() *site.Config { return s.current.Config() }
+
+// Charge implements serve.View.
+func (s *state) Charge(w ident.Workspace, cost float64) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mu.ledger.Take(time.Now(), w, cost)
+}
+
+// GiveBack implements serve.View.
+func (s *state) GiveBack(w ident.Workspace, cost float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.ledger.GiveBack(time.Now(), w, cost)
+}
+
+// Began implements serve.View.
+func (s *state) Began(w ident.Workspace) { s.meter.Count(time.Now(), w) }
+
+// Pick implements serve.Places. The attempt counts as sent from here on.
+func (s *state) Pick(id ident.AttemptID, r placement.Request) (placement.Choice, *verdict.Error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	c, err := s.mu.table.Pick(now, s.mu.rng, r)
+	if err == nil {
+		s.mu.table.Dispatched(now, id, c, r.Prompt)
+	}
+	return c, err
+}
+
+// FirstEvent implements serve.Places.
+func (s *state) FirstEvent(id ident.AttemptID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.table.FirstEvent(time.Now(), id)
+}
+
+// Said implements serve.Places.
+func (s *state) Said(id ident.EndpointID, l serve.Load) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.table.Said(time.Now(), id, l.Running, l.Waiting)
+}
+
+// Finished implements serve.Places.
+func (s *state) Finished(id ident.AttemptID, o placement.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.table.Finished(time.Now(), id, o)
+}
+
+// Leaving implements serve.Places.
+func (s *state) Leaving(id ident.EndpointID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mu.table.Leaving(id)
+}
+
+// usage returns how busy a service is.
+func (s *state) usage(name ident.Service) placement.Usage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mu.table.Usage(time.Now(), name)
+}
+
+// setEndpoints takes the endpoints from the directory.
+func (s *state) setEndpoints(now time.Time, listed, missing []site.Endpoint) {
+	var services map[ident.Service]site.Service
+	if cfg := s.current.Config(); cfg != nil {
+		services = cfg.Services
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.table.SetEndpoints(now, listed, missing, services)
+}
+
+// setWorkspaces takes the limits of a configuration.
+func (s *state) setWorkspaces(cfg *site.Config) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.ledger.SetWorkspaces(time.Now(), cfg.Workspaces)
+}
+
+// own returns what this node tells the others of its spending and load.
+func (s *state) own() (quota.Spending, map[ident.Workspace]float64, map[ident.EndpointID]placement.Load) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	spent := make(quota.Spending)
+	for w, n := range s.mu.ledger.Spent() {
+		spent[w] = n
+	}
+	return spent, s.mu.ledger.Levels(now), s.mu.table.Loads(now)
+}
+
+// heard takes what other nodes spent, and the levels that one of them sees.
+func (s *state) heard(now time.Time, from quota.NodeLife, spent quota.Spending, levels map[ident.Workspace]float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.ledger.Join(now, levels)
+	s.mu.ledger.Heard(now, from, spent)
+}
+
+// setPeers takes the load of all other nodes.
+func (s *state) setPeers(loads map[ident.EndpointID]placement.Load) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.table.SetPeers(loads)
+}
+
+// tick returns the nodes that are newly lost.
+func (s *state) tick(now time.Time) []quota.NodeLife {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mu.ledger.Tick(now)
+}
--- /dev/null
+++ b/internal/placement/pick.go
@@ -0,0 +1,156 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
+)
+
+const (
+	// homeShare is the part of a shared prefix that a home is taken to hold where this
+	// node does not know better: all nodes send the prefix there.
+	homeShare = 0.8
+	// homes is the number of endpoints that a shared prefix belongs to.
+	homes = 1
+	// homeTokens is the least shared prefix worth a home: what is smaller is read in
+	// less time than a busier endpoint costs.
+	homeTokens = 1000
+	// contextShare is the part of an engine's memory past which running requests are
+	// likely preempted.
+	contextShare = 0.85
+	// fullCost is added for an engine whose memory is full: about the time of
+	// reading a preempted request in again.
+	fullCost = 500 * time.Millisecond
+	// retryAfterNone is told to callers where a service has no endpoint to choose:
+	// a new one boots in some seconds, a lost list is back in one or two.
+	retryAfterNone = 700 * time.Millisecond
+	// tieWindow is the difference of two estimates below which chance decides, so
+	// that nodes with the same view don't all choose the same endpoint.
+	tieWindow = 500 * time.Microsecond
+)
+
+// Pick returns the endpoint with the least estimated cost. The error's verdict is
+// NotRun: CodeUnavailable where no endpoint may be chosen, CodeDeadline where the
+// estimate passes the deadline.
+func (t *Table) Pick(now time.Time, rng *rand.Rand, r Request) (Choice, *verdict.Error) {
+	s := t.service(r.Service)
+	candidates := t.candidates(now, s, r)
+	if len(candidates) == 0 {
+		return Choice{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable,
+			"service %q has no usable endpoint among %d", r.Service, len(s.members)).After(retryAfterNone)
+	}
+	home := t.homes(candidates, r.Prompt)
+	var best Choice
+	var bestCost time.Duration
+	for _, m := range candidates {
+		c, cost := t.estimate(now, s, m, r.Prompt, slices.Contains(home, m))
+		cost += time.Duration(rng.Int64N(int64(tieWindow)))
+		if best.Endpoint.ID == "" || cost < bestCost {
+			best, bestCost = c, cost
+		}
+	}
+	if late := now.Add(best.Wait).Sub(r.Deadline); !r.Deadline.IsZero() && late > 0 {
+		return Choice{}, verdict.New(verdict.NotRun, verdict.CodeDeadline,
+			"service %q: first event in %s at the earliest, %s past the deadline", r.Service, best.Wait, late).After(late)
+	}
+	return best, nil
+}
+
+// candidates returns the endpoints that may be chosen: the best of some tiers that
+// is not empty.
+func (t *Table) candidates(now time.Time, s *service, r Request) []*member {
+	var good, tired, gone []*member
+	for _, m := range s.members {
+		switch {
+		case m.Leaving || slices.Contains(r.Exclude, m.ID):
+		case r.Version != "" && m.Version != r.Version:
+		case r.AvoidVersion != "" && m.Version == r.AvoidVersion:
+		case !m.missing.IsZero():
+			gone = append(gone, m)
+		case m.health.out(now) || m.health.busy(now):
+			tired = append(tired, m)
+		default:
+			good = append(good, m)
+		}
+	}
+	for _, tier := range [][]*member{good, tired, gone} {
+		if len(tier) > 0 {
+			return tier
+		}
+	}
+	return nil
+}
+
+// homes returns the endpoints that a prompt's shared prefix belongs to.
+func (t *Table) homes(candidates []*member, p Prompt) []*member {
+	shared := p.shared()
+	tokens := 0
+	for _, part := range shared {
+		tokens += part.Tokens
+	}
+	if tokens < homeTokens {
+		return nil
+	}
+	key := shared[len(shared)-1].ID
+	var out []*member
+	for range min(homes, len(candidates)) {
+		var best *member
+		for _, m := range candidates {
+			if !slices.Contains(out, m) && (best == nil || mix(m.hash^key) > mix(best.hash^key)) {
+				best = m
+			}
+		}
+		out = append(out, best)
+	}
+	return out
+}
+
+// estimate returns the choice of a member and its cost: the time to the first
+// event, and what the choice takes from others.
+func (t *Table) estimate(now time.Time, s *service, m *member, p Prompt, home bool) (Choice, time.Duration) {
+	running := m.running(now)
+	wait := t.opts.RunningCost * time.Duration(running)
+	if over := running + 1 - m.Slots; over > 0 {
+		wait += seconds(s.took * float64(over) / float64(m.Slots))
+	}
+	if m.DataCentre != t.opts.DataCentre {
+		wait += t.opts.RemoteCost
+	}
+	cost := seconds(t.opts.FaultCost.Seconds() * m.health.faults(now))
+	if m.engine == nil {
+		return Choice{Endpoint: m.Endpoint, Wait: wait}, wait + cost
+	}
+	shared := p.shared()
+	sharedTokens := 0
+	for _, part := range shared {
+		sharedTokens += part.Tokens
+	}
+	cachedTokens := m.cache.prefix(now, p.Parts, t.opts.CacheMemory)
+	if home {
+		cachedTokens = max(cachedTokens, int(homeShare*float64(sharedTokens)))
+	}
+	uncached := max(p.Input-cachedTokens, 1)
+	ahead := m.prefill.left(now, s.prefill) + float64(m.peers.Prefill)
+	wait += seconds((ahead + float64(uncached)) / s.prefill)
+	if m.context+m.peers.Context+p.Tokens() > int(contextShare*float64(m.engine.CacheTokens)) {
+		cost += fullCost
+	}
+	again := max(sharedTokens-cachedTokens, 0)
+	cost += seconds(t.opts.ReadAgainWeight * float64(again) / s.prefill)
+	return Choice{Endpoint: m.Endpoint, Wait: wait, Uncached: uncached}, wait + cost
+}
+
+// mix spreads the bits of x (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/internal/placement/types.go
@@ -0,0 +1,129 @@
+package placement
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/site"
+)
+
+// Part is a part of a prompt that requests may share.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Prompt describes a generation. Its zero value stands for any other request.
+type Prompt struct {
+	// Input and Output are the tokens of the prompt and the most to be generated.
+	Input, Output int
+	// Parts of the prompt in order; the last one belongs to the request, or to its
+	// session, alone.
+	Parts []Part
+}
+
+// Tokens returns the tokens that the request counts for.
+func (p Prompt) Tokens() int { return p.Input + p.Output }
+
+// shared returns the parts that other requests may have, too.
+func (p Prompt) shared() []Part {
+	if len(p.Parts) < 2 {
+		return nil
+	}
+	return p.Parts[:len(p.Parts)-1]
+}
+
+// Request asks for an endpoint.
+type Request struct {
+	Service ident.Service
+	Prompt  Prompt
+	// Exclude lists endpoints that must not be chosen.
+	Exclude []ident.EndpointID
+	// Version that must be chosen; empty for any.
+	Version ident.Version
+	// AvoidVersion must not be chosen; empty for none.
+	AvoidVersion ident.Version
+	// Deadline by which the first event must come; zero for none.
+	Deadline time.Time
+}
+
+// Choice is the endpoint to send a request to.
+type Choice struct {
+	Endpoint site.Endpoint
+	// Wait is the estimated time to the first event.
+	Wait time.Duration
+	// Uncached tokens of the prompt are expected to be read.
+	Uncached int
+}
+
+// Load is the work of other nodes at an endpoint.
+type Load struct {
+	// Running requests, those that wait included.
+	Running int
+	// Prefill is the number of prompt tokens not yet read.
+	Prefill int
+	// Context is the number of tokens in memory.
+	Context int
+}
+
+// Outcome tells what the end of an attempt says about its endpoint.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Neutral says nothing: the attempt was cancelled or its endpoint leaves.
+	Neutral Outcome = iota
+	// Success is a whole answer.
+	Success
+	// Fault is a failure for which the endpoint answers.
+	Fault
+	// Full is a refusal by an endpoint that has no room.
+	Full
+)
+
+// Options are the settings of a Table. Zero fields take their defaults.
+type Options struct {
+	DataCentre ident.DataCentre
+	// PrefillPerSecond is the speed of an engine's prefill in tokens until it was
+	// measured. Default: 80000, between those of the engines known.
+	PrefillPerSecond float64
+	// RunningCost is what each request that runs at an endpoint adds to the estimate.
+	// Default: 1ms, half a step of the engines known.
+	RunningCost time.Duration
+	// RemoteCost is added for an endpoint in another data centre. Default: 2ms, a
+	// round trip.
+	RemoteCost time.Duration
+	// ServiceTime is assumed for a request until some have ended. Default: 500ms.
+	ServiceTime time.Duration
+	// ReadAgainWeight is what a shared token that must be read again costs beside its
+	// prefill, as a multiple of it. Default: 1: such reads are priced.
+	ReadAgainWeight float64
+	// FaultCost is added in proportion to the recent part of faults. Default: 1s.
+	FaultCost time.Duration
+	// EjectFor is how long an endpoint that fails is left out. Default: 3s.
+	EjectFor time.Duration
+	// MaxEjected is the largest part of a service's endpoints left out at once.
+	// Default: 0.4.
+	MaxEjected float64
+	// CacheMemory is how long a part counts as cached after its last use. Default:
+	// 20s.
+	CacheMemory time.Duration
+	// FullFor is how long an endpoint that refused for want of room is left out.
+	// Default: 150ms.
+	FullFor time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	o.PrefillPerSecond = cmp.Or(o.PrefillPerSecond, 80000)
+	o.RunningCost = cmp.Or(o.RunningCost, time.Millisecond)
+	o.RemoteCost = cmp.Or(o.RemoteCost, 2*time.Millisecond)
+	o.ServiceTime = cmp.Or(o.ServiceTime, 500*time.Millisecond)
+	o.ReadAgainWeight = cmp.Or(o.ReadAgainWeight, 1)
+	o.FaultCost = cmp.Or(o.FaultCost, time.Second)
+	o.EjectFor = cmp.Or(o.EjectFor, 3*time.Second)
+	o.MaxEjected = cmp.Or(o.MaxEjected, 0.4)
+	o.CacheMemory = cmp.Or(o.CacheMemory, 20*time.Second)
+	o.FullFor = cmp.Or(o.FullFor, 150*time.Millisecond)
+	return o
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -264,6 +264,25 @@
 		}
 		return lost
 	}
+	return Lost(err, lost)
+}
+
+// Refusal returns the error of a status by which a store, or a balancer before it,
+// refuses a call without having done anything; nil for any other status.
+func Refusal(status int) error {
+	switch status {
+	case http.StatusServiceUnavailable:
+		return ErrUnavailable
+	case http.StatusTooManyRequests:
+		return ErrThrottled
+	default:
+		return nil
+	}
+}
+
+// Lost returns the platform error of a call that got no answer: lost where the
+// call may have arrived.
+func Lost(err, lost error) error {
 	if errors.Is(err, ErrThrottled) {
 		return ErrThrottled
 	}
@@ -291,12 +310,7 @@
 	if err != nil {
 		return nil, err
 	}
-	switch resp.StatusCode {
-	case http.StatusServiceUnavailable:
-		err = ErrUnavailable
-	case http.StatusTooManyRequests:
-		err = ErrThrottled
-	default:
+	if err = Refusal(resp.StatusCode); err == nil {
 		return resp, nil
 	}
 	return nil, errors.CombineErrors(err, resp.Body.Close())
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -22,6 +22,9 @@
 	Key     Key
 	Version Version
 	Value   []byte
+	// Status is what was written of the object beside its value; nil where the
+	// platform keeps none.
+	Status []byte
 }
 
 // MaxObjectBytes is the largest value that the store takes.
@@ -57,6 +60,22 @@
 	Watch(ctx context.Context, prefix Key, after uint64, wait time.Duration) (WatchResult, error)
 }
 
+// Snapshot is the state of all objects under a prefix.
+type Snapshot struct {
+	Objects []Object
+	// Position is the store-wide position to watch from.
+	Position uint64
+}
+
+// Feed is a store whose objects can be followed from a list on.
+type Feed interface {
+	Store
+	// Snapshot lists the objects under prefix with the position to watch from.
+	Snapshot(ctx context.Context, prefix Key) (Snapshot, error)
+	// PutStatus replaces an object's status.
+	PutStatus(ctx context.Context, key Key, status []byte) error
+}
+
 // WatchResult is what a Watch call returned.
 type WatchResult struct {
 	Position uint64
--- /dev/null
+++ b/internal/quota/ledger.go
@@ -0,0 +1,294 @@
+package quota
+
+import (
+	"cmp"
+	"math"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/site"
+)
+
+const (
+	// DefaultLostAfter is how long a node may be silent: some exchanges.
+	DefaultLostAfter = 800 * time.Millisecond
+	// DefaultForgetAfter is when a silent node has surely ended, or is cut off for
+	// so long that its part may go to the others.
+	DefaultForgetAfter = 15 * time.Second
+	// rateWindow is the time constant of the rates that parts are worked out from.
+	rateWindow = 3 * time.Second
+	// evenShare is the part of an even share that a node keeps without any demand.
+	evenShare = 0.5
+	// minRetryAfter is the shortest time to come back that callers are told.
+	minRetryAfter = 200 * time.Millisecond
+	// maxRetryAfter bounds it: a bucket refills within some seconds.
+	maxRetryAfter = 5 * time.Second
+)
+
+// Spending is what a node has spent since its start, by workspace.
+type Spending map[ident.Workspace]float64
+
+// NodeLife names one life of a node.
+type NodeLife struct {
+	Node ident.NodeID
+	Life ident.Incarnation
+}
+
+// Options are the settings of a Ledger. Zero fields take their defaults.
+type Options struct {
+	Self        NodeLife
+	LostAfter   time.Duration
+	ForgetAfter time.Duration
+}
+
+// Ledger keeps the buckets of all workspaces. It is not safe for use by several
+// goroutines.
+type Ledger struct {
+	opts    Options
+	buckets map[ident.Workspace]*bucket
+	spent   Spending
+	peers   map[NodeLife]*peer
+	joined  bool
+}
+
+// bucket is a workspace's allowance of the whole fleet.
+type bucket struct {
+	rate, burst float64
+	level       float64
+	at          time.Time
+	own         smoothed
+	theirs      map[NodeLife]*smoothed
+}
+
+// peer is another node.
+type peer struct {
+	heard time.Time
+	lost  bool
+	spent Spending
+}
+
+// smoothed is an exponentially smoothed rate a second.
+type smoothed struct {
+	value float64
+	at    time.Time
+}
+
+func (s *smoothed) add(now time.Time, n float64) {
+	s.decay(now)
+	s.value += n / rateWindow.Seconds()
+}
+
+func (s *smoothed) decay(now time.Time) {
+	if dt := now.Sub(s.at); dt > 0 {
+		s.value *= math.Exp(-dt.Seconds() / rateWindow.Seconds())
+		s.at = now
+	}
+}
+
+// New returns a ledger without workspaces.
+func New(opts Options) *Ledger {
+	opts.LostAfter = cmp.Or(opts.LostAfter, DefaultLostAfter)
+	opts.ForgetAfter = cmp.Or(opts.ForgetAfter, DefaultForgetAfter)
+	return &Ledger{
+		opts: opts, buckets: make(map[ident.Workspace]*bucket), spent: make(Spending), peers: make(map[NodeLife]*peer),
+	}
+}
+
+// SetWorkspaces takes the limits in force. A lower limit holds at once.
+func (l *Ledger) SetWorkspaces(now time.Time, workspaces []site.Workspace) {
+	seen := make(map[ident.Workspace]bool, len(workspaces))
+	for i := range workspaces {
+		w := &workspaces[i]
+		seen[w.Name] = true
+		b := l.buckets[w.Name]
+		if b == nil {
+			b = &bucket{at: now, level: w.Burst, theirs: make(map[NodeLife]*smoothed)}
+			l.buckets[w.Name] = b
+		}
+		l.refill(now, b)
+		b.rate, b.burst = w.Rate, w.Burst
+		b.level = min(b.level, b.burst)
+	}
+	for name := range l.buckets {
+		if !seen[name] {
+			delete(l.buckets, name)
+		}
+	}
+}
+
+// Take spends cost of a workspace where its bucket has it. Otherwise it returns the
+// time after which to come back.
+func (l *Ledger) Take(now time.Time, w ident.Workspace, cost float64) (time.Duration, bool) {
+	b := l.buckets[w]
+	if b == nil || b.rate <= 0 {
+		return 0, true
+	}
+	l.refill(now, b)
+	// A request larger than the burst passes a full bucket; the debt is paid after.
+	need := min(cost, b.burst)
+	if b.level < need {
+		after := time.Duration((need - b.level) / b.rate * float64(time.Second))
+		return min(max(after, minRetryAfter), maxRetryAfter), false
+	}
+	b.level -= cost
+	b.own.add(now, cost)
+	l.spent[w] += cost
+	return 0, true
+}
+
+// GiveBack returns what a request took that did not run.
+func (l *Ledger) GiveBack(now time.Time, w ident.Workspace, cost float64) {
+	b := l.buckets[w]
+	if b == nil || b.rate <= 0 {
+		return
+	}
+	l.refill(now, b)
+	b.level = min(b.level+cost, b.burst)
+	b.own.add(now, -cost)
+	l.spent[w] -= cost
+}
+
+// refill adds what this node's side of the fleet may spend since the last time.
+func (l *Ledger) refill(now time.Time, b *bucket) {
+	if dt := now.Sub(b.at).Seconds(); dt > 0 {
+		b.level = min(b.level+b.rate*l.part(now, b)*dt, b.burst)
+		b.at = now
+	}
+}
+
+// part returns the part of a limit that the nodes in touch may spend.
+func (l *Ledger) part(now time.Time, b *bucket) float64 {
+	nodes := float64(len(l.peers) + 1)
+	floor := evenShare * b.rate / nodes
+	b.own.decay(now)
+	reached := max(b.own.value, floor)
+	lost := 0.0
+	for life, p := range l.peers {
+		rate := floor
+		if s := b.theirs[life]; s != nil {
+			if !p.lost {
+				s.decay(now)
+			}
+			rate = max(s.value, floor)
+		}
+		if p.lost {
+			lost += rate
+		} else {
+			reached += rate
+		}
+	}
+	return reached / (reached + lost)
+}
+
+// Spent returns what this node has spent since its start.
+func (l *Ledger) Spent() Spending { return l.spent }
+
+// Levels returns the levels of the buckets, for a node that starts.
+func (l *Ledger) Levels(now time.Time) map[ident.Workspace]float64 {
+	out := make(map[ident.Workspace]float64, len(l.buckets))
+	for name, b := range l.buckets {
+		l.refill(now, b)
+		out[name] = b.level
+	}
+	return out
+}
+
+// Join takes the levels that another node sees, once: a bucket that was just made
+// knows nothing of what was spent before.
+func (l *Ledger) Join(now time.Time, levels map[ident.Workspace]float64) {
+	if l.joined || len(levels) == 0 {
+		return
+	}
+	l.joined = true
+	for name, level := range levels {
+		if b := l.buckets[name]; b != nil {
+			l.refill(now, b)
+			b.level = min(b.level, level)
+		}
+	}
+}
+
+// Heard takes the total spending of another node as of now.
+func (l *Ledger) Heard(now time.Time, from NodeLife, spent Spending) {
+	if from == l.opts.Self {
+		return
+	}
+	p := l.peers[from]
+	if p == nil {
+		p = &peer{spent: copyOf(spent)}
+		l.peers[from] = p
+		l.forgetLives(from)
+	}
+	back := p.lost
+	for name, total := range spent {
+		delta := total - p.spent[name]
+		b := l.buckets[name]
+		p.spent[name] = total
+		if b == nil || delta == 0 {
+			continue
+		}
+		l.refill(now, b)
+		if !back {
+			b.level -= delta // a lost node's part was kept free for it
+		}
+		l.rateOf(b, from).add(now, delta)
+	}
+	p.heard, p.lost = now, false
+}
+
+// forgetLives drops the earlier lives of a node that has started again.
+func (l *Ledger) forgetLives(life NodeLife) {
+	for old := range l.peers {
+		if old.Node == life.Node && old.Life < life.Life {
+			l.forget(old)
+		}
+	}
+}
+
+func (l *Ledger) forget(life NodeLife) {
+	delete(l.peers, life)
+	for _, b := range l.buckets {
+		delete(b.theirs, life)
+	}
+}
+
+func (l *Ledger) rateOf(b *bucket, life NodeLife) *smoothed {
+	s := b.theirs[life]
+	if s == nil {
+		s = &smoothed{}
+		b.theirs[life] = s
+	}
+	return s
+}
+
+// Tick notes which nodes have been silent for too long. It returns those that are
+// newly lost.
+func (l *Ledger) Tick(now time.Time) []NodeLife {
+	var lost []NodeLife
+	for life, p := range l.peers {
+		silent := now.Sub(p.heard)
+		if silent > l.opts.ForgetAfter {
+			l.forget(life)
+			continue
+		}
+		if silent > l.opts.LostAfter && !p.lost {
+			for _, b := range l.buckets {
+				l.refill(now, b)
+				if s := b.theirs[life]; s != nil {
+					s.decay(now)
+				}
+			}
+			p.lost = true
+			lost = append(lost, life)
+		}
+	}
+	return lost
+}
+
+func copyOf(s Spending) Spending {
+	out := make(Spending, len(s))
+	for k, v := range s {
+		out[k] = v
+	}
+	return out
+}
--- /dev/null
+++ b/internal/serve/types.go
@@ -0,0 +1,107 @@
+package serve
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/placement"
+	"github.com/jujubeshed/jujubeshed/internal/site"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
+)
+
+// Request is a caller's request.
+type Request struct {
+	ID     ident.RequestID
+	Method string
+	// Target is the path and query as the caller sent them; Path is the path alone.
+	Target, Path string
+	Host         string
+	// Key tells the caller's workspace; empty where none was sent.
+	Key string
+	// Header holds what is passed on to the endpoint.
+	Header http.Header
+	Body   []byte
+	// Arrived is when the request's head was read.
+	Arrived time.Time
+	// Patience is how long the caller waits from Arrived; zero if it doesn't tell.
+	Patience time.Duration
+	// LastEvent is the event after which a caller resumes a stream; empty for none.
+	LastEvent string
+	// Prompt describes a generation; its zero value any other request.
+	Prompt placement.Prompt
+}
+
+// Head is the beginning of an answer.
+type Head struct {
+	Status int
+	Header http.Header
+}
+
+// Writer takes the answer to a request. Its methods return an error when the
+// caller has gone.
+type Writer interface {
+	// Whole delivers a complete answer.
+	Whole(h Head, body []byte) error
+	// Begin starts an answer whose events follow.
+	Begin(h Head) error
+	// Event delivers an event as it is.
+	Event(raw string) error
+	// Refuse ends a request that has no answer.
+	Refuse(err *verdict.Error)
+	// Abort ends an answer that can't be completed, so that the caller can tell.
+	Abort()
+}
+
+// Attempt is one dispatch of a request to an endpoint.
+type Attempt struct {
+	Request   *Request
+	Endpoint  site.Endpoint
+	Workspace ident.Workspace
+	Deadline  time.Time
+	// Priority at the endpoint; 0 is the most urgent.
+	Priority int
+	// After is the last event that the caller has; empty from the start.
+	After string
+	// Stream tells that a successful answer comes as events.
+	Stream bool
+}
+
+// Answer is what an endpoint sent back: either a body or events follow its head.
+type Answer struct {
+	Head Head
+	// Load is what the endpoint said of its load.
+	Load Load
+	// Body of an answer that is no stream, complete.
+	Body []byte
+	// Events is nil for an answer that is no stream.
+	Events Events
+}
+
+// Load is an endpoint's own word of its load.
+type Load struct {
+	Known                   bool
+	Running, Waiting, Slots int
+}
+
+// Event is one event of a stream.
+type Event struct {
+	// ID numbers the event, from 1.
+	ID int
+	// Raw is the event as it came.
+	Raw string
+}
+
+// Events reads a stream. Next returns io.EOF after the last event of a complete
+// answer and io.ErrUnexpectedEOF where the stream broke off.
+type Events interface {
+	Next() (Event, error)
+	Close()
+}
+
+// Transport sends attempts to endpoints. The error is a *verdict.Error: NotRun only
+// where nothing was sent, or where the endpoint says that it has not run the request.
+type Transport interface {
+	Send(ctx context.Context, a Attempt) (*Answer, error)
+}
--- /dev/null
+++ b/internal/sharing/rows.go
@@ -0,0 +1,101 @@
+package sharing
+
+import (
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/placement"
+	"github.com/jujubeshed/jujubeshed/internal/quota"
+)
+
+// ForgetAfter is how long a node's row is kept without a new beat. It is above the
+// time after which its part of a limit goes to others.
+const ForgetAfter = 20 * time.Second
+
+// Row is what a node tells of itself.
+type Row struct {
+	Life quota.NodeLife
+	Beat uint64
+	// Address is the IP:port of the node's service.
+	Address string
+	// ConfigVersion in force at the node; zero for none.
+	ConfigVersion uint64
+	Spent         quota.Spending
+	Levels        map[ident.Workspace]float64
+	Loads         map[ident.EndpointID]placement.Load
+	// Leaving tells that the node is about to stop.
+	Leaving bool
+	// Bad holds versions that the node has found bad, as "service/version".
+	Bad []string
+}
+
+// Rows holds the rows of all nodes. It does no I/O.
+type Rows struct {
+	self quota.NodeLife
+	rows map[ident.NodeID]entry
+}
+
+type entry struct {
+	row   Row
+	since time.Time // of the last new beat
+}
+
+// NewRows returns an empty table of a node.
+func NewRows(self quota.NodeLife) *Rows {
+	return &Rows{self: self, rows: make(map[ident.NodeID]entry)}
+}
+
+// Merge takes rows and returns those of other nodes that are new.
+func (t *Rows) Merge(now time.Time, rows []Row) []Row {
+	var fresh []Row
+	for _, r := range rows {
+		if r.Life.Node == t.self.Node && r.Life != t.self {
+			continue // an earlier life of this node
+		}
+		old, known := t.rows[r.Life.Node]
+		if known && !newer(r, old.row) {
+			continue
+		}
+		t.rows[r.Life.Node] = entry{r, now}
+		if r.Life != t.self {
+			fresh = append(fresh, r)
+		}
+	}
+	return fresh
+}
+
+func newer(a, b Row) bool {
+	if a.Life.Life != b.Life.Life {
+		return a.Life.Life > b.Life.Life
+	}
+	return a.Beat > b.Beat
+}
+
+// Expire drops the rows of nodes that have been silent for too long.
+func (t *Rows) Expire(now time.Time) {
+	for node, e := range t.rows {
+		if now.Sub(e.since) > ForgetAfter {
+			delete(t.rows, node)
+		}
+	}
+}
+
+// All returns all rows.
+func (t *Rows) All() []Row {
+	out := make([]Row, 0, len(t.rows))
+	for _, e := range t.rows {
+		out = append(out, e.row)
+	}
+	return out
+}
+
+// Others returns the rows of other nodes that are at most that old.
+func (t *Rows) Others(now time.Time, age time.Duration) []Row {
+	var out []Row
+	for _, e := range t.rows {
+		if e.row.Life != t.self && now.Sub(e.since) <= age {
+			out = append(out, e.row)
+		}
+	}
+	return out
+}
