--- a/internal/attempt/machine.go
+++ b/internal/attempt/machine.go
@@ -145,6 +145,11 @@
 	return []Action{d}
 }
 
+// spent tells whether no attempt more may be sent.
+func (m *Machine) spent() bool {
+	return m.opts.MaxSent > 0 && m.made-m.refused >= m.opts.MaxSent
+}
+
 // exclusions lists the endpoints tried since the last token, those that leave,
 // and those in use.
 func (m *Machine) exclusions() []ident.EndpointID {
@@ -240,7 +245,7 @@
 		return acts
 	}
 	m.hedgeAt = time.Time{}
-	if m.source != nil || len(m.tries) != 1 || !m.budget.Take() {
+	if m.source != nil || len(m.tries) != 1 || m.spent() || !m.budget.Take() {
 		return acts
 	}
 	m.stats.Hedges++
--- a/internal/attempt/retry.go
+++ b/internal/attempt/retry.go
@@ -100,7 +100,7 @@
 }
 
 func (m *Machine) mayRetry(now time.Time) bool {
-	return m.barren+1 < m.opts.MaxAttempts && now.Before(m.req.Deadline)
+	return m.barren+1 < m.opts.MaxAttempts && !m.spent() && now.Before(m.req.Deadline)
 }
 
 // mayRetryRefused tells whether a request that an endpoint did not run may be sent
@@ -166,7 +166,7 @@
 func (m *Machine) moveDue(now time.Time, t *try) bool {
 	at, leaving := m.moveAt(t)
 	switch {
-	case !leaving:
+	case !leaving || m.spent():
 		return false
 	case !now.Before(at):
 		return true
--- a/internal/attempt/types.go
+++ b/internal/attempt/types.go
@@ -47,6 +47,9 @@
 type Options struct {
 	// MaxAttempts bounds the attempts in a row that bring no token. Default: 4.
 	MaxAttempts int
+	// MaxSent bounds the attempts of the whole request that may have run, hedges and
+	// resumes among them. Default: 0, no bound.
+	MaxSent int
 	// MaxRefusals bounds the endpoints that refuse a request without having run it,
 	// where they are to be counted apart from MaxAttempts. Default: 0, counted there.
 	MaxRefusals int
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/jujubeshed/jujubeshed/internal/placement"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
 	"github.com/jujubeshed/jujubeshed/internal/quota"
+	"github.com/jujubeshed/jujubeshed/internal/rendezvous"
 	"github.com/jujubeshed/jujubeshed/internal/scaling"
 	"github.com/jujubeshed/jujubeshed/internal/serve"
 	"github.com/jujubeshed/jujubeshed/internal/sharing"
@@ -103,6 +104,8 @@
 
 	current  *directory.Current
 	entries  *directory.Registry
+	configs  *directory.Watcher
+	servers  *directory.Watcher
 	state    *state
 	sharing  *sharing.Service
 	meter    *duty.Meter
@@ -123,6 +126,8 @@
 	n.state = newState(settings.DataCentre, n.life, n.current, n.meter)
 	n.entries = directory.NewRegistry(p.DecodeEndpoint, n.state.setEndpoints, log)
 	n.current.OnChange(n.onConfig)
+	n.configs = directory.NewWatcher(p.Store, kindOf(p.ConfigKey), n.current, func() bool { return n.foremost("config", alertNodes) }, log)
+	n.servers = directory.NewWatcher(p.Store, p.EndpointKind, n.entries, func() bool { return n.foremost("endpoints", alertNodes) }, log)
 	n.buildSharing()
 	if err := n.buildDuties(); err != nil {
 		return nil, err
@@ -158,7 +163,7 @@
 
 // compose returns this node's row.
 func (n *Node) compose() sharing.Row {
-	r := sharing.Row{ConfigVersion: n.current.Version(), Leaving: n.draining.Load()}
+	r := sharing.Row{ConfigVersion: n.current.Version(), Leaving: n.draining.Load(), Seen: n.servers.Seen(), StoreLost: n.servers.Lost()}
 	r.Spent, r.Levels, r.Loads = n.state.own()
 	return r
 }
@@ -170,6 +175,7 @@
 		if r.ConfigVersion > n.current.Version() {
 			n.sharing.FetchConfig(r.Address)
 		}
+		n.servers.Nudge(r.Seen)
 	}
 	loads := make(map[ident.EndpointID]placement.Load)
 	for _, r := range n.sharing.Others(peerLoadAge) {
@@ -193,6 +199,22 @@
 	return out
 }
 
+// alertNodes is the number of nodes that watch closely for all: one may be cut off.
+const alertNodes = 2
+
+// foremost tells whether this node is among the first of the live ones in the order
+// that a name gives them.
+func (n *Node) foremost(name string, count int) bool {
+	before := 0
+	own := rendezvous.Weight(name, string(n.life.Node))
+	for _, r := range n.sharing.Others(aliveFor) {
+		if !r.Leaving && !r.StoreLost && rendezvous.Weight(name, string(r.Life.Node)) > own {
+			before++
+		}
+	}
+	return before < count
+}
+
 func (n *Node) buildDuties() error {
 	term := max(n.settings.Bounds.Lease, time.Second)
 	h, err := holder.New(holder.Options{
@@ -229,8 +251,8 @@
 		service kernel.Service
 	}{
 		{serviceTransport, n.platform.Transport},
-		{serviceConfig, directory.NewWatcher(n.platform.Store, kindOf(n.platform.ConfigKey), n.current, n.log)},
-		{serviceEndpoints, directory.NewWatcher(n.platform.Store, n.platform.EndpointKind, n.entries, n.log)},
+		{serviceConfig, n.configs},
+		{serviceEndpoints, n.servers},
 		{serviceTicker, kernel.NewLoop(tickEvery, n.tick)},
 		{serviceMetrics, newListener(metricsAddress, metrics, n.log)},
 		{servicePeers, newListener(n.peerAddress(), peers, n.log)},
--- a/internal/serve/attempts.go
+++ b/internal/serve/attempts.go
@@ -128,7 +128,7 @@
 	id := in.Dispatch.Attempt
 	a := Attempt{
 		Request: c.req, Endpoint: c.attempts.endpoint(id), Deadline: c.deadline, Priority: c.priority(),
-		After: c.after(in.Dispatch.ResumeOffset), Stream: c.route.Kind == site.KindStream,
+		After: c.lastEvent(), Stream: c.route.Kind == site.KindStream,
 	}
 	if c.workspace != nil {
 		a.Workspace = c.workspace.Name
@@ -155,12 +155,12 @@
 	return c.route.Priority
 }
 
-// after returns the last event that the caller has.
-func (c *call) after(delivered int) string {
-	if delivered == 0 {
-		return c.req.LastEvent
+// lastEvent returns the number of the last event that the caller has; zero for none.
+func (c *call) lastEvent() int {
+	if last := c.delivery.last(); last > 0 {
+		return last
 	}
-	return strconv.Itoa(c.delivery.last())
+	return c.req.LastEvent
 }
 
 // ran counts the request for its workspace's usage.
@@ -195,6 +195,7 @@
 	ev, err := s.answer.Events.Next()
 	if errors.Is(err, io.EOF) {
 		s.ended = true
+		s.call.delivery.complete(s.answer.Head)
 		return runner.Frame{Chunk: &attempt.Chunk{Echo: echo, Offset: s.next, Finish: "end"}}, nil
 	}
 	if err != nil {
@@ -218,7 +219,7 @@
 func (s *answerStream) follows(ev Event) error {
 	last := s.lastID
 	if last == 0 {
-		last = s.call.delivery.last()
+		last = s.call.lastEvent()
 	}
 	if last > 0 && ev.ID != last+1 {
 		return errors.Newf("event %d follows event %d", ev.ID, last)
--- a/internal/serve/delivery.go
+++ b/internal/serve/delivery.go
@@ -34,6 +34,28 @@
 	}
 }
 
+// complete notes the head of an answer whose end was read. A stream that a caller
+// resumed after its last event has no event more.
+func (d *delivery) complete(h Head) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.mu.head == nil {
+		d.mu.head = &h
+	}
+}
+
+// close ends a stream that is whole; its head goes out where no event did.
+func (d *delivery) close() error {
+	d.mu.Lock()
+	head, started := d.mu.head, d.mu.started
+	d.mu.started = true
+	d.mu.Unlock()
+	if started || head == nil {
+		return nil
+	}
+	return d.out.Begin(*head)
+}
+
 // last returns the number of the last event delivered; zero before the first.
 func (d *delivery) last() int {
 	d.mu.Lock()
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -212,7 +212,8 @@
 // run carries the request out.
 func (c *call) run(ctx context.Context) *verdict.Error {
 	stream := c.route.Kind == site.KindStream
-	opts := attempt.Options{MaxAttempts: max(c.route.MaxAttempts, 1), MaxRefusals: maxRefusals}
+	attempts := max(c.route.MaxAttempts, 1)
+	opts := attempt.Options{MaxAttempts: attempts, MaxSent: attempts, MaxRefusals: maxRefusals}
 	if c.route.Kind == site.KindLookup && c.route.MaxAttempts > 1 {
 		opts.HedgeAfter = time.Duration(hedgeShare * float64(c.route.FirstByteTarget))
 	}
@@ -225,6 +226,9 @@
 		Options: opts,
 		Budget:  c.h.budgets.of(c.service),
 	}, c, c, &c.delivery)
+	if err == nil {
+		err = c.delivery.close()
+	}
 	if err != nil {
 		return verdict.From(err)
 	}
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -27,8 +27,9 @@
 	Arrived time.Time
 	// Patience is how long the caller waits from Arrived; zero if it doesn't tell.
 	Patience time.Duration
-	// LastEvent is the event after which a caller resumes a stream; empty for none.
-	LastEvent string
+	// LastEvent is the number of the event after which a caller resumes a stream; zero
+	// for none.
+	LastEvent int
 	// Prompt describes a generation; its zero value any other request.
 	Prompt placement.Prompt
 }
@@ -62,8 +63,8 @@
 	Deadline  time.Time
 	// Priority at the endpoint; 0 is the most urgent.
 	Priority int
-	// After is the last event that the caller has; empty from the start.
-	After string
+	// After is the number of the last event that the caller has; zero from the start.
+	After int
 	// Stream tells that a successful answer comes as events.
 	Stream bool
 }
--- a/internal/sharing/convert.go
+++ b/internal/sharing/convert.go
@@ -4,6 +4,7 @@
 	sharingv1 "github.com/jujubeshed/jujubeshed/api/gen/sharing/v1"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/placement"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
 	"github.com/jujubeshed/jujubeshed/internal/quota"
 )
 
@@ -12,7 +13,7 @@
 	for _, r := range rows {
 		w := &sharingv1.Row{
 			Node: string(r.Life.Node), Life: uint64(r.Life.Life), Beat: r.Beat, Address: r.Address,
-			ConfigVersion: r.ConfigVersion, Leaving: r.Leaving, Bad: r.Bad,
+			ConfigVersion: r.ConfigVersion, Leaving: r.Leaving, Bad: r.Bad, Seen: uint64(r.Seen), StoreLost: r.StoreLost,
 			Spent:  make(map[string]float64, len(r.Spent)),
 			Levels: make(map[string]float64, len(r.Levels)),
 			Loads:  make(map[string]*sharingv1.Load, len(r.Loads)),
@@ -36,7 +37,7 @@
 	for _, w := range rows {
 		r := Row{
 			Life: quota.NodeLife{Node: ident.NodeID(w.Node), Life: ident.Incarnation(w.Life)},
-			Beat: w.Beat, Address: w.Address, ConfigVersion: w.ConfigVersion, Leaving: w.Leaving, Bad: w.Bad,
+			Beat: w.Beat, Address: w.Address, ConfigVersion: w.ConfigVersion, Leaving: w.Leaving, Bad: w.Bad, Seen: platform.Version(w.Seen), StoreLost: w.StoreLost,
 			Spent:  make(quota.Spending, len(w.Spent)),
 			Levels: make(map[ident.Workspace]float64, len(w.Levels)),
 			Loads:  make(map[ident.EndpointID]placement.Load, len(w.Loads)),
--- a/internal/sharing/rows.go
+++ b/internal/sharing/rows.go
@@ -5,6 +5,7 @@
 
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/placement"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
 	"github.com/jujubeshed/jujubeshed/internal/quota"
 )
 
@@ -27,6 +28,10 @@
 	Leaving bool
 	// Bad holds versions that the node has found bad, as "service/version".
 	Bad []string
+	// Seen is the latest version of a registration that the node has seen.
+	Seen platform.Version
+	// StoreLost tells that the node can't follow the store at present.
+	StoreLost bool
 }
 
 // Rows holds the rows of all nodes. It does no I/O.
