Test the adapter and the parts that the platform needs, and mend what the tests found

Cause: the path ran before it had tests of its own. Found by them and mended: nodes cut off from each other spent 1.9 to 3 times a workspace's limit (parts were worked out from rates that had moved on, and each kept a whole burst); a usage record whose first write lost its answer counted its node's requests twice. Change: a lost node keeps the part that it had when last heard of, of the rate and of what is in the bucket; a former life's counts are taken over once. internal/standin/objects stands in for the users' store and duties.

--- /dev/null
+++ b/internal/attempt/sent_test.go
@@ -0,0 +1,70 @@
+package attempt
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+)
+
+// TestMaxSentCountsHedges: a lookup that may go to two endpoints failed at the
+// first, and its hedge made a third attempt of it.
+func TestMaxSentCountsHedges(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := New(Request{ID: "r", Class: ident.ClassLookup, Idempotent: true, Deadline: now.Add(time.Second)},
+		Options{MaxAttempts: 2, MaxSent: 2, HedgeAfter: 70 * time.Millisecond}, NewBudget(BudgetOptions{}))
+	first := dispatched(t, m.Step(now, Start{}))
+	m.Step(now, Picked{Attempt: first, Endpoint: "a"})
+	second := dispatched(t, m.Step(now.Add(10*time.Millisecond), Response{Attempt: first, Echo: Echo{"r", first}, Status: 500}))
+	m.Step(now, Picked{Attempt: second, Endpoint: "b"})
+	if acts := m.Step(now.Add(80*time.Millisecond), Tick{}); len(acts) != 0 {
+		t.Errorf("a third attempt was made where two are allowed: %v", acts)
+	}
+}
+
+// TestRefusalsAreCountedApart: an endpoint that refuses has not run the request, so
+// that another may be tried where one run is allowed.
+func TestRefusalsAreCountedApart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := New(Request{ID: "r", Class: ident.ClassOrder, Deadline: now.Add(time.Second)},
+		Options{MaxAttempts: 1, MaxSent: 1, MaxRefusals: 2}, NewBudget(BudgetOptions{}))
+	id := dispatched(t, m.Step(now, Start{}))
+	for range 2 {
+		m.Step(now, Picked{Attempt: id, Endpoint: ident.EndpointID(id)})
+		id = dispatched(t, m.Step(now, NotDispatched{Attempt: id}))
+	}
+	m.Step(now, Picked{Attempt: id, Endpoint: "last"})
+	acts := m.Step(now, NotDispatched{Attempt: id})
+	if len(acts) != 1 {
+		t.Fatalf("after three refusals: %v", acts)
+	}
+	if _, ok := acts[0].(GiveUp); !ok {
+		t.Errorf("after three refusals: %v", acts)
+	}
+}
+
+// TestStreamEndsWithCaller: a stream that must not run twice is cancelled when its
+// caller has gone.
+func TestStreamEndsWithCaller(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := New(Request{ID: "r", Class: ident.ClassLong, Stream: true, EndWithCaller: true, Deadline: now.Add(time.Second)},
+		Options{}, NewBudget(BudgetOptions{}))
+	id := dispatched(t, m.Step(now, Start{}))
+	m.Step(now, Picked{Attempt: id, Endpoint: "a"})
+	acts := m.Step(now, CallerGone{})
+	if len(acts) == 0 || acts[0] != (Cancel{Attempt: id}) {
+		t.Errorf("after the caller has gone: %v", acts)
+	}
+}
+
+// dispatched returns the attempt that the last of some actions asks for.
+func dispatched(t *testing.T, acts []Action) ident.AttemptID {
+	t.Helper()
+	if len(acts) > 0 {
+		if d, ok := acts[len(acts)-1].(Dispatch); ok {
+			return d.Attempt
+		}
+	}
+	t.Fatalf("no dispatch in %v", acts)
+	return ""
+}
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,156 @@
+package directory_test
+
+import (
+	"context"
+	"log/slog"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/jujubeshed/jujubeshed/internal/directory"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	base "github.com/jujubeshed/jujubeshed/internal/platform"
+	"github.com/jujubeshed/jujubeshed/internal/site"
+	"github.com/jujubeshed/jujubeshed/internal/standin/objects"
+	"github.com/jujubeshed/jujubeshed/platform"
+)
+
+var quiet = slog.New(slog.DiscardHandler)
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Errorf("never: %s", what)
+}
+
+type config struct {
+	Version uint64 `json:"version"`
+}
+
+func newSite(t *testing.T) (*objects.Store, *platform.Store, *directory.Current) {
+	t.Helper()
+	standin := objects.New()
+	srv := httptest.NewServer(standin.Handler())
+	t.Cleanup(srv.Close)
+	store := platform.NewStore(srv.Listener.Addr().String(), prometheus.NewRegistry())
+	return standin, store, directory.NewCurrent(platform.ConfigKey, platform.DecodeConfig, quiet)
+}
+
+func start(t *testing.T, w *directory.Watcher) {
+	t.Helper()
+	if err := w.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = w.Stop(context.Background()) })
+}
+
+// TestConfigNeverGoesBack: whoever tells of an older version.
+func TestConfigNeverGoesBack(t *testing.T) {
+	standin, store, current := newSite(t)
+	start(t, directory.NewWatcher(store, "config", current, func() bool { return true }, quiet))
+	standin.Set("config", "main", config{7})
+	eventually(t, "version 7", func() bool { return current.Version() == 7 })
+	standin.Set("config", "main", config{5})
+	current.Offer([]byte(`{"version":6}`), "peer")
+	current.Offer([]byte(`not a configuration`), "peer")
+	standin.Remove("config", "main")
+	standin.Set("config", "main", config{9})
+	eventually(t, "version 9", func() bool { return current.Version() == 9 })
+	if string(current.Raw()) != `{"version":9}` {
+		t.Errorf("raw is %s", current.Raw())
+	}
+}
+
+// TestDeafWatch: a watch that waits may hear nothing of a change. A node on which the
+// others rely finds it all the same, and a nudge wakes the others.
+func TestDeafWatch(t *testing.T) {
+	standin, store, alert := newSite(t)
+	relaxed := directory.NewCurrent(platform.ConfigKey, platform.DecodeConfig, quiet)
+	start(t, directory.NewWatcher(store, "config", alert, func() bool { return true }, quiet))
+	waiting := directory.NewWatcher(store, "config", relaxed, func() bool { return false }, quiet)
+	start(t, waiting)
+	standin.Set("config", "main", config{1})
+	eventually(t, "version 1 at both", func() bool { return alert.Version() == 1 && relaxed.Version() == 1 })
+	standin.SetFaults(objects.Faults{DeafWatches: true})
+	time.Sleep(20 * time.Millisecond) // both watches wait
+	seen := standin.Set("config", "main", config{2})
+	standin.Compact()
+	eventually(t, "version 2 at the alert node", func() bool { return alert.Version() == 2 })
+	if relaxed.Version() != 1 {
+		t.Error("the waiting watch heard of a change that was kept from it")
+	}
+	waiting.Nudge(base.Version(seen))
+	eventually(t, "version 2 after the nudge", func() bool { return relaxed.Version() == 2 })
+}
+
+type entry struct {
+	Service string `json:"service"`
+	Addr    string `json:"addr"`
+	State   string `json:"state"`
+	Slots   int    `json:"slots"`
+}
+
+func ready(addr string) entry { return entry{"s", addr, "ready", 4} }
+
+// TestEndpointsThroughAnOutage: what lapses while the store is away serves as a last
+// resort for a while; entries that name no endpoint harm no other.
+func TestEndpointsThroughAnOutage(t *testing.T) {
+	standin, store, _ := newSite(t)
+	var listed, missing atomic.Int32
+	registry := directory.NewRegistry(platform.DecodeEndpoint, func(_ time.Time, l, m []site.Endpoint) {
+		listed.Store(int32(len(l)))
+		missing.Store(int32(len(m)))
+	}, quiet)
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		standin.Set("servers", name, ready("10.0.0.1:80"))
+	}
+	standin.Set("servers", "broken", "no object")
+	start(t, directory.NewWatcher(store, "servers", registry, func() bool { return true }, quiet))
+	eventually(t, "six endpoints", func() bool { return listed.Load() == 6 && registry.Loaded() })
+	standin.Set("servers", "b", 17)
+	eventually(t, "five endpoints", func() bool { return listed.Load() == 5 })
+	standin.SetFaults(objects.Faults{Down: true})
+	for _, name := range []string{"c", "d", "e", "f"} {
+		standin.Remove("servers", name)
+	}
+	standin.Compact()
+	standin.SetFaults(objects.Faults{})
+	eventually(t, "one endpoint and the missing ones", func() bool { return listed.Load() == 1 && missing.Load() >= 4 })
+	standin.Set("servers", "c", ready("10.0.0.1:80"))
+	eventually(t, "c is back", func() bool { return listed.Load() == 2 })
+	registry.Tick(time.Now().Add(directory.MissingFor + time.Second))
+	if missing.Load() != 0 {
+		t.Errorf("%d endpoints are still used after their grace", missing.Load())
+	}
+}
+
+func TestEndpointsGrace(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := directory.NewEndpoints()
+	s.Set(site.Endpoint{ID: "a"})
+	s.Set(site.Endpoint{ID: "b", Leaving: true})
+	s.Remove(now, "a")
+	s.Remove(now, "b")
+	s.Remove(now, "never seen")
+	if m := s.Missing(); len(m) != 1 || m[0].ID != "a" {
+		t.Errorf("missing are %v: one that left by its own word needs no grace", m)
+	}
+	s.Set(site.Endpoint{ID: "a"})
+	if len(s.Missing()) != 0 || len(s.Listed()) != 1 {
+		t.Errorf("after its return: listed %v, missing %v", s.Listed(), s.Missing())
+	}
+	s.Replace(now, []site.Endpoint{{ID: "c"}})
+	if got := s.Listed(); len(got) != 1 || got[0].ID != ident.EndpointID("c") {
+		t.Errorf("after a new list: %v", got)
+	}
+	if s.Expire(now.Add(directory.MissingFor)) || !s.Expire(now.Add(directory.MissingFor+1)) {
+		t.Error("the grace has another length")
+	}
+}
--- /dev/null
+++ b/internal/duty/duty_test.go
@@ -0,0 +1,196 @@
+package duty_test
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/jujubeshed/jujubeshed/internal/duty"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	base "github.com/jujubeshed/jujubeshed/internal/platform"
+	"github.com/jujubeshed/jujubeshed/internal/standin/objects"
+	"github.com/jujubeshed/jujubeshed/platform"
+)
+
+var quiet = slog.New(slog.DiscardHandler)
+
+// window is as short as a test can wait for.
+const window = 100 * time.Millisecond
+
+func newStore(t *testing.T) (*objects.Store, *platform.Store) {
+	t.Helper()
+	standin := objects.New()
+	srv := httptest.NewServer(standin.Handler())
+	t.Cleanup(srv.Close)
+	return standin, platform.NewStore(srv.Listener.Addr().String(), prometheus.NewRegistry())
+}
+
+// right is a lease that a test hands out.
+type right struct{ epoch atomic.Uint64 }
+
+func (r *right) Held() (ident.Epoch, bool) {
+	e := ident.Epoch(r.epoch.Load())
+	return e, e > 0
+}
+func (r *right) Settled() bool { return true }
+
+// cloud keeps the reports that it was sent, and can lose the answer to each first one.
+type cloud struct {
+	reports chan duty.Report
+	lose    map[int64]bool
+}
+
+func (c *cloud) ReportUsage(_ context.Context, _ ident.Epoch, r duty.Report) error {
+	c.reports <- r
+	if c.lose != nil && !c.lose[r.Window] {
+		c.lose[r.Window] = true
+		return errors.New("answer lost")
+	}
+	return nil
+}
+
+func (c *cloud) OrderEndpoints(context.Context, ident.Epoch, duty.Order) error { return nil }
+
+// TestFormerLifeCounts: the counts of a node that died are reported with those of
+// its next life.
+func TestFormerLifeCounts(t *testing.T) {
+	_, store := newStore(t)
+	ctx := context.Background()
+	first := duty.NewMeter(window)
+	at := time.Now()
+	first.Count(at, "w")
+	duty.NewKeeper(store, "n", "addr", first, quiet).Flush(ctx)
+	second := duty.NewMeter(window)
+	second.Count(at, "w")
+	duty.NewKeeper(store, "n", "addr", second, quiet).Flush(ctx)
+	o, err := store.Get(ctx, "nodes/n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var r duty.Record
+	if err := json.Unmarshal(o.Value, &r); err != nil || r.Windows[first.WindowAt(at)]["w"] != 2 {
+		t.Errorf("record is %+v, error %v", r, err)
+	}
+}
+
+// TestLostWriteIsNotCountedTwice: a flush whose answer was lost is repeated whole.
+func TestLostWriteIsNotCountedTwice(t *testing.T) {
+	standin, store := newStore(t)
+	ctx := context.Background()
+	m := duty.NewMeter(window)
+	at := time.Now()
+	k := duty.NewKeeper(store, "n", "addr", m, quiet)
+	m.Count(at, "w")
+	standin.SetFaults(objects.Faults{LoseWrites: true})
+	k.Flush(ctx)
+	standin.SetFaults(objects.Faults{})
+	m.Count(at, "w")
+	k.Flush(ctx)
+	o, err := store.Get(ctx, "nodes/n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var r duty.Record
+	if err := json.Unmarshal(o.Value, &r); err != nil || r.Windows[m.WindowAt(at)]["w"] != 2 {
+		t.Errorf("record is %s, error %v", o.Value, err)
+	}
+}
+
+// TestWindowIsReportedWithOneCount: a holder that took over repeats what the holder
+// before it had decided on, though more was counted since.
+func TestWindowIsReportedWithOneCount(t *testing.T) {
+	_, store := newStore(t)
+	m := duty.NewMeter(window)
+	k := duty.NewKeeper(store, "n", "addr", m, quiet)
+	c := &cloud{reports: make(chan duty.Report, 1000), lose: make(map[int64]bool)}
+	newOfficer := func(r duty.Right) *duty.Officer {
+		return duty.NewOfficer(duty.Options{
+			Store: store, Cloud: c, Right: r, Meter: m, Late: time.Minute, Usage: true, Log: quiet,
+			Alive: func() []string { return []string{"addr"} },
+		})
+	}
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+				m.Count(time.Now().Add(-window), "w") // late counts, too
+				k.Flush(context.Background())
+			}
+		}
+	}()
+	ctx := context.Background()
+	var one, two right
+	one.epoch.Store(1)
+	officers := []*duty.Officer{newOfficer(&one), newOfficer(&two)}
+	for _, f := range officers {
+		if err := f.Start(ctx); err != nil {
+			t.Fatal(err)
+		}
+	}
+	seen := make(map[int64]string)
+	repeats := 0
+	for i := 0; repeats < 3; i++ {
+		r := <-c.reports
+		raw, _ := json.Marshal(r.Counts)
+		if before, ok := seen[r.Window]; ok {
+			repeats++
+			if before != string(raw) {
+				t.Errorf("window %d was reported with %s and with %s", r.Window, before, raw)
+			}
+		}
+		seen[r.Window] = string(raw)
+		if i == 2 { // the duty changes its holder
+			one.epoch.Store(0)
+			two.epoch.Store(2)
+		}
+	}
+	close(stop)
+	<-done
+	for _, f := range officers {
+		if err := f.Stop(ctx); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// TestReportWaitsForLiveNodes: a window is not closed before each live node has
+// told its counts past the end.
+func TestReportWaitsForLiveNodes(t *testing.T) {
+	_, store := newStore(t)
+	ctx := context.Background()
+	m := duty.NewMeter(window)
+	c := &cloud{reports: make(chan duty.Report, 1000)}
+	var r right
+	r.epoch.Store(1)
+	f := duty.NewOfficer(duty.Options{
+		Store: store, Cloud: c, Right: &r, Meter: m, Late: time.Hour, Usage: true, Log: quiet,
+		Alive: func() []string { return []string{"addr", "silent"} },
+	})
+	duty.NewKeeper(store, "n", "addr", m, quiet).Flush(ctx)
+	if err := f.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case r := <-c.reports:
+		t.Errorf("window %d was reported without the silent node", r.Window)
+	case <-time.After(2500 * time.Millisecond):
+	}
+	if err := f.Stop(ctx); err != nil {
+		t.Error(err)
+	}
+	if _, err := store.Get(ctx, "reports/usage"); !errors.Is(err, base.ErrNotFound) {
+		t.Errorf("a report was decided on: %v", err)
+	}
+}
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -37,6 +37,7 @@
 
 	mu      sync.Mutex
 	known   bool // the record's version is known
+	begun   bool // the counts of a former life were taken over
 	version platform.Version
 	idle    int
 }
@@ -102,8 +103,9 @@
 			k.log.Warn("usage: Record of a former life is not readable and is replaced.", "error", err)
 		}
 	}
-	if k.version == 0 && len(r.Windows) > 0 {
+	if !k.begun {
 		k.meter.Restore(r.Windows)
+		k.begun = true
 	}
 	k.known, k.version = true, o.Version
 	return true
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -19,6 +19,8 @@
 	rateWindow = 3 * time.Second
 	// evenShare is the part of an even share that a node keeps without any demand.
 	evenShare = 0.5
+	// minPart keeps the time to come back finite where a node has no part of a limit.
+	minPart = 0.01
 	// minRetryAfter is the shortest time to come back that callers are told.
 	minRetryAfter = 200 * time.Millisecond
 	// maxRetryAfter bounds it: a bucket refills within some seconds.
@@ -58,6 +60,14 @@
 	at          time.Time
 	own         smoothed
 	theirs      map[NodeLife]*smoothed
+	totals      []sample             // of the rates of all nodes, for some time back
+	kept        map[NodeLife]float64 // parts of the limit that lost nodes keep
+}
+
+// sample is the sum of the rates of all nodes at a time.
+type sample struct {
+	at    time.Time
+	total float64
 }
 
 // peer is another node.
@@ -74,15 +84,12 @@
 }
 
 func (s *smoothed) add(now time.Time, n float64) {
-	s.decay(now)
-	s.value += n / rateWindow.Seconds()
+	s.value = s.valueAt(now) + n/rateWindow.Seconds()
+	s.at = now
 }
 
-func (s *smoothed) decay(now time.Time) {
-	if dt := now.Sub(s.at); dt > 0 {
-		s.value *= math.Exp(-dt.Seconds() / rateWindow.Seconds())
-		s.at = now
-	}
+func (s *smoothed) valueAt(t time.Time) float64 {
+	return s.value * math.Exp(-max(t.Sub(s.at).Seconds(), 0)/rateWindow.Seconds())
 }
 
 // New returns a ledger without workspaces.
@@ -102,7 +109,7 @@
 		seen[w.Name] = true
 		b := l.buckets[w.Name]
 		if b == nil {
-			b = &bucket{at: now, level: w.Burst, theirs: make(map[NodeLife]*smoothed)}
+			b = &bucket{at: now, level: w.Burst, theirs: make(map[NodeLife]*smoothed), kept: make(map[NodeLife]float64)}
 			l.buckets[w.Name] = b
 		}
 		l.refill(now, b)
@@ -125,9 +132,10 @@
 	}
 	l.refill(now, b)
 	// A request larger than the burst passes a full bucket; the debt is paid after.
-	need := min(cost, b.burst)
-	if b.level < need {
-		after := time.Duration((need - b.level) / b.rate * float64(time.Second))
+	part := b.part()
+	need := min(cost, b.burst*part)
+	if part == 0 || b.level < need {
+		after := time.Duration((need - b.level) / (b.rate * max(part, minPart)) * float64(time.Second))
 		return min(max(after, minRetryAfter), maxRetryAfter), false
 	}
 	b.level -= cost
@@ -151,33 +159,74 @@
 // refill adds what this node's side of the fleet may spend since the last time.
 func (l *Ledger) refill(now time.Time, b *bucket) {
 	if dt := now.Sub(b.at).Seconds(); dt > 0 {
-		b.level = min(b.level+b.rate*l.part(now, b)*dt, b.burst)
+		part := b.part()
+		b.level = min(b.level+b.rate*part*dt, b.burst*part)
 		b.at = now
 	}
 }
 
 // part returns the part of a limit that the nodes in touch may spend.
-func (l *Ledger) part(now time.Time, b *bucket) float64 {
-	nodes := float64(len(l.peers) + 1)
-	floor := evenShare * b.rate / nodes
-	b.own.decay(now)
-	reached := max(b.own.value, floor)
-	lost := 0.0
+func (b *bucket) part() float64 {
+	part := 1.0
+	for _, kept := range b.kept {
+		part -= kept
+	}
+	return max(part, 0)
+}
+
+// rateAt returns a node's rate at a time, or the floor that it keeps without demand.
+func (l *Ledger) rateAt(at time.Time, b *bucket, s *smoothed) float64 {
+	floor := evenShare * b.rate / float64(len(l.peers)+1)
+	if s == nil {
+		return floor
+	}
+	return max(s.valueAt(at), floor)
+}
+
+// observe notes the sum of all rates. Those of lost nodes stand still.
+func (l *Ledger) observe(now time.Time, b *bucket) {
+	total := l.rateAt(now, b, &b.own)
 	for life, p := range l.peers {
-		rate := floor
-		if s := b.theirs[life]; s != nil {
-			if !p.lost {
-				s.decay(now)
-			}
-			rate = max(s.value, floor)
-		}
+		at := now
 		if p.lost {
-			lost += rate
-		} else {
-			reached += rate
+			at = p.heard
+		}
+		total += l.rateAt(at, b, b.theirs[life])
+	}
+	keep := b.totals[:0]
+	for _, s := range b.totals {
+		if now.Sub(s.at) <= 2*l.opts.LostAfter {
+			keep = append(keep, s)
 		}
 	}
-	return reached / (reached + lost)
+	b.totals = append(keep, sample{now, total})
+}
+
+// totalAt returns the sum of all rates at a time not long ago.
+func (b *bucket) totalAt(at time.Time) float64 {
+	total := b.totals[0].total
+	for _, s := range b.totals {
+		if s.at.After(at) {
+			break
+		}
+		total = s.total
+	}
+	return total
+}
+
+// keep sets a lost node's part of a limit aside: the part that it had when it was
+// last heard of, as the node itself then saw it.
+func (l *Ledger) keep(now time.Time, b *bucket, life NodeLife, p *peer) {
+	l.refill(now, b)
+	if len(b.totals) == 0 {
+		return
+	}
+	before := b.part()
+	rate := l.rateAt(p.heard, b, b.theirs[life])
+	b.kept[life] = min(rate/b.totalAt(p.heard), 1)
+	if before > 0 && b.level > 0 {
+		b.level *= b.part() / before // a part of what is in the bucket is the lost node's
+	}
 }
 
 // Spent returns what this node has spent since its start.
@@ -233,6 +282,12 @@
 		}
 		l.rateOf(b, from).add(now, delta)
 	}
+	if back {
+		for _, b := range l.buckets {
+			l.refill(now, b)
+			delete(b.kept, from)
+		}
+	}
 	p.heard, p.lost = now, false
 }
 
@@ -249,6 +304,7 @@
 	delete(l.peers, life)
 	for _, b := range l.buckets {
 		delete(b.theirs, life)
+		delete(b.kept, life)
 	}
 }
 
@@ -264,6 +320,9 @@
 // Tick notes which nodes have been silent for too long. It returns those that are
 // newly lost.
 func (l *Ledger) Tick(now time.Time) []NodeLife {
+	for _, b := range l.buckets {
+		l.observe(now, b)
+	}
 	var lost []NodeLife
 	for life, p := range l.peers {
 		silent := now.Sub(p.heard)
@@ -273,10 +332,7 @@
 		}
 		if silent > l.opts.LostAfter && !p.lost {
 			for _, b := range l.buckets {
-				l.refill(now, b)
-				if s := b.theirs[life]; s != nil {
-					s.decay(now)
-				}
+				l.keep(now, b, life, p)
 			}
 			p.lost = true
 			lost = append(lost, life)
