Place long prompts where few streams run, and order endpoints by measured demand

Change: a cost for each stream that a long read makes late, and a soft division by a tenth of that; the demand is measured by running requests.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -90,6 +90,26 @@
 	eventually(t, "version 2 after the nudge", func() bool { return relaxed.Version() == 2 })
 }
 
+// TestNodeBecomesAlert: where the nodes that watched closely are cut off, another
+// one must not wait out its long watch before it takes their place.
+func TestNodeBecomesAlert(t *testing.T) {
+	standin, store, current := newSite(t)
+	var alert atomic.Bool
+	w := directory.NewWatcher(store, "config", current, alert.Load, quiet)
+	start(t, w)
+	standin.Set("config", "main", config{1})
+	eventually(t, "version 1", func() bool { return current.Version() == 1 })
+	standin.SetFaults(objects.Faults{DeafWatches: true})
+	time.Sleep(20 * time.Millisecond) // the watch waits
+	standin.Set("config", "main", config{2})
+	standin.Compact()
+	alert.Store(true)
+	eventually(t, "version 2", func() bool {
+		w.Recheck()
+		return current.Version() == 2
+	})
+}
+
 type entry struct {
 	Service string `json:"service"`
 	Addr    string `json:"addr"`
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -48,7 +48,8 @@
 	mu struct {
 		sync.Mutex
 		seen  platform.Version // the latest of all objects
-		again context.CancelFunc
+		again context.CancelFunc // ends the watch that waits; nil while none does
+		idle  bool               // that watch waits for long
 		lost  bool
 	}
 }
@@ -94,6 +95,17 @@
 	}
 }
 
+// Recheck ends a long wait where the other nodes have come to rely on this one
+// meanwhile.
+func (w *Watcher) Recheck() {
+	alert := w.alert()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if alert && w.mu.idle && w.mu.again != nil {
+		w.mu.again()
+	}
+}
+
 func (w *Watcher) saw(objects []platform.Object) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -179,13 +191,13 @@
 func (w *Watcher) watch(ctx context.Context, position uint64) (platform.WatchResult, bool, error) {
 	waiting, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w.mu.Lock()
-	w.mu.again = cancel
-	w.mu.Unlock()
 	wait := idleWait
 	if w.alert() {
 		wait = alertWait
 	}
+	w.mu.Lock()
+	w.mu.again, w.mu.idle = cancel, wait == idleWait
+	w.mu.Unlock()
 	r, err := w.store.Watch(waiting, w.prefix, position, wait)
 	w.mu.Lock()
 	w.mu.again = nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,10 +58,15 @@
 	tickEvery = 100 * time.Millisecond
 	// dutyLease is the name of the lease on the duties.
 	dutyLease = "duty"
+	// dutyCandidates is the number of nodes that seek the duties: two may die at once.
+	dutyCandidates = 3
 	// leasePause is the longest time assumed from a holder's check of its right to
 	// the arrival of its call: the call's own time limit and some more.
 	leasePause = time.Second
-	// dutyCallTimeout bounds a call for the lease: a slow store answers in 250 ms.
+	// leaseRetryPart is the part of the lease's term after which a failed call is made
+	// again: the store's calls are priced, refused ones too.
+	leaseRetryPart = 4
+	// leaseCallTimeout bounds a call for the lease: a slow store answers in 250 ms.
 	leaseCallTimeout = 600 * time.Millisecond
 	// retryShare and retryInitial divide the bound on retries: this node uses less
 	// than its part of the ratio, and of the slack while eight nodes share it.
@@ -163,7 +168,7 @@
 
 // compose returns this node's row.
 func (n *Node) compose() sharing.Row {
-	r := sharing.Row{ConfigVersion: n.current.Version(), Leaving: n.draining.Load(), Seen: n.servers.Seen(), StoreLost: n.servers.Lost()}
+	r := sharing.Row{ConfigVersion: n.current.Version(), Leaving: n.draining.Load(), Seen: n.servers.Seen(), StoreLost: n.servers.Lost() || n.configs.Lost()}
 	r.Spent, r.Levels, r.Loads = n.state.own()
 	return r
 }
@@ -219,12 +224,13 @@
 	term := max(n.settings.Bounds.Lease, time.Second)
 	h, err := holder.New(holder.Options{
 		Store: n.platform.Store, Name: dutyLease, Owner: lease.Owner{Node: n.life.Node, Incarnation: n.life.Life},
-		Lease:       lease.Options{Term: term, MaxPause: leasePause},
+		Lease:       lease.Options{Term: term, MaxPause: leasePause, Retry: term / leaseRetryPart},
+		Candidate:   func() bool { return n.foremost(dutyLease, dutyCandidates) },
 		CallTimeout: leaseCallTimeout, Log: n.log, Metrics: holder.NewMetrics(n.metrics),
 	})
 	n.holder = h
 	if n.settings.Autoscale {
-		n.planner = scaling.New(scaling.Options{}, n.state.usage)
+		n.planner = scaling.New(n.state.usage)
 	}
 	return err
 }
@@ -300,6 +306,8 @@
 func (n *Node) tick(context.Context) {
 	now := time.Now()
 	n.entries.Tick(now)
+	n.configs.Recheck()
+	n.servers.Recheck()
 	for _, life := range n.state.tick(now) {
 		n.log.Warn("sharing: Node is silent; its part of the limits is kept for it.", "node", life.Node, "life", life.Life)
 	}
--- a/internal/lease/holder/holder.go
+++ b/internal/lease/holder/holder.go
@@ -21,6 +21,9 @@
 	Name  string
 	Owner lease.Owner
 	Lease lease.Options
+	// Candidate tells whether this node seeks the lease while it does not hold it.
+	// Default: always. A few candidates are enough, and each look has its price.
+	Candidate func() bool
 	// CallTimeout bounds one call to the store. Default: 1/10 of the term.
 	CallTimeout time.Duration
 	// Clock reads both clocks. Default: those of the process.
@@ -75,6 +78,9 @@
 	if opts.Metrics == nil {
 		opts.Metrics = NewMetrics(nil)
 	}
+	if opts.Candidate == nil {
+		opts.Candidate = func() bool { return true }
+	}
 	if opts.Log == nil {
 		opts.Log = slog.New(slog.DiscardHandler)
 	}
@@ -125,6 +131,11 @@
 func (h *Holder) Run(ctx context.Context) error {
 	var last ident.Epoch
 	for ctx.Err() == nil {
+		if h.standsBack() {
+			h.wait(ctx, h.opts.Lease.Retry)
+			h.report(&last)
+			continue
+		}
 		action, released := h.next()
 		if released {
 			h.report(&last)
@@ -143,6 +154,17 @@
 	return ctx.Err()
 }
 
+// standsBack tells whether this node leaves the lease to others. What it knows of
+// the record grows old meanwhile; an update on it then meets a conflict.
+func (h *Holder) standsBack() bool {
+	if _, held := h.Held(); held || h.opts.Candidate() {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.mu.lease.Releasing()
+}
+
 func (h *Holder) next() (lease.Action, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -190,6 +190,9 @@
 // the next holder waits for MaxPause.
 func (l *Lease) Release(idle bool) { l.releasing, l.idle = true, idle }
 
+// Releasing tells whether Release was called.
+func (l *Lease) Releasing() bool { return l.releasing }
+
 func (l *Lease) lapsed(now Instant) bool {
 	return now.past(l.granted, l.opts.HoldFor)
 }
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -41,11 +41,17 @@
 		return Choice{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable,
 			"service %q has no usable endpoint among %d", r.Service, len(s.members)).After(retryAfterNone)
 	}
-	home := t.homes(candidates, r.Prompt)
+	long := s.isLong(r)
+	pool, others := t.pool(s, candidates, r.Prompt, long)
+	home := t.homes(pool, r.Prompt)
 	var best Choice
 	var bestCost time.Duration
 	for _, m := range candidates {
-		c, cost := t.estimate(now, s, m, r.Prompt, slices.Contains(home, m))
+		c, cost := t.estimate(now, s, m, r, slices.Contains(home, m))
+		c.long = long
+		if !slices.Contains(pool, m) {
+			cost += others
+		}
 		cost += time.Duration(rng.Int64N(int64(tieWindow)))
 		if best.Endpoint.ID == "" || cost < bestCost {
 			best, bestCost = c, cost
@@ -85,14 +91,10 @@
 
 // homes returns the endpoints that a prompt's shared prefix belongs to.
 func (t *Table) homes(candidates []*member, p Prompt) []*member {
-	shared := p.shared()
-	tokens := 0
-	for _, part := range shared {
-		tokens += part.Tokens
-	}
-	if tokens < homeTokens {
+	if p.sharedTokens() < homeTokens {
 		return nil
 	}
+	shared := p.shared()
 	key := shared[len(shared)-1].ID
 	var out []*member
 	for range min(homes, len(candidates)) {
@@ -109,7 +111,7 @@
 
 // estimate returns the choice of a member and its cost: the time to the first
 // event, and what the choice takes from others.
-func (t *Table) estimate(now time.Time, s *service, m *member, p Prompt, home bool) (Choice, time.Duration) {
+func (t *Table) estimate(now time.Time, s *service, m *member, r Request, home bool) (Choice, time.Duration) {
 	running := m.running(now)
 	wait := t.opts.RunningCost * time.Duration(running)
 	if over := running + 1 - m.Slots; over > 0 {
@@ -122,18 +124,19 @@
 	if m.engine == nil {
 		return Choice{Endpoint: m.Endpoint, Wait: wait}, wait + cost
 	}
-	shared := p.shared()
-	sharedTokens := 0
-	for _, part := range shared {
-		sharedTokens += part.Tokens
-	}
+	p := r.Prompt
+	sharedTokens := p.sharedTokens()
 	cachedTokens := m.cache.prefix(now, p.Parts, t.opts.CacheMemory)
 	if home {
 		cachedTokens = max(cachedTokens, int(homeShare*float64(sharedTokens)))
 	}
 	uncached := max(p.Input-cachedTokens, 1)
 	ahead := m.prefill.left(now, s.prefill) + float64(m.peers.Prefill)
-	wait += seconds((ahead + float64(uncached)) / s.prefill)
+	reading := seconds((ahead + float64(uncached)) / s.prefill)
+	wait += reading
+	if reading > r.longestRead() {
+		cost += pauseCost * time.Duration(running)
+	}
 	if m.context+m.peers.Context+p.Tokens() > int(contextShare*float64(m.engine.CacheTokens)) {
 		cost += fullCost
 	}
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -21,6 +21,7 @@
 	members []*member
 	prefill float64 // tokens a second, smoothed
 	took    float64 // seconds of a request, smoothed
+	long    longShare
 }
 
 // New returns an empty table.
@@ -76,7 +77,7 @@
 func (t *Table) service(name ident.Service) *service {
 	s := t.services[name]
 	if s == nil {
-		s = &service{prefill: t.opts.PrefillPerSecond, took: t.opts.ServiceTime.Seconds()}
+		s = &service{prefill: t.opts.PrefillPerSecond, took: t.opts.ServiceTime.Seconds(), long: newLongShare()}
 		t.services[name] = s
 	}
 	return s
@@ -111,6 +112,7 @@
 	t.work[id], m.inflight[id] = w, w
 	m.context += w.context
 	m.prefill.add(now, s.prefill, w.uncached)
+	s.long.add(now, s.work(c.Uncached, p.Output), c.long)
 	m.cache.use(now, p.Parts)
 }
 
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -23,6 +23,15 @@
 	Parts []Part
 }
 
+// sharedTokens returns the tokens of the parts that other requests may have.
+func (p Prompt) sharedTokens() int {
+	sum := 0
+	for _, part := range p.shared() {
+		sum += part.Tokens
+	}
+	return sum
+}
+
 // Tokens returns the tokens that the request counts for.
 func (p Prompt) Tokens() int { return p.Input + p.Output }
 
@@ -44,6 +53,9 @@
 	Version ident.Version
 	// AvoidVersion must not be chosen; empty for none.
 	AvoidVersion ident.Version
+	// MaxGap is the longest pause that the streams of the service bear; zero if not
+	// known.
+	MaxGap time.Duration
 	// Deadline by which the first event must come; zero for none.
 	Deadline time.Time
 }
@@ -55,6 +67,8 @@
 	Wait time.Duration
 	// Uncached tokens of the prompt are expected to be read.
 	Uncached int
+
+	long bool // the prompt is one that delays others
 }
 
 // Load is the work of other nodes at an endpoint.
--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -30,21 +31,29 @@
 	calmFor = 3 * time.Second
 )
 
-// Options are the settings of a Planner. Zero fields take their defaults.
-type Options struct {
-	// Lasting and Reclaimable endpoints of each data centre, at the measured load of
-	// full slots. Defaults: 2 and 3.
-	Lasting, Reclaimable int
-}
+// Shares of the endpoints that the demand needs.
+const (
+	// lastingShare is the part that lasting endpoints carry at all times: what is left
+	// of a service while all reclaimable ones are being replaced.
+	lastingShare = 0.3
+	// reserveShare is what is held beyond the need, all of it reclaimable: one of four
+	// data centres may lose its reclaimable ones.
+	reserveShare = 0.25
+	// standInShare is the part of the need up to which lasting endpoints are ordered
+	// while reclaimable ones are not to be had.
+	standInShare = 0.8
+	// minReclaimable is the least number of reclaimable endpoints in a data centre.
+	minReclaimable = 1
+)
 
 // Planner plans the endpoints of all services that may be scaled. It is not safe
 // for use by several goroutines.
 type Planner struct {
-	opts     Options
 	services map[ident.Service]site.Service
 	usage    func(ident.Service) placement.Usage
 	ordered  map[key]order
 	calm     map[ident.Service]time.Time
+	demand   map[ident.Service]*demand
 }
 
 type key struct {
@@ -63,10 +72,10 @@
 var _ duty.Planner = (*Planner)(nil)
 
 // New returns a planner; usage tells how busy a service is.
-func New(opts Options, usage func(ident.Service) placement.Usage) *Planner {
-	opts.Lasting = cmp.Or(opts.Lasting, 2)
-	opts.Reclaimable = cmp.Or(opts.Reclaimable, 3)
-	return &Planner{opts: opts, usage: usage, ordered: make(map[key]order), calm: make(map[ident.Service]time.Time)}
+func New(usage func(ident.Service) placement.Usage) *Planner {
+	return &Planner{
+		usage: usage, ordered: make(map[key]order), calm: make(map[ident.Service]time.Time), demand: make(map[ident.Service]*demand),
+	}
 }
 
 // SetServices takes the services of the configuration.
@@ -76,6 +85,7 @@
 func (p *Planner) Reset() {
 	clear(p.ordered)
 	clear(p.calm)
+	clear(p.demand)
 }
 
 // Placed implements duty.Planner.
@@ -129,58 +139,86 @@
 	}
 }
 
+// need returns how many endpoints a service needs for its load.
+func (p *Planner) need(now time.Time, s site.Service, u placement.Usage) int {
+	d := p.demand[s.Name]
+	if d == nil {
+		d = &demand{}
+		p.demand[s.Name] = d
+	}
+	present := 0
+	for _, n := range u.Endpoints {
+		present += n
+	}
+	d.update(now, u.Running, present)
+	return d.endpoints(now, u.Slots/max(present, 1))
+}
+
 // wanted returns the endpoints that a service should have by place.
 func (p *Planner) wanted(now time.Time, s site.Service, u placement.Usage) map[placement.Place]int {
 	out := make(map[placement.Place]int)
-	missing := 0
-	for dc := range s.Scale.Prices {
-		spot := placement.Place{DataCentre: dc, Reclaimable: true}
-		out[placement.Place{DataCentre: dc}] = clamp(p.opts.Lasting, s.Scale)
-		out[spot] = min(p.opts.Reclaimable, s.Scale.Max-p.opts.Lasting)
+	need := p.need(now, s, u)
+	places := byPrice(s.Scale)
+	lasting := max(ceil(lastingShare*float64(need)), len(places))
+	spots := ceil((1+reserveShare)*float64(need)) - lasting
+	perPlace := max(ceil(float64(spots)/float64(len(places))), minReclaimable)
+	missing, present := 0, 0
+	for i, dc := range places {
+		place, spot := placement.Place{DataCentre: dc}, placement.Place{DataCentre: dc, Reclaimable: true}
+		out[place] = clamp(lasting/len(places)+below(i, lasting%len(places)), s.Scale)
+		out[spot] = min(perPlace, s.Scale.Max-out[place])
 		missing += max(out[spot]-u.Endpoints[spot], 0)
+		present += u.Endpoints[place] + u.Endpoints[spot]
 	}
-	if missing == 0 {
-		if p.calm[s.Name].IsZero() {
-			p.calm[s.Name] = now
-		}
-	} else {
+	if missing > 0 {
 		p.calm[s.Name] = time.Time{}
+	} else if p.calm[s.Name].IsZero() {
+		p.calm[s.Name] = now
 	}
-	p.standIn(now, s, u, out, missing)
+	p.standIn(now, s, u, out, ceil(standInShare*float64(need))-present)
 	return out
 }
 
-// standIn adds lasting endpoints for reclaimable ones that are not there, the
-// cheapest data centres first. Those that stand in, or were there at the start, are
-// kept until the reclaimable ones have been complete for a while.
-func (p *Planner) standIn(now time.Time, s site.Service, u placement.Usage, out map[placement.Place]int, missing int) {
+// below returns one for the first n of some places, and zero for the others.
+func below(i, n int) int {
+	if i < n {
+		return 1
+	}
+	return 0
+}
+
+// standIn adds lasting endpoints while there are too few, the cheapest data centres
+// first. Those that stand in, or were there at the start, are kept until the
+// reclaimable ones have been complete for a while.
+func (p *Planner) standIn(now time.Time, s site.Service, u placement.Usage, out map[placement.Place]int, short int) {
 	calm := p.calm[s.Name]
-	keep := calm.IsZero() || now.Sub(calm) < calmFor
-	if !keep {
+	if !calm.IsZero() && now.Sub(calm) >= calmFor {
 		return
 	}
 	places := byPrice(s.Scale)
 	for _, dc := range places {
 		place := placement.Place{DataCentre: dc}
-		stands := max(u.Endpoints[place]-out[place], 0)
-		out[place] += stands
-		missing -= stands
+		coming := p.ordered[key{s.Name, place}].count - u.Endpoints[place]
+		short -= max(coming, 0)
+		out[place] = max(out[place], u.Endpoints[place], min(p.ordered[key{s.Name, place}].count, s.Scale.Max))
 	}
-	for missing > 0 {
-		before := missing
+	for short > 0 {
+		before := short
 		for _, dc := range places {
 			place, spot := placement.Place{DataCentre: dc}, placement.Place{DataCentre: dc, Reclaimable: true}
-			if missing > 0 && out[place]+out[spot] < s.Scale.Max {
+			if short > 0 && out[place]+out[spot] < s.Scale.Max {
 				out[place]++
-				missing--
+				short--
 			}
 		}
-		if missing == before {
+		if short == before {
 			return // every data centre is at its limit
 		}
 	}
 }
 
+func ceil(x float64) int { return int(math.Ceil(x)) }
+
 func clamp(n int, s *site.Scale) int { return min(max(n, s.Min), s.Max) }
 
 // byPrice returns the data centres of a service, the cheapest first.
--- a/internal/serve/attempts.go
+++ b/internal/serve/attempts.go
@@ -85,6 +85,7 @@
 	only, avoid := c.h.versions.Draw(c.service)
 	choice, err := c.h.places.Pick(p.Attempt, placement.Request{
 		Service: c.service, Prompt: c.req.Prompt, Exclude: p.Exclude, Version: only, AvoidVersion: avoid, Deadline: c.deadline,
+		MaxGap: c.route.MaxGap,
 	})
 	if err != nil {
 		return runner.Choice{}, err
--- a/internal/site/config.go
+++ b/internal/site/config.go
@@ -42,6 +42,9 @@
 	// FirstByteTarget is the time within which an answer, or its first event, has
 	// its full worth; zero if not stated.
 	FirstByteTarget time.Duration
+	// MaxGap is the longest pause between two events of a stream that is still on
+	// time; zero if not stated.
+	MaxGap time.Duration
 	// MaxAttempts bounds the endpoints that one request may be sent to.
 	MaxAttempts int
 	// Priority of the requests; 0 is the most urgent.
