Keep a floor of lasting endpoints, and more while reclaimable ones are refused

Change: the need is a decaying peak that begins with the endpoints found; stand-ins fill up to a part of it.

--- a/internal/scaling/demand.go
+++ b/internal/scaling/demand.go
@@ -13,32 +13,35 @@
 	comfortableShare   = 0.5
 	// priorShare is the part of the endpoints found at the start that is taken for
 	// the need until it was measured.
-	priorShare = 0.8
-	// learnFor is how long the load is measured before endpoints are given up for it.
-	learnFor = 8 * time.Second
+	priorShare = 0.7
+	// settleFor is how long the list of endpoints must have stood before its length is
+	// taken for the number that the operators began with: they register within some
+	// seconds of their start.
+	settleFor = 2 * time.Second
 	// demandWindow smooths the load, and peakWindow is the time constant by which a
-	// peak is forgotten: traffic swings within some ten seconds.
+	// peak, or the first guess, is forgotten: traffic swings within some ten seconds.
 	demandWindow = 2 * time.Second
-	peakWindow   = 40 * time.Second
+	peakWindow   = 30 * time.Second
 )
 
 // demand estimates how many endpoints the load of a service needs.
 type demand struct {
-	prior   float64 // endpoints
-	since   time.Time
+	most    int       // endpoints seen before the first request
+	grown   time.Time // when there were last more of them
+	begun   bool      // a request was seen
 	at      time.Time
 	running float64 // smoothed
-	peak    float64 // of running
+	peak    float64 // of the endpoints needed
 }
 
-// update takes the load; present is the number of endpoints.
-func (d *demand) update(now time.Time, running, present int) {
-	if d.prior == 0 {
-		d.prior = priorShare * float64(present)
-	}
-	if running > 0 && d.since.IsZero() {
-		d.since = now
+// update takes the load; present is the number of endpoints, each with so many
+// slots.
+func (d *demand) update(now time.Time, running, present, slots int) {
+	if !d.begun && present > d.most {
+		d.most, d.grown = present, now
+		d.peak = priorShare * float64(present)
 	}
+	d.begun = d.begun || running > 0
 	dt := now.Sub(d.at).Seconds()
 	if d.at.IsZero() {
 		dt = 0
@@ -46,15 +49,17 @@
 	d.at = now
 	f := math.Exp(-dt / demandWindow.Seconds())
 	d.running = d.running*f + float64(running)*(1-f)
-	d.peak = max(d.peak*math.Exp(-dt/peakWindow.Seconds()), d.running)
+	if d.begun {
+		d.peak *= math.Exp(-dt / peakWindow.Seconds())
+	}
+	comfortable := max(min(comfortableRunning, comfortableShare*float64(slots)), 1)
+	d.peak = max(d.peak, d.running/comfortable)
 }
 
-// endpoints returns how many endpoints with so many slots are needed.
-func (d *demand) endpoints(now time.Time, slots int) int {
-	comfortable := min(comfortableRunning, comfortableShare*float64(slots))
-	need := d.peak / max(comfortable, 1)
-	if d.since.IsZero() || now.Sub(d.since) < learnFor {
-		need = max(need, d.prior)
-	}
-	return int(math.Ceil(need))
+// endpoints returns how many endpoints are needed.
+func (d *demand) endpoints() int { return int(math.Ceil(d.peak)) }
+
+// settled tells whether enough is known to order by.
+func (d *demand) settled(now time.Time) bool {
+	return d.begun || d.most > 0 && now.Sub(d.grown) >= settleFor
 }
--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -26,8 +26,8 @@
 	refusedFor = 2500 * time.Millisecond
 	// retryAfter is the pause after an order that got no answer.
 	retryAfter = time.Second
-	// calmFor is how long reclaimable endpoints must have been complete before the
-	// lasting ones that stood in for them are given back.
+	// calmFor is how long reclaimable endpoints must be back before the lasting ones
+	// that stood in for them are given up.
 	calmFor = 3 * time.Second
 )
 
@@ -36,12 +36,16 @@
 	// lastingShare is the part that lasting endpoints carry at all times: what is left
 	// of a service while all reclaimable ones are being replaced.
 	lastingShare = 0.3
-	// reserveShare is what is held beyond the need, all of it reclaimable: one of four
-	// data centres may lose its reclaimable ones.
-	reserveShare = 0.25
+	// reserveShare is what is held beyond the need, all of it reclaimable and cheap:
+	// data centres may lose theirs.
+	reserveShare = 0.6
 	// standInShare is the part of the need up to which lasting endpoints are ordered
 	// while reclaimable ones are not to be had.
 	standInShare = 0.8
+	// dryShare is the part of the need that lasting endpoints carry while reclaimable
+	// ones are refused: those that are left may go at any moment, and a lasting one
+	// takes longer to boot than a notice lasts.
+	dryShare = 0.7
 	// minReclaimable is the least number of reclaimable endpoints in a data centre.
 	minReclaimable = 1
 )
@@ -52,10 +56,17 @@
 	services map[ident.Service]site.Service
 	usage    func(ident.Service) placement.Usage
 	ordered  map[key]order
-	calm     map[ident.Service]time.Time
+	standing map[ident.Service]standing
 	demand   map[ident.Service]*demand
 }
 
+// standing is the number of lasting endpoints that stand in, and when there were
+// last none too many of them.
+type standing struct {
+	count  int
+	enough time.Time
+}
+
 type key struct {
 	service ident.Service
 	place   placement.Place
@@ -74,7 +85,7 @@
 // New returns a planner; usage tells how busy a service is.
 func New(usage func(ident.Service) placement.Usage) *Planner {
 	return &Planner{
-		usage: usage, ordered: make(map[key]order), calm: make(map[ident.Service]time.Time), demand: make(map[ident.Service]*demand),
+		usage: usage, ordered: make(map[key]order), standing: make(map[ident.Service]standing), demand: make(map[ident.Service]*demand),
 	}
 }
 
@@ -84,7 +95,7 @@
 // Reset implements duty.Planner.
 func (p *Planner) Reset() {
 	clear(p.ordered)
-	clear(p.calm)
+	clear(p.standing)
 	clear(p.demand)
 }
 
@@ -139,8 +150,9 @@
 	}
 }
 
-// need returns how many endpoints a service needs for its load.
-func (p *Planner) need(now time.Time, s site.Service, u placement.Usage) int {
+// need returns how many endpoints a service needs for its load, and whether that is
+// known yet.
+func (p *Planner) need(now time.Time, s site.Service, u placement.Usage) (int, bool) {
 	d := p.demand[s.Name]
 	if d == nil {
 		d = &demand{}
@@ -150,73 +162,98 @@
 	for _, n := range u.Endpoints {
 		present += n
 	}
-	d.update(now, u.Running, present)
-	return d.endpoints(now, u.Slots/max(present, 1))
+	d.update(now, u.Running, present, u.Slots/max(present, 1))
+	return d.endpoints(), d.settled(now)
 }
 
 // wanted returns the endpoints that a service should have by place.
 func (p *Planner) wanted(now time.Time, s site.Service, u placement.Usage) map[placement.Place]int {
 	out := make(map[placement.Place]int)
-	need := p.need(now, s, u)
+	need, known := p.need(now, s, u)
+	if !known {
+		return nil
+	}
 	places := byPrice(s.Scale)
 	lasting := max(ceil(lastingShare*float64(need)), len(places))
 	spots := ceil((1+reserveShare)*float64(need)) - lasting
 	perPlace := max(ceil(float64(spots)/float64(len(places))), minReclaimable)
-	missing, present := 0, 0
+	reclaimable := 0
 	for i, dc := range places {
 		place, spot := placement.Place{DataCentre: dc}, placement.Place{DataCentre: dc, Reclaimable: true}
 		out[place] = clamp(lasting/len(places)+below(i, lasting%len(places)), s.Scale)
 		out[spot] = min(perPlace, s.Scale.Max-out[place])
-		missing += max(out[spot]-u.Endpoints[spot], 0)
-		present += u.Endpoints[place] + u.Endpoints[spot]
+		reclaimable += min(p.expected(now, s, spot, u.Endpoints[spot]), out[spot])
 	}
-	if missing > 0 {
-		p.calm[s.Name] = time.Time{}
-	} else if p.calm[s.Name].IsZero() {
-		p.calm[s.Name] = now
+	short := ceil(standInShare*float64(need)) - lasting - reclaimable
+	if p.refused(s.Name) {
+		short = max(short, ceil(dryShare*float64(need))-lasting)
 	}
-	p.standIn(now, s, u, out, ceil(standInShare*float64(need))-present)
+	extra := p.standIns(now, s.Name, short)
+	p.spread(s, out, places, extra)
 	return out
 }
 
-// below returns one for the first n of some places, and zero for the others.
-func below(i, n int) int {
-	if i < n {
-		return 1
+// refused tells whether reclaimable endpoints of a service are not to be had in some
+// place.
+func (p *Planner) refused(name ident.Service) bool {
+	for k, o := range p.ordered {
+		if k.service == name && k.place.Reclaimable && !o.refused.IsZero() {
+			return true
+		}
 	}
-	return 0
+	return false
 }
 
-// standIn adds lasting endpoints while there are too few, the cheapest data centres
-// first. Those that stand in, or were there at the start, are kept until the
-// reclaimable ones have been complete for a while.
-func (p *Planner) standIn(now time.Time, s site.Service, u placement.Usage, out map[placement.Place]int, short int) {
-	calm := p.calm[s.Name]
-	if !calm.IsZero() && now.Sub(calm) >= calmFor {
-		return
+// expected returns the endpoints of a place that are there, or on their way.
+func (p *Planner) expected(now time.Time, s site.Service, place placement.Place, have int) int {
+	last, placed := p.ordered[key{s.Name, place}]
+	if !placed || !last.refused.IsZero() || !last.failed.IsZero() || now.Sub(last.at) > s.Scale.Boot+repeatAfter {
+		return have
 	}
-	places := byPrice(s.Scale)
-	for _, dc := range places {
-		place := placement.Place{DataCentre: dc}
-		coming := p.ordered[key{s.Name, place}].count - u.Endpoints[place]
-		short -= max(coming, 0)
-		out[place] = max(out[place], u.Endpoints[place], min(p.ordered[key{s.Name, place}].count, s.Scale.Max))
+	return max(have, last.count)
+}
+
+// standIns returns the number of lasting endpoints that stand in for reclaimable
+// ones. It falls only after it has been too high for a while, as reclaimable ones
+// that are just back may be taken away again.
+func (p *Planner) standIns(now time.Time, name ident.Service, short int) int {
+	short = max(short, 0)
+	in := p.standing[name]
+	switch {
+	case short >= in.count:
+		in = standing{count: short, enough: now}
+	case now.Sub(in.enough) >= calmFor:
+		in.count = short
 	}
-	for short > 0 {
-		before := short
+	p.standing[name] = in
+	return in.count
+}
+
+// spread adds lasting endpoints, the cheapest data centres first.
+func (p *Planner) spread(s site.Service, out map[placement.Place]int, places []ident.DataCentre, extra int) {
+	for extra > 0 {
+		before := extra
 		for _, dc := range places {
 			place, spot := placement.Place{DataCentre: dc}, placement.Place{DataCentre: dc, Reclaimable: true}
-			if short > 0 && out[place]+out[spot] < s.Scale.Max {
+			if extra > 0 && out[place]+out[spot] < s.Scale.Max {
 				out[place]++
-				short--
+				extra--
 			}
 		}
-		if short == before {
+		if extra == before {
 			return // every data centre is at its limit
 		}
 	}
 }
 
+// below returns one for the first n of some places, and zero for the others.
+func below(i, n int) int {
+	if i < n {
+		return 1
+	}
+	return 0
+}
+
 func ceil(x float64) int { return int(math.Ceil(x)) }
 
 func clamp(n int, s *site.Scale) int { return min(max(n, s.Min), s.Max) }
