--- a/api/gen/sharing/v1/sharingv1connect/sharing.connect.go
+++ b/api/gen/sharing/v1/sharingv1connect/sharing.connect.go
@@ -38,15 +38,20 @@
 	SharingServiceExchangeProcedure = "/sharing.v1.SharingService/Exchange"
 	// SharingServiceConfigProcedure is the fully-qualified name of the SharingService's Config RPC.
 	SharingServiceConfigProcedure = "/sharing.v1.SharingService/Config"
+	// SharingServiceChangesProcedure is the fully-qualified name of the SharingService's Changes RPC.
+	SharingServiceChangesProcedure = "/sharing.v1.SharingService/Changes"
 )
 
 // SharingServiceClient is a client for the sharing.v1.SharingService service.
 type SharingServiceClient interface {
-	// Exchange takes the caller's rows and returns the receiver's.
+	// Exchange takes the caller's row and returns the rows that the caller lacks.
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
 	// Config returns the newest configuration that the receiver has, as the operator
 	// wrote it; empty where it has none.
 	Config(context.Context, *connect.Request[v1.ConfigRequest]) (*connect.Response[v1.ConfigResponse], error)
+	// Changes returns the objects of a kind that have changed in the platform's store,
+	// as soon as there are any. It fails at a node that does not follow the store.
+	Changes(context.Context, *connect.Request[v1.ChangesRequest]) (*connect.Response[v1.ChangesResponse], error)
 }
 
 // NewSharingServiceClient constructs a client for the sharing.v1.SharingService service. By
@@ -72,6 +77,12 @@
 			connect.WithSchema(sharingServiceMethods.ByName("Config")),
 			connect.WithClientOptions(opts...),
 		),
+		changes: connect.NewClient[v1.ChangesRequest, v1.ChangesResponse](
+			httpClient,
+			baseURL+SharingServiceChangesProcedure,
+			connect.WithSchema(sharingServiceMethods.ByName("Changes")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -79,6 +90,7 @@
 type sharingServiceClient struct {
 	exchange *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
 	config   *connect.Client[v1.ConfigRequest, v1.ConfigResponse]
+	changes  *connect.Client[v1.ChangesRequest, v1.ChangesResponse]
 }
 
 // Exchange calls sharing.v1.SharingService.Exchange.
@@ -91,13 +103,21 @@
 	return c.config.CallUnary(ctx, req)
 }
 
+// Changes calls sharing.v1.SharingService.Changes.
+func (c *sharingServiceClient) Changes(ctx context.Context, req *connect.Request[v1.ChangesRequest]) (*connect.Response[v1.ChangesResponse], error) {
+	return c.changes.CallUnary(ctx, req)
+}
+
 // SharingServiceHandler is an implementation of the sharing.v1.SharingService service.
 type SharingServiceHandler interface {
-	// Exchange takes the caller's rows and returns the receiver's.
+	// Exchange takes the caller's row and returns the rows that the caller lacks.
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
 	// Config returns the newest configuration that the receiver has, as the operator
 	// wrote it; empty where it has none.
 	Config(context.Context, *connect.Request[v1.ConfigRequest]) (*connect.Response[v1.ConfigResponse], error)
+	// Changes returns the objects of a kind that have changed in the platform's store,
+	// as soon as there are any. It fails at a node that does not follow the store.
+	Changes(context.Context, *connect.Request[v1.ChangesRequest]) (*connect.Response[v1.ChangesResponse], error)
 }
 
 // NewSharingServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -119,12 +139,20 @@
 		connect.WithSchema(sharingServiceMethods.ByName("Config")),
 		connect.WithHandlerOptions(opts...),
 	)
+	sharingServiceChangesHandler := connect.NewUnaryHandler(
+		SharingServiceChangesProcedure,
+		svc.Changes,
+		connect.WithSchema(sharingServiceMethods.ByName("Changes")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/sharing.v1.SharingService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case SharingServiceExchangeProcedure:
 			sharingServiceExchangeHandler.ServeHTTP(w, r)
 		case SharingServiceConfigProcedure:
 			sharingServiceConfigHandler.ServeHTTP(w, r)
+		case SharingServiceChangesProcedure:
+			sharingServiceChangesHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -141,3 +169,7 @@
 func (UnimplementedSharingServiceHandler) Config(context.Context, *connect.Request[v1.ConfigRequest]) (*connect.Response[v1.ConfigResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sharing.v1.SharingService.Config is not implemented"))
 }
+
+func (UnimplementedSharingServiceHandler) Changes(context.Context, *connect.Request[v1.ChangesRequest]) (*connect.Response[v1.ChangesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sharing.v1.SharingService.Changes is not implemented"))
+}
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -13,12 +13,11 @@
 )
 
 const (
-	// idleWait is how long the store keeps a watch waiting; a silent connection is
-	// found by its keep-alive probes, not by the end of the wait.
+	// idleWait is how long a node that serves as source keeps a watch waiting.
 	idleWait = 20 * time.Second
-	// alertWait is the wait of a watch on which the other nodes rely: a watch may
-	// hear nothing of changes for as long as it waits, and a configuration has to be
-	// in force within 2 s.
+	// alertWait is the wait of a watch at the store, on which the other nodes rely: a
+	// watch may hear nothing of changes for as long as it waits, and a configuration
+	// has to be in force within 2 s.
 	alertWait = 700 * time.Millisecond
 	// retryMin and retryMax bound the pause after a failed call: the operators'
 	// bound for a configuration is 2 s, and each call has its price.
@@ -34,32 +33,50 @@
 	Change(objects []platform.Object)
 }
 
-// Watcher follows the objects of one kind.
+// Source is where objects and their changes come from: the store, or a node that
+// follows it.
+type Source interface {
+	Snapshot(ctx context.Context, prefix platform.Key) (platform.Snapshot, error)
+	Watch(ctx context.Context, prefix platform.Key, after uint64, wait time.Duration) (platform.WatchResult, error)
+}
+
+// ErrNotFollowing is returned to nodes that ask one which does not follow the store.
+var ErrNotFollowing = errors.New("this node does not follow the store")
+
+// Watcher follows the objects of one kind. A node that is alert follows the store
+// itself and tells the others; the rest follow a relay.
 type Watcher struct {
-	store    platform.Feed
-	prefix   platform.Key
-	listener Listener
-	log      *slog.Logger
-	alert    func() bool
+	store, relay Source
+	prefix       platform.Key
+	listener     Listener
+	log          *slog.Logger
+	alert        func() bool
 
 	cancel context.CancelFunc
 	done   chan struct{}
 
 	mu struct {
 		sync.Mutex
-		seen  platform.Version // the latest of all objects
-		again context.CancelFunc // ends the watch that waits; nil while none does
-		idle  bool               // that watch waits for long
-		lost  bool
+		seen    platform.Version   // the latest of all objects
+		again   context.CancelFunc // ends the watch that waits; nil while none does
+		idle    bool               // that watch waits at a relay
+		direct  bool               // the next call goes to the store
+		follows bool               // the last call was to the store, and went well
+		lost    bool
+		log     *changeLog
+		changed chan struct{} // closed at the next change
 	}
 }
 
 // NewWatcher returns a watcher that has not started. Alert tells whether the other
-// nodes rely on this one to notice changes that a waiting watch does not hear of.
-func NewWatcher(store platform.Feed, prefix platform.Key, l Listener, alert func() bool, log *slog.Logger) *Watcher {
-	return &Watcher{
-		store: store, prefix: prefix, listener: l, alert: alert, log: log.With("kind", string(prefix)), done: make(chan struct{}),
+// nodes rely on this one.
+func NewWatcher(store, relay Source, prefix platform.Key, l Listener, alert func() bool, log *slog.Logger) *Watcher {
+	w := &Watcher{
+		store: store, relay: relay, prefix: prefix, listener: l, alert: alert, log: log.With("kind", string(prefix)),
+		done: make(chan struct{}),
 	}
+	w.mu.log, w.mu.changed = newChangeLog(), make(chan struct{})
+	return w
 }
 
 // Seen returns the latest version of any object that was seen.
@@ -76,27 +93,18 @@
 	return w.mu.lost
 }
 
-// setLost notes how the last call ended, and tells whether that is a change.
-func (w *Watcher) setLost(lost bool) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	changed := w.mu.lost != lost
-	w.mu.lost = lost
-	return changed
-}
-
 // Nudge tells that another node has seen an object of that version. Where this one
-// has not, it asks the store again.
+// has not, it asks the store itself.
 func (w *Watcher) Nudge(seen platform.Version) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if seen > w.mu.seen && w.mu.again != nil {
+		w.mu.direct = true
 		w.mu.again()
 	}
 }
 
-// Recheck ends a long wait where the other nodes have come to rely on this one
-// meanwhile.
+// Recheck ends a wait at a relay where the other nodes have come to rely on this one.
 func (w *Watcher) Recheck() {
 	alert := w.alert()
 	w.mu.Lock()
@@ -106,11 +114,38 @@
 	}
 }
 
-func (w *Watcher) saw(objects []platform.Object) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, o := range objects {
-		w.mu.seen = max(w.mu.seen, o.Version)
+// Changes returns the changes after a position to a node that follows this one; a
+// position of zero asks for all objects.
+func (w *Watcher) Changes(ctx context.Context, after uint64, wait time.Duration) (platform.WatchResult, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		w.mu.Lock()
+		follows, changed := w.mu.follows, w.mu.changed
+		if !follows {
+			w.mu.Unlock()
+			return platform.WatchResult{}, ErrNotFollowing
+		}
+		r := platform.WatchResult{Position: w.mu.log.position}
+		known := true
+		if after == 0 {
+			r.Changed = w.mu.log.all()
+		} else {
+			r.Changed, known = w.mu.log.since(after)
+		}
+		w.mu.Unlock()
+		r.Gap = !known
+		if after == 0 || r.Gap || len(r.Changed) > 0 {
+			return r, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			r.Position = max(r.Position, after)
+			return r, nil
+		case <-ctx.Done():
+			return platform.WatchResult{}, ctx.Err()
+		}
 	}
 }
 
@@ -139,37 +174,72 @@
 	pause := retryMin
 	for ctx.Err() == nil {
 		next, err := w.step(ctx, position)
-		if err == nil {
-			if w.setLost(false) {
-				w.log.Info("directory: Store is back.", "position", next)
-			}
-			position, pause = next, retryMin
-			continue
-		}
 		if ctx.Err() != nil {
 			return
 		}
-		if w.setLost(true) {
-			w.log.Warn("directory: Store is lost.", "position", position, "error", err)
+		if w.ended(err) {
+			w.log.Info("directory: Source of changes is lost or back.", "lost", err != nil, "position", position, "error", err)
+		}
+		if err == nil {
+			position, pause = next, retryMin
+			continue
 		}
 		sleep(ctx, pause/2+rand.N(pause/2+1))
 		pause = min(2*pause, retryMax)
 	}
 }
 
+// ended notes how a call ended, and tells whether that is a change.
+func (w *Watcher) ended(err error) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	changed := w.mu.lost != (err != nil)
+	w.mu.lost = err != nil
+	if err != nil {
+		w.release()
+	}
+	return changed
+}
+
+// release sends the nodes that follow this one elsewhere. The lock is held.
+func (w *Watcher) release() {
+	if w.mu.follows {
+		w.mu.follows = false
+		close(w.mu.changed)
+		w.mu.changed = make(chan struct{})
+	}
+}
+
+// source returns where the next call goes, and whether that is the store.
+func (w *Watcher) source() (Source, bool) {
+	alert := w.alert()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	direct := alert || w.mu.direct
+	w.mu.direct = false
+	if !alert {
+		w.release()
+	}
+	if direct {
+		return w.store, true
+	}
+	return w.relay, false
+}
+
 // step lists where the position is zero, and else watches from it. It returns the
 // next position; zero asks for a list.
 func (w *Watcher) step(ctx context.Context, position uint64) (uint64, error) {
+	source, direct := w.source()
 	if position == 0 {
-		snap, err := w.store.Snapshot(ctx, w.prefix)
+		snap, err := source.Snapshot(ctx, w.prefix)
 		if err != nil {
 			return 0, err
 		}
-		w.saw(snap.Objects)
+		w.took(snap.Position, snap.Objects, direct, true)
 		w.listener.Replace(snap.Objects)
 		return snap.Position, nil
 	}
-	r, nudged, err := w.watch(ctx, position)
+	r, nudged, err := w.watch(ctx, source, direct, position)
 	if nudged {
 		return position, nil
 	}
@@ -180,25 +250,44 @@
 		w.log.Info("directory: History is gone, list again.", "position", position)
 		return 0, nil
 	}
+	w.took(r.Position, r.Changed, direct, false)
 	if len(r.Changed) > 0 {
-		w.saw(r.Changed)
 		w.listener.Change(r.Changed)
 	}
 	return r.Position, nil
 }
 
+// took notes objects that came, for the nodes that follow this one.
+func (w *Watcher) took(position uint64, objects []platform.Object, direct, whole bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, o := range objects {
+		w.mu.seen = max(w.mu.seen, o.Version)
+	}
+	if whole {
+		w.mu.log.replace(position, objects)
+	} else {
+		w.mu.log.change(position, objects)
+	}
+	w.mu.follows = direct && w.alert()
+	if whole || len(objects) > 0 {
+		close(w.mu.changed)
+		w.mu.changed = make(chan struct{})
+	}
+}
+
 // watch waits for changes. It tells whether a nudge ended the wait.
-func (w *Watcher) watch(ctx context.Context, position uint64) (platform.WatchResult, bool, error) {
+func (w *Watcher) watch(ctx context.Context, source Source, direct bool, position uint64) (platform.WatchResult, bool, error) {
 	waiting, cancel := context.WithCancel(ctx)
 	defer cancel()
 	wait := idleWait
-	if w.alert() {
+	if direct {
 		wait = alertWait
 	}
 	w.mu.Lock()
-	w.mu.again, w.mu.idle = cancel, wait == idleWait
+	w.mu.again, w.mu.idle = cancel, !direct
 	w.mu.Unlock()
-	r, err := w.store.Watch(waiting, w.prefix, position, wait)
+	r, err := source.Watch(waiting, w.prefix, position, wait)
 	w.mu.Lock()
 	w.mu.again = nil
 	w.mu.Unlock()
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -32,6 +32,26 @@
 	return standin, platform.NewStore(srv.Listener.Addr().String(), prometheus.NewRegistry())
 }
 
+func keeperOf(store *platform.Store, tally *duty.Tally) *duty.Keeper {
+	return duty.NewKeeper(store, "addr", tally, func() int { return 1 }, quiet)
+}
+
+// reported returns what a fresh holder would report of workspace w from the records.
+func reported(t *testing.T, store *platform.Store, number int64) uint64 {
+	t.Helper()
+	o, err := store.Get(context.Background(), "nodes/n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var r duty.Record
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		t.Fatal(err)
+	}
+	tally := duty.NewTally("other", 1, duty.NewMeter(window))
+	tally.Add(r)
+	return tally.Sum(time.Now(), number)["w"]
+}
+
 // right is a lease that a test hands out.
 type right struct{ epoch atomic.Uint64 }
 
@@ -63,20 +83,33 @@
 func TestFormerLifeCounts(t *testing.T) {
 	_, store := newStore(t)
 	ctx := context.Background()
-	first := duty.NewMeter(window)
 	at := time.Now()
-	first.Count(at, "w")
-	duty.NewKeeper(store, "n", "addr", first, quiet).Flush(ctx)
-	second := duty.NewMeter(window)
-	second.Count(at, "w")
-	duty.NewKeeper(store, "n", "addr", second, quiet).Flush(ctx)
-	o, err := store.Get(ctx, "nodes/n")
-	if err != nil {
-		t.Fatal(err)
+	for life := range uint64(2) {
+		m := duty.NewMeter(window)
+		m.Count(at, "w")
+		keeperOf(store, duty.NewTally("n", life+1, m)).Flush(ctx)
 	}
-	var r duty.Record
-	if err := json.Unmarshal(o.Value, &r); err != nil || r.Windows[first.WindowAt(at)]["w"] != 2 {
-		t.Errorf("record is %+v, error %v", r, err)
+	if n := reported(t, store, duty.NewMeter(window).WindowAt(at)); n != 2 {
+		t.Errorf("%d requests are recorded, 2 were counted", n)
+	}
+}
+
+// TestCountsOfADeadNode: what a node told the others counts, though it died before it
+// wrote its record, and what it told and wrote counts once.
+func TestCountsOfADeadNode(t *testing.T) {
+	m := duty.NewMeter(window)
+	now := time.Now()
+	k := m.WindowAt(now)
+	tally := duty.NewTally("n", 1, m)
+	m.Count(now, "w")
+	tally.Heard("dead", 1, now, map[int64]map[ident.Workspace]uint64{k: {"w": 5}})
+	tally.Add(duty.Record{Node: "dead", AsOf: now.UnixMilli(), Lives: map[uint64]duty.Windows{1: {k: {"w": 3}}}})
+	tally.Heard("dead", 2, now, map[int64]map[ident.Workspace]uint64{k: {"w": 2}})
+	if n := tally.Sum(now, k)["w"]; n != 8 {
+		t.Errorf("%d requests were counted, want 1 + 5 + 2", n)
+	}
+	if !tally.Complete(now, []string{"n", "dead"}, now) || tally.Complete(now, []string{"other"}, now) {
+		t.Error("which nodes have told their counts is not known right")
 	}
 }
 
@@ -86,20 +119,15 @@
 	ctx := context.Background()
 	m := duty.NewMeter(window)
 	at := time.Now()
-	k := duty.NewKeeper(store, "n", "addr", m, quiet)
+	k := keeperOf(store, duty.NewTally("n", 1, m))
 	m.Count(at, "w")
 	standin.SetFaults(objects.Faults{LoseWrites: true})
 	k.Flush(ctx)
 	standin.SetFaults(objects.Faults{})
 	m.Count(at, "w")
 	k.Flush(ctx)
-	o, err := store.Get(ctx, "nodes/n")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var r duty.Record
-	if err := json.Unmarshal(o.Value, &r); err != nil || r.Windows[m.WindowAt(at)]["w"] != 2 {
-		t.Errorf("record is %s, error %v", o.Value, err)
+	if n := reported(t, store, m.WindowAt(at)); n != 2 {
+		t.Errorf("%d requests are recorded, 2 were counted", n)
 	}
 }
 
@@ -108,12 +136,13 @@
 func TestWindowIsReportedWithOneCount(t *testing.T) {
 	_, store := newStore(t)
 	m := duty.NewMeter(window)
-	k := duty.NewKeeper(store, "n", "addr", m, quiet)
+	tally := duty.NewTally("n", 1, m)
+	k := keeperOf(store, tally)
 	c := &cloud{reports: make(chan duty.Report, 1000), lose: make(map[int64]bool)}
 	newOfficer := func(r duty.Right) *duty.Officer {
 		return duty.NewOfficer(duty.Options{
-			Store: store, Cloud: c, Right: r, Meter: m, Late: time.Minute, Usage: true, Log: quiet,
-			Alive: func() []string { return []string{"addr"} },
+			Store: store, Cloud: c, Right: r, Meter: m, Tally: tally, Late: time.Minute, Usage: true, Log: quiet,
+			Alive: func() []string { return []string{"n"} },
 		})
 	}
 	stop := make(chan struct{})
@@ -175,10 +204,9 @@
 	var r right
 	r.epoch.Store(1)
 	f := duty.NewOfficer(duty.Options{
-		Store: store, Cloud: c, Right: &r, Meter: m, Late: time.Hour, Usage: true, Log: quiet,
-		Alive: func() []string { return []string{"addr", "silent"} },
+		Store: store, Cloud: c, Right: &r, Meter: m, Tally: duty.NewTally("n", 1, m), Late: time.Hour, Usage: true, Log: quiet,
+		Alive: func() []string { return []string{"n", "silent"} },
 	})
-	duty.NewKeeper(store, "n", "addr", m, quiet).Flush(ctx)
 	if err := f.Start(ctx); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -9,7 +9,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/kernel"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
 )
@@ -18,12 +17,15 @@
 const kindNodes = "nodes"
 
 const (
-	// flushEvery is how often a node's counts go to the store: a node that dies takes
-	// at most a fifth of a window's counts of its own with it.
-	flushEvery = time.Second
-	// idleFlushes is the number of intervals after which counts that have not
-	// changed are confirmed all the same, so that a window can be closed.
-	idleFlushes = 3
+	// lookEvery is how often a keeper looks whether its record is due.
+	lookEvery = 250 * time.Millisecond
+	// writesPerSecond bounds the writes of all records: the nodes tell each other their
+	// counts all the time, so that the store matters only when many die at once.
+	writesPerSecond = 5
+	// minFlushInterval and maxFlushInterval bound the time between two writes: a
+	// window's report is due two windows after its end.
+	minFlushInterval = 1500 * time.Millisecond
+	maxFlushInterval = 8 * time.Second
 )
 
 // Keeper keeps this node's record in the store.
@@ -31,7 +33,8 @@
 	store   platform.Store
 	key     platform.Key
 	address string
-	meter   *Meter
+	tally   *Tally
+	nodes   func() int
 	log     *slog.Logger
 	loop    *kernel.Loop
 
@@ -39,13 +42,15 @@
 	known   bool // the record's version is known
 	begun   bool // the counts of a former life were taken over
 	version platform.Version
-	idle    int
+	last    time.Time // of the last write
+	written string    // the counts that were last written
 }
 
-// NewKeeper returns a keeper that has not started.
-func NewKeeper(store platform.Store, node ident.NodeID, address string, m *Meter, log *slog.Logger) *Keeper {
-	k := &Keeper{store: store, key: platform.Key(kindNodes + "/" + string(node)), address: address, meter: m, log: log}
-	k.loop = kernel.NewLoop(flushEvery, k.Flush)
+// NewKeeper returns a keeper that has not started; nodes returns the number of those
+// that are alive.
+func NewKeeper(store platform.Store, address string, t *Tally, nodes func() int, log *slog.Logger) *Keeper {
+	k := &Keeper{store: store, key: platform.Key(kindNodes + "/" + t.node), address: address, tally: t, nodes: nodes, log: log}
+	k.loop = kernel.NewLoop(lookEvery, k.look)
 	return k
 }
 
@@ -55,24 +60,40 @@
 // Stop writes it a last time.
 func (k *Keeper) Stop(ctx context.Context) error {
 	err := k.loop.Stop(ctx)
-	k.idle = idleFlushes
 	k.Flush(ctx)
 	return err
 }
 
-// Flush writes the record where it has changed.
+// look writes the record when it is due.
+func (k *Keeper) look(ctx context.Context) {
+	interval := time.Duration(k.nodes()) * time.Second / writesPerSecond
+	interval = min(max(interval, minFlushInterval), maxFlushInterval)
+	k.mu.Lock()
+	due := time.Since(k.last) >= interval
+	k.mu.Unlock()
+	if due {
+		k.Flush(ctx)
+	}
+}
+
+// Flush writes the record where its counts have changed.
 func (k *Keeper) Flush(ctx context.Context) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.last = time.Now()
 	if !k.known && !k.recall(ctx) {
 		return
 	}
-	asOf := time.Now()
-	windows, changed := k.meter.Snapshot()
-	if k.idle++; !changed && k.version != 0 && k.idle < idleFlushes {
+	record := k.tally.Record(k.last, k.address)
+	counts, err := json.Marshal(record.Lives)
+	if err != nil {
+		k.log.Error("usage: Counts cannot be encoded.", "error", err)
+		return
+	}
+	if string(counts) == k.written && k.version != 0 {
 		return
 	}
-	raw, err := json.Marshal(Record{Address: k.address, AsOf: asOf.UnixMilli(), Windows: windows})
+	raw, err := json.Marshal(record)
 	if err != nil {
 		k.log.Error("usage: Record cannot be encoded.", "error", err)
 		return
@@ -82,63 +103,43 @@
 		// What was written is not known: the next time reads it first. The counts
 		// themselves are all in memory and go out whole.
 		k.known = false
-		k.idle = idleFlushes
 		k.log.Warn("usage: Record cannot be written.", "version", k.version, "error", err)
 		return
 	}
-	k.version, k.idle = version, 0
+	k.version, k.written = version, string(counts)
 }
 
-// recall reads the record's version, and the counts of a former life the first
-// time.
+// recall reads the record's version, and the counts of former lives the first time.
 func (k *Keeper) recall(ctx context.Context) bool {
 	o, err := k.store.Get(ctx, k.key)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		k.log.Warn("usage: Record cannot be read.", "error", err)
 		return false
 	}
-	var r Record
-	if err == nil {
+	if err == nil && !k.begun {
+		var r Record
 		if err := json.Unmarshal(o.Value, &r); err != nil {
 			k.log.Warn("usage: Record of a former life is not readable and is replaced.", "error", err)
 		}
+		k.tally.Add(r)
 	}
-	if !k.begun {
-		k.meter.Restore(r.Windows)
-		k.begun = true
-	}
-	k.known, k.version = true, o.Version
+	k.known, k.begun, k.version = true, true, o.Version
 	return true
 }
 
-// records reads the records of all nodes.
-func records(ctx context.Context, store platform.Feed, log *slog.Logger) ([]Record, error) {
+// addRecords takes the records of all nodes into a tally.
+func addRecords(ctx context.Context, store platform.Feed, t *Tally, log *slog.Logger) error {
 	snap, err := store.Snapshot(ctx, kindNodes)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	out := make([]Record, 0, len(snap.Objects))
 	for _, o := range snap.Objects {
 		var r Record
 		if err := json.Unmarshal(o.Value, &r); err != nil {
 			log.Warn("usage: Record of a node is not readable.", "key", string(o.Key), "error", err)
 			continue
 		}
-		out = append(out, r)
-	}
-	return out, nil
-}
-
-// Addresses returns the addresses that nodes have recorded; some may be of nodes
-// that are gone.
-func Addresses(ctx context.Context, store platform.Feed, log *slog.Logger) ([]string, error) {
-	list, err := records(ctx, store, log)
-	if err != nil {
-		return nil, err
-	}
-	out := make([]string, 0, len(list))
-	for _, r := range list {
-		out = append(out, r.Address)
+		t.Add(r)
 	}
-	return out, nil
+	return nil
 }
--- a/internal/duty/officer.go
+++ b/internal/duty/officer.go
@@ -19,12 +19,15 @@
 const (
 	// stepEvery is the time between two looks at what is due.
 	stepEvery = 250 * time.Millisecond
-	// settleAfter is the least time from a window's end to its report; in it the
-	// nodes write their last counts.
-	settleAfter = 1200 * time.Millisecond
+	// settleAfter is the least time from a window's end to its report; in it the nodes
+	// tell their last counts.
+	settleAfter = time.Second
 	// decideShare is the part of the time that a report may be late after which it
 	// is decided on without the counts of silent nodes.
 	decideShare = 0.6
+	// withoutRecordsShare is the part after which it is decided on without the records
+	// in the store, where these can't be read.
+	withoutRecordsShare = 0.8
 )
 
 // Order asks for a number of endpoints of one kind in one data centre.
@@ -65,9 +68,10 @@
 	Cloud Cloud
 	Right Right
 	Meter *Meter
+	Tally *Tally
 	// Late is how long after its end a window's report is due.
 	Late time.Duration
-	// Alive returns the addresses of the nodes that are alive.
+	// Alive returns the nodes that are alive.
 	Alive func() []string
 	// Planner is nil where no endpoints are to be ordered; Usage tells whether usage
 	// is to be reported.
@@ -212,20 +216,22 @@
 
 // decide writes the counts of the next window to the journal.
 func (f *Officer) decide(ctx context.Context, now, end time.Time) {
-	list, err := records(ctx, f.opts.Store, f.opts.Log)
-	if err != nil {
-		f.opts.Log.Warn("usage: Records cannot be read.", "error", err)
-		return
-	}
 	late := now.Sub(end) > time.Duration(decideShare*float64(f.opts.Late))
-	if !late && !complete(list, f.opts.Alive(), end) {
+	if !late && !f.opts.Tally.Complete(now, f.opts.Alive(), end) {
 		return
 	}
+	// The records have the counts of nodes that died before they could tell.
+	if err := addRecords(ctx, f.opts.Store, f.opts.Tally, f.opts.Log); err != nil {
+		f.opts.Log.Warn("usage: Records cannot be read.", "error", err)
+		if now.Sub(end) < time.Duration(withoutRecordsShare*float64(f.opts.Late)) {
+			return
+		}
+	}
 	next := f.journal
 	for window := range f.sent {
 		next = next.sent(window)
 	}
-	next = next.decide(sum(list, next.Next))
+	next = next.decide(f.opts.Tally.Sum(now, next.Next))
 	raw, err := json.Marshal(next)
 	if err != nil {
 		f.opts.Log.Error("usage: Journal cannot be encoded.", "error", err)
--- a/internal/duty/usage.go
+++ b/internal/duty/usage.go
@@ -14,7 +14,7 @@
 const keptWindows = 8
 
 // Counts are requests by workspace.
-type Counts map[ident.Workspace]uint64
+type Counts = map[ident.Workspace]uint64
 
 // Report is the usage of one window.
 type Report struct {
@@ -22,15 +22,6 @@
 	Counts Counts
 }
 
-// Record is what a node tells of itself in the store.
-type Record struct {
-	// Address of the node's service for other nodes.
-	Address string `json:"address"`
-	// AsOf is the time up to which Windows is complete, in Unix milliseconds.
-	AsOf    int64            `json:"as_of"`
-	Windows map[int64]Counts `json:"windows"`
-}
-
 // Meter counts the requests of each window on this node.
 type Meter struct {
 	window time.Duration
@@ -68,20 +59,6 @@
 	m.mu.changed = true
 }
 
-// Restore adds the counts of this node's former life.
-func (m *Meter) Restore(windows map[int64]Counts) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for k, counts := range windows {
-		if m.mu.windows[k] == nil {
-			m.mu.windows[k] = make(Counts)
-		}
-		for w, n := range counts {
-			m.mu.windows[k][w] += n
-		}
-	}
-}
-
 // Snapshot returns the counts of the latest windows, and whether they have changed
 // since the last snapshot.
 func (m *Meter) Snapshot() (map[int64]Counts, bool) {
@@ -100,28 +77,3 @@
 	m.mu.changed = false
 	return out, changed
 }
-
-// sum adds the counts of one window over all nodes.
-func sum(records []Record, window int64) Counts {
-	out := make(Counts)
-	for _, r := range records {
-		for w, n := range r.Windows[window] {
-			out[w] += n
-		}
-	}
-	return out
-}
-
-// complete tells whether every node that is alive has told its counts past the end
-// of a window.
-func complete(records []Record, alive []string, end time.Time) bool {
-	for _, address := range alive {
-		told := slices.ContainsFunc(records, func(r Record) bool {
-			return r.Address == address && r.AsOf >= end.UnixMilli()
-		})
-		if !told {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -68,10 +71,12 @@
 	leaseRetryPart = 4
 	// leaseCallTimeout bounds a call for the lease: a slow store answers in 250 ms.
 	leaseCallTimeout = 600 * time.Millisecond
-	// retryShare and retryInitial divide the bound on retries: this node uses less
-	// than its part of the ratio, and of the slack while eight nodes share it.
-	retryShare   = 0.6
-	retryInitial = 0.08
+	// retryShare and retrySlackShare are the parts of the bound on retries that all
+	// nodes together use, and minNodes the fewest that share the slack: a node that
+	// just started doesn't know the others yet.
+	retryShare      = 0.6
+	retrySlackShare = 0.64
+	minNodes        = 8
 )
 
 // Transport sends attempts, and closes connections that are idle.
@@ -116,7 +121,12 @@
 	meter    *duty.Meter
 	planner  *scaling.Planner
 	holder   *holder.Holder
+	tally    *duty.Tally
 	draining atomic.Bool
+
+	rows   sync.Mutex       // guards what is taken from rows
+	hinted platform.Version // the latest that another node has seen
+	behind time.Time        // since when this node has not; zero if it has
 }
 
 // New builds a node. Metrics are registered with reg, which the node serves.
@@ -127,12 +137,13 @@
 	}
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	n.meter = duty.NewMeter(max(settings.Bounds.UsageWindow, time.Second))
+	n.tally = duty.NewTally(string(n.life.Node), uint64(n.life.Life), n.meter)
 	n.current = directory.NewCurrent(p.ConfigKey, p.DecodeConfig, log)
 	n.state = newState(settings.DataCentre, n.life, n.current, n.meter)
 	n.entries = directory.NewRegistry(p.DecodeEndpoint, n.state.setEndpoints, log)
 	n.current.OnChange(n.onConfig)
-	n.configs = directory.NewWatcher(p.Store, kindOf(p.ConfigKey), n.current, func() bool { return n.foremost("config", alertNodes) }, log)
-	n.servers = directory.NewWatcher(p.Store, p.EndpointKind, n.entries, func() bool { return n.foremost("endpoints", alertNodes) }, log)
+	n.configs = n.watcher(kindOf(p.ConfigKey), n.current)
+	n.servers = n.watcher(p.EndpointKind, n.entries)
 	n.buildSharing()
 	if err := n.buildDuties(); err != nil {
 		return nil, err
@@ -140,6 +151,25 @@
 	return n, n.register()
 }
 
+// watcher returns a watcher of one kind of object.
+func (n *Node) watcher(kind platform.Key, l directory.Listener) *directory.Watcher {
+	name := string(kind)
+	alert := func() bool { return n.foremost(name, alertNodes) }
+	return directory.NewWatcher(n.platform.Store, &relay{n, name}, kind, l, alert, n.log)
+}
+
+// changes returns changes to a node that follows this one.
+func (n *Node) changes(ctx context.Context, kind platform.Key, after uint64, wait time.Duration) (platform.WatchResult, error) {
+	switch kind {
+	case n.platform.EndpointKind:
+		return n.servers.Changes(ctx, after, wait)
+	case kindOf(n.platform.ConfigKey):
+		return n.configs.Changes(ctx, after, wait)
+	default:
+		return platform.WatchResult{}, directory.ErrNotFollowing
+	}
+}
+
 // onConfig puts a configuration in force in the decision packages.
 func (n *Node) onConfig(cfg *site.Config) {
 	n.state.setWorkspaces(cfg)
@@ -163,25 +193,36 @@
 		Compose: n.compose, OnRows: n.onRows,
 		Config:   n.current.Raw,
 		OnConfig: func(raw []byte, from string) { n.current.Offer(raw, "peer "+from) },
+		Levels:   n.state.levels,
+		Join:     n.state.join,
+		Changes:  n.changes,
 	})
 }
 
 // compose returns this node's row.
 func (n *Node) compose() sharing.Row {
 	r := sharing.Row{ConfigVersion: n.current.Version(), Leaving: n.draining.Load(), Seen: n.servers.Seen(), StoreLost: n.servers.Lost() || n.configs.Lost()}
-	r.Spent, r.Levels, r.Loads = n.state.own()
+	r.Spent, r.Loads = n.state.own()
+	r.Windows = n.tally.Own()
 	return r
 }
 
 // onRows takes what other nodes tell.
 func (n *Node) onRows(now time.Time, fresh []sharing.Row) {
+	n.rows.Lock()
+	defer n.rows.Unlock()
 	for _, r := range fresh {
-		n.state.heard(now, r.Life, r.Spent, r.Levels)
+		n.state.heard(now, r.Life, r.Spent)
+		n.tally.Heard(string(r.Life.Node), uint64(r.Life.Life), r.AsOf, r.Windows)
 		if r.ConfigVersion > n.current.Version() {
 			n.sharing.FetchConfig(r.Address)
 		}
-		n.servers.Nudge(r.Seen)
+		n.hinted = max(n.hinted, r.Seen)
 	}
+}
+
+// addLoads takes the load of all other nodes.
+func (n *Node) addLoads() {
 	loads := make(map[ident.EndpointID]placement.Load)
 	for _, r := range n.sharing.Others(peerLoadAge) {
 		for id, l := range r.Loads {
@@ -195,29 +236,52 @@
 // aliveFor is the age of a row up to which its node counts as alive.
 const aliveFor = 3 * time.Second
 
-// alive returns the addresses of the nodes that are alive, this one included.
+// alive returns the nodes that are alive, this one included.
 func (n *Node) alive() []string {
-	out := []string{n.peerAddress()}
+	out := []string{string(n.life.Node)}
 	for _, r := range n.sharing.Others(aliveFor) {
-		out = append(out, r.Address)
+		out = append(out, string(r.Life.Node))
 	}
 	return out
 }
 
-// alertNodes is the number of nodes that watch closely for all: one may be cut off.
+// alertNodes is the number of nodes that follow the store for all: one may be cut off.
 const alertNodes = 2
 
-// foremost tells whether this node is among the first of the live ones in the order
-// that a name gives them.
-func (n *Node) foremost(name string, count int) bool {
-	before := 0
+// before returns the addresses of the live nodes that come before this one in the
+// order that a name gives to those that reach the store.
+func (n *Node) before(name string) []string {
 	own := rendezvous.Weight(name, string(n.life.Node))
+	type ranked struct {
+		address string
+		weight  uint64
+	}
+	var list []ranked
 	for _, r := range n.sharing.Others(aliveFor) {
-		if !r.Leaving && !r.StoreLost && rendezvous.Weight(name, string(r.Life.Node)) > own {
-			before++
+		if w := rendezvous.Weight(name, string(r.Life.Node)); !r.Leaving && !r.StoreLost && w > own {
+			list = append(list, ranked{r.Address, w})
 		}
 	}
-	return before < count
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.weight, a.weight) })
+	out := make([]string, 0, len(list))
+	for _, r := range list {
+		out = append(out, r.address)
+	}
+	return out
+}
+
+// foremost tells whether this node is among the first in the order of a name.
+func (n *Node) foremost(name string, count int) bool { return len(n.before(name)) < count }
+
+// followers returns the nodes that follow the store for this one, in an order that
+// spreads the others over them.
+func (n *Node) followers(name string) []string {
+	list := n.before(name)
+	list = list[:min(len(list), alertNodes)]
+	if rendezvous.Weight("half", string(n.life.Node))%2 == 1 {
+		slices.Reverse(list)
+	}
+	return list
 }
 
 func (n *Node) buildDuties() error {
@@ -237,14 +301,14 @@
 
 // retryBudget is this node's part of the bound on retries.
 func (n *Node) retryBudget() attempt.BudgetOptions {
-	initial := retryInitial * n.settings.Bounds.RetrySlack
+	initial := retrySlackShare * n.settings.Bounds.RetrySlack / float64(max(len(n.alive()), minNodes))
 	return attempt.BudgetOptions{Share: retryShare * n.settings.Bounds.RetryRatio, Initial: initial, Max: initial}
 }
 
 func (n *Node) register() error {
 	handler := serve.NewHandler(serve.Parts{
 		View: n.state, Places: n.state, Versions: anyVersion{}, Transport: n.platform.Transport, Log: n.log,
-		Metrics: serve.NewMetrics(n.metrics), Budget: n.retryBudget(),
+		Metrics: serve.NewMetrics(n.metrics), Budget: n.retryBudget,
 	})
 	peers := http.NewServeMux()
 	peers.Handle(n.sharing.Handler())
@@ -263,7 +327,7 @@
 		{serviceMetrics, newListener(metricsAddress, metrics, n.log)},
 		{servicePeers, newListener(n.peerAddress(), peers, n.log)},
 		{serviceSharing, n.sharing},
-		{serviceKeeper, duty.NewKeeper(n.platform.Store, n.life.Node, n.peerAddress(), n.meter, n.log)},
+		{serviceKeeper, duty.NewKeeper(n.platform.Store, n.peerAddress(), n.tally, func() int { return len(n.alive()) }, n.log)},
 		{serviceLease, &leaseService{holder: n.holder}},
 		{serviceOfficer, n.officer()},
 		{serviceReady, newListener(n.settings.ReadyAddress, n.platform.Ready(n.ready), n.log)},
@@ -288,7 +352,7 @@
 
 func (n *Node) officer() *duty.Officer {
 	o := duty.Options{
-		Store: n.platform.Store, Cloud: n.platform.Cloud, Right: n.holder, Meter: n.meter,
+		Store: n.platform.Store, Cloud: n.platform.Cloud, Right: n.holder, Meter: n.meter, Tally: n.tally,
 		Late: n.settings.Bounds.UsageLate, Alive: n.alive, Usage: n.settings.Usage, Log: n.log,
 	}
 	if n.planner != nil {
@@ -306,13 +370,36 @@
 func (n *Node) tick(context.Context) {
 	now := time.Now()
 	n.entries.Tick(now)
+	n.addLoads()
+	n.hint(now)
 	n.configs.Recheck()
 	n.servers.Recheck()
-	for _, life := range n.state.tick(now) {
+	for _, life := range n.state.tick(now, n.sharing.Interval()) {
 		n.log.Warn("sharing: Node is silent; its part of the limits is kept for it.", "node", life.Node, "life", life.Life)
 	}
 }
 
+// hintPatience is how long the changes that another node has seen may take on their
+// way through the relay before this node asks the store itself.
+const hintPatience = 500 * time.Millisecond
+
+// hint asks the store where other nodes have been ahead of this one for a while.
+func (n *Node) hint(now time.Time) {
+	n.rows.Lock()
+	defer n.rows.Unlock()
+	if n.hinted <= n.servers.Seen() {
+		n.behind = time.Time{}
+		return
+	}
+	if n.behind.IsZero() {
+		n.behind = now
+	}
+	if now.Sub(n.behind) >= hintPatience {
+		n.servers.Nudge(n.hinted)
+		n.behind = now
+	}
+}
+
 // Start starts the node's services.
 func (n *Node) Start(ctx context.Context) error {
 	n.log.Info("gateway: Start.", "node", n.settings.Node, "data_centre", n.settings.DataCentre, "life", n.life.Life,
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -19,6 +19,10 @@
 // requests it spoke of have mostly ended.
 const peerLoadAge = 2 * time.Second
 
+// lostIntervals is the number of intervals of sharing after which a node that is not
+// heard of counts as lost: its row takes a few to come round.
+const lostIntervals = 4
+
 // state guards the decision packages of a node: the table of endpoints and the
 // ledger of limits.
 type state struct {
@@ -132,22 +136,34 @@
 }
 
 // own returns what this node tells the others of its spending and load.
-func (s *state) own() (quota.Spending, map[ident.Workspace]float64, map[ident.EndpointID]placement.Load) {
+func (s *state) own() (quota.Spending, map[ident.EndpointID]placement.Load) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
 	spent := make(quota.Spending)
 	for w, n := range s.mu.ledger.Spent() {
 		spent[w] = n
 	}
-	return spent, s.mu.ledger.Levels(now), s.mu.table.Loads(now)
+	return spent, s.mu.table.Loads(time.Now())
+}
+
+// levels returns the levels of the workspaces' buckets, for a node that starts.
+func (s *state) levels() map[ident.Workspace]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mu.ledger.Levels(time.Now())
+}
+
+// join takes the levels that another node sees.
+func (s *state) join(levels map[ident.Workspace]float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.ledger.Join(time.Now(), levels)
 }
 
-// heard takes what other nodes spent, and the levels that one of them sees.
-func (s *state) heard(now time.Time, from quota.NodeLife, spent quota.Spending, levels map[ident.Workspace]float64) {
+// heard takes what another node has spent.
+func (s *state) heard(now time.Time, from quota.NodeLife, spent quota.Spending) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.mu.ledger.Join(now, levels)
 	s.mu.ledger.Heard(now, from, spent)
 }
 
@@ -158,9 +174,10 @@
 	s.mu.table.SetPeers(loads)
 }
 
-// tick returns the nodes that are newly lost.
-func (s *state) tick(now time.Time) []quota.NodeLife {
+// tick returns the nodes that are newly lost, silent for some intervals of sharing.
+func (s *state) tick(now time.Time, interval time.Duration) []quota.NodeLife {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.mu.ledger.SetLostAfter(max(quota.DefaultLostAfter, lostIntervals*interval))
 	return s.mu.ledger.Tick(now)
 }
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -101,6 +101,9 @@
 	}
 }
 
+// SetLostAfter sets how long a node may be silent.
+func (l *Ledger) SetLostAfter(d time.Duration) { l.opts.LostAfter = d }
+
 // SetWorkspaces takes the limits in force. A lower limit holds at once.
 func (l *Ledger) SetWorkspaces(now time.Time, workspaces []site.Workspace) {
 	seen := make(map[ident.Workspace]bool, len(workspaces))
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -77,12 +77,16 @@
 	Transport Transport
 	Log       *slog.Logger
 	Metrics   *Metrics
-	// Budget bounds this node's retries of each service.
-	Budget attempt.BudgetOptions
+	// Budget returns the bound on this node's retries of a service; it is asked at the
+	// service's first request. Nil for the defaults.
+	Budget func() attempt.BudgetOptions
 }
 
 // NewHandler returns a handler.
 func NewHandler(p Parts) *Handler {
+	if p.Budget == nil {
+		p.Budget = func() attempt.BudgetOptions { return attempt.BudgetOptions{} }
+	}
 	return &Handler{
 		view: p.View, places: p.Places, versions: p.Versions, transport: p.Transport, log: p.Log, metrics: p.Metrics,
 		budgets: &budgets{opts: p.Budget, byService: make(map[ident.Service]*attempt.Budget)},
@@ -91,7 +95,7 @@
 
 // budgets holds a retry budget for each service.
 type budgets struct {
-	opts      attempt.BudgetOptions
+	opts      func() attempt.BudgetOptions
 	mu        sync.Mutex
 	byService map[ident.Service]*attempt.Budget
 }
@@ -100,7 +104,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.byService[s] == nil {
-		b.byService[s] = attempt.NewBudget(b.opts)
+		b.byService[s] = attempt.NewBudget(b.opts())
 	}
 	return b.byService[s]
 }
--- a/internal/serve/handler_test.go
+++ b/internal/serve/handler_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/jujubeshed/jujubeshed/internal/attempt"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/placement"
 	"github.com/jujubeshed/jujubeshed/internal/serve"
@@ -58,7 +57,7 @@
 	}, nil, testConfig.Services)
 	h := serve.NewHandler(serve.Parts{
 		View: w, Places: w, Versions: w, Transport: w, Log: slog.New(slog.DiscardHandler),
-		Metrics: serve.NewMetrics(prometheus.NewRegistry()), Budget: attempt.BudgetOptions{},
+		Metrics: serve.NewMetrics(prometheus.NewRegistry()),
 	})
 	return w, h
 }
--- a/internal/sharing/convert.go
+++ b/internal/sharing/convert.go
@@ -1,6 +1,8 @@
 package sharing
 
 import (
+	"time"
+
 	sharingv1 "github.com/jujubeshed/jujubeshed/api/gen/sharing/v1"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/placement"
@@ -10,48 +12,81 @@
 
 func encodeRows(rows []Row) []*sharingv1.Row {
 	out := make([]*sharingv1.Row, 0, len(rows))
-	for _, r := range rows {
-		w := &sharingv1.Row{
-			Node: string(r.Life.Node), Life: uint64(r.Life.Life), Beat: r.Beat, Address: r.Address,
-			ConfigVersion: r.ConfigVersion, Leaving: r.Leaving, Bad: r.Bad, Seen: uint64(r.Seen), StoreLost: r.StoreLost,
-			Spent:  make(map[string]float64, len(r.Spent)),
-			Levels: make(map[string]float64, len(r.Levels)),
-			Loads:  make(map[string]*sharingv1.Load, len(r.Loads)),
-		}
-		for name, n := range r.Spent {
-			w.Spent[string(name)] = n
-		}
-		for name, n := range r.Levels {
-			w.Levels[string(name)] = n
-		}
-		for id, l := range r.Loads {
-			w.Loads[string(id)] = &sharingv1.Load{Running: int32(l.Running), Prefill: int32(l.Prefill), Context: int32(l.Context)}
-		}
-		out = append(out, w)
+	for i := range rows {
+		out = append(out, encodeRow(&rows[i]))
 	}
 	return out
 }
 
+func encodeRow(r *Row) *sharingv1.Row {
+	w := &sharingv1.Row{
+		Node: string(r.Life.Node), Life: uint64(r.Life.Life), Beat: r.Beat, Address: r.Address,
+		ConfigVersion: r.ConfigVersion, Leaving: r.Leaving, Bad: r.Bad, Seen: uint64(r.Seen), StoreLost: r.StoreLost,
+		AsOf:  r.AsOf.UnixMilli(),
+		Spent: make(map[string]float64, len(r.Spent)),
+		Loads: make(map[string]*sharingv1.Load, len(r.Loads)),
+	}
+	for name, n := range r.Spent {
+		w.Spent[string(name)] = n
+	}
+	for id, l := range r.Loads {
+		w.Loads[string(id)] = &sharingv1.Load{Running: int32(l.Running), Prefill: int32(l.Prefill), Context: int32(l.Context)}
+	}
+	for number, counts := range r.Windows {
+		win := &sharingv1.Window{Number: number, Counts: make(map[string]uint64, len(counts))}
+		for name, n := range counts {
+			win.Counts[string(name)] = n
+		}
+		w.Windows = append(w.Windows, win)
+	}
+	return w
+}
+
 func decodeRows(rows []*sharingv1.Row) []Row {
 	out := make([]Row, 0, len(rows))
 	for _, w := range rows {
-		r := Row{
-			Life: quota.NodeLife{Node: ident.NodeID(w.Node), Life: ident.Incarnation(w.Life)},
-			Beat: w.Beat, Address: w.Address, ConfigVersion: w.ConfigVersion, Leaving: w.Leaving, Bad: w.Bad, Seen: platform.Version(w.Seen), StoreLost: w.StoreLost,
-			Spent:  make(quota.Spending, len(w.Spent)),
-			Levels: make(map[ident.Workspace]float64, len(w.Levels)),
-			Loads:  make(map[ident.EndpointID]placement.Load, len(w.Loads)),
-		}
-		for name, n := range w.Spent {
-			r.Spent[ident.Workspace(name)] = n
-		}
-		for name, n := range w.Levels {
-			r.Levels[ident.Workspace(name)] = n
-		}
-		for id, l := range w.Loads {
-			r.Loads[ident.EndpointID(id)] = placement.Load{Running: int(l.Running), Prefill: int(l.Prefill), Context: int(l.Context)}
+		out = append(out, decodeRow(w))
+	}
+	return out
+}
+
+func decodeRow(w *sharingv1.Row) Row {
+	r := Row{
+		Life: quota.NodeLife{Node: ident.NodeID(w.Node), Life: ident.Incarnation(w.Life)},
+		Beat: w.Beat, Address: w.Address, ConfigVersion: w.ConfigVersion, Leaving: w.Leaving, Bad: w.Bad,
+		Seen: platform.Version(w.Seen), StoreLost: w.StoreLost, AsOf: time.UnixMilli(w.AsOf),
+		Spent:   make(quota.Spending, len(w.Spent)),
+		Loads:   make(map[ident.EndpointID]placement.Load, len(w.Loads)),
+		Windows: make(map[int64]map[ident.Workspace]uint64, len(w.Windows)),
+	}
+	for name, n := range w.Spent {
+		r.Spent[ident.Workspace(name)] = n
+	}
+	for id, l := range w.Loads {
+		r.Loads[ident.EndpointID(id)] = placement.Load{Running: int(l.Running), Prefill: int(l.Prefill), Context: int(l.Context)}
+	}
+	for _, win := range w.Windows {
+		counts := make(map[ident.Workspace]uint64, len(win.Counts))
+		for name, n := range win.Counts {
+			counts[ident.Workspace(name)] = n
 		}
-		out = append(out, r)
+		r.Windows[win.Number] = counts
+	}
+	return r
+}
+
+func encodeObjects(objects []platform.Object) []*sharingv1.Object {
+	out := make([]*sharingv1.Object, 0, len(objects))
+	for _, o := range objects {
+		out = append(out, &sharingv1.Object{Key: string(o.Key), Version: uint64(o.Version), Value: o.Value, Status: o.Status})
+	}
+	return out
+}
+
+func decodeObjects(objects []*sharingv1.Object) []platform.Object {
+	out := make([]platform.Object, 0, len(objects))
+	for _, w := range objects {
+		out = append(out, platform.Object{Key: platform.Key(w.Key), Version: platform.Version(w.Version), Value: w.Value, Status: w.Status})
 	}
 	return out
 }
--- a/internal/sharing/rows.go
+++ b/internal/sharing/rows.go
@@ -1,8 +1,11 @@
 package sharing
 
 import (
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/placement"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
@@ -22,7 +25,6 @@
 	// ConfigVersion in force at the node; zero for none.
 	ConfigVersion uint64
 	Spent         quota.Spending
-	Levels        map[ident.Workspace]float64
 	Loads         map[ident.EndpointID]placement.Load
 	// Leaving tells that the node is about to stop.
 	Leaving bool
@@ -32,6 +34,17 @@
 	Seen platform.Version
 	// StoreLost tells that the node can't follow the store at present.
 	StoreLost bool
+	// AsOf is when the node told this, by its own clock.
+	AsOf time.Time
+	// Windows holds the requests begun in the latest usage windows, by workspace.
+	Windows map[int64]map[ident.Workspace]uint64
+}
+
+// key names a row's life in a digest.
+func (r *Row) key() uint64 { return keyOf(r.Life) }
+
+func keyOf(life quota.NodeLife) uint64 {
+	return xxhash.Sum64String(string(life.Node) + "/" + strconv.FormatUint(uint64(life.Life), 10))
 }
 
 // Rows holds the rows of all nodes. It does no I/O.
@@ -94,6 +107,26 @@
 	return out
 }
 
+// Digest returns the beats of all rows by key.
+func (t *Rows) Digest() map[uint64]uint64 {
+	out := make(map[uint64]uint64, len(t.rows))
+	for _, e := range t.rows {
+		out[e.row.key()] = e.row.Beat
+	}
+	return out
+}
+
+// Lacking returns the rows that are newer than those of a digest.
+func (t *Rows) Lacking(digest map[uint64]uint64) []Row {
+	var out []Row
+	for _, e := range t.rows {
+		if e.row.Beat > digest[e.row.key()] {
+			out = append(out, e.row)
+		}
+	}
+	return out
+}
+
 // Others returns the rows of other nodes that are at most that old.
 func (t *Rows) Others(now time.Time, age time.Duration) []Row {
 	var out []Row
--- a/internal/sharing/service.go
+++ b/internal/sharing/service.go
@@ -10,22 +10,28 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	sharingv1 "github.com/jujubeshed/jujubeshed/api/gen/sharing/v1"
 	"github.com/jujubeshed/jujubeshed/api/gen/sharing/v1/sharingv1connect"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/keepalive"
-	"github.com/jujubeshed/jujubeshed/internal/kernel"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
 	"github.com/jujubeshed/jujubeshed/internal/quota"
 )
 
 const (
-	// DefaultInterval is the time between two rounds. The limits of workspaces leave
-	// room for a tenth of their rate in 8 s, so for the spending of some rounds.
+	// DefaultInterval is the least time between two rounds. The limits of workspaces
+	// leave room for a tenth of their rate in 8 s, so for the spending of some rounds.
 	DefaultInterval = 200 * time.Millisecond
-	// fanout is the number of nodes that each round reaches: rows of eight nodes are
-	// everywhere after two rounds, of seventy after three.
-	fanout = 3
+	// nodesPerInterval stretches the rounds of a larger deployment, so that a node's
+	// work on rows grows slower than their number; maxInterval bounds that.
+	nodesPerInterval = 20
+	maxInterval      = 800 * time.Millisecond
+	// fanout is the number of nodes that each round asks for the rows it lacks: rows of
+	// eight nodes are everywhere after two rounds, of seventy after four.
+	fanout = 2
 	// exchangeTimeout is well above a round trip and below the silence after which
 	// a node counts as lost.
 	exchangeTimeout = 400 * time.Millisecond
@@ -50,15 +56,22 @@
 	// OnConfig takes one from another node.
 	Config   func() []byte
 	OnConfig func(raw []byte, from string)
-	Log      *slog.Logger
-	Metrics  prometheus.Registerer
+	// Levels returns the levels of the workspaces' buckets, and Join takes those that
+	// another node sees, at the start.
+	Levels func() map[ident.Workspace]float64
+	Join   func(levels map[ident.Workspace]float64)
+	// Changes returns changes of the store's objects where this node follows them.
+	Changes func(ctx context.Context, kind platform.Key, after uint64, wait time.Duration) (platform.WatchResult, error)
+	Log     *slog.Logger
+	Metrics prometheus.Registerer
 }
 
 // Service exchanges rows with other nodes.
 type Service struct {
 	opts   Options
 	client *http.Client
-	loop   *kernel.Loop
+	cancel context.CancelFunc
+	done   chan struct{}
 	rounds int
 	failed prometheus.Counter
 	calls  prometheus.Counter
@@ -69,6 +82,7 @@
 		beat     uint64
 		seeds    []string
 		fetching bool
+		joined   bool
 	}
 }
 
@@ -83,7 +97,7 @@
 		opts: opts,
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:         keepalive.Dialer(exchangeTimeout).DialContext,
-			MaxIdleConnsPerHost: 2,
+			MaxIdleConnsPerHost: 4,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
 		}},
@@ -93,7 +107,6 @@
 	opts.Metrics.MustRegister(s.calls, s.failed)
 	s.mu.rows = NewRows(opts.Self)
 	s.mu.seeds = slices.DeleteFunc(slices.Clone(opts.Seeds), func(a string) bool { return a == opts.Address || a == "" })
-	s.loop = kernel.NewLoop(opts.Interval, s.round)
 	return s
 }
 
@@ -103,13 +116,44 @@
 }
 
 // Start begins the rounds.
-func (s *Service) Start(ctx context.Context) error {
-	s.round(ctx)
-	return s.loop.Start(ctx)
+func (s *Service) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel, s.done = cancel, make(chan struct{})
+	go func() {
+		defer close(s.done)
+		for ctx.Err() == nil {
+			s.round()
+			sleep(ctx, s.Interval())
+		}
+	}()
+	return nil
 }
 
 // Stop ends them.
-func (s *Service) Stop(ctx context.Context) error { return s.loop.Stop(ctx) }
+func (s *Service) Stop(context.Context) error {
+	if s.cancel != nil {
+		s.cancel()
+		<-s.done
+	}
+	return nil
+}
+
+// Interval returns the time between two rounds.
+func (s *Service) Interval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := time.Duration(len(s.mu.rows.rows))
+	return min(max(s.opts.Interval, s.opts.Interval*n/nodesPerInterval), maxInterval)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
 
 // AddSeeds takes further addresses of nodes, for example from the store.
 func (s *Service) AddSeeds(addresses []string) {
@@ -129,24 +173,28 @@
 	return s.mu.rows.Others(time.Now(), age)
 }
 
-// own renews this node's row and returns all rows.
-func (s *Service) own() []Row {
+// request renews this node's row and returns what a round asks with.
+func (s *Service) request() *sharingv1.ExchangeRequest {
 	row := s.opts.Compose()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.mu.beat++
-	row.Life, row.Beat, row.Address = s.opts.Self, s.mu.beat, s.opts.Address
 	now := time.Now()
+	row.Life, row.Beat, row.Address, row.AsOf = s.opts.Self, s.mu.beat, s.opts.Address, now
 	s.mu.rows.Merge(now, []Row{row})
 	s.mu.rows.Expire(now)
-	return s.mu.rows.All()
+	req := &sharingv1.ExchangeRequest{Own: encodeRow(&row), Joining: !s.mu.joined}
+	for key, beat := range s.mu.rows.Digest() {
+		req.Keys, req.Beats = append(req.Keys, key), append(req.Beats, beat)
+	}
+	return req
 }
 
-// round exchanges rows with a few nodes.
-func (s *Service) round(context.Context) {
-	rows := encodeRows(s.own())
+// round asks a few nodes for the rows that this one lacks.
+func (s *Service) round() {
+	req := s.request()
 	for _, address := range s.targets() {
-		go s.exchange(address, rows)
+		go s.exchange(address, req)
 	}
 }
 
@@ -175,17 +223,37 @@
 	return sharingv1connect.NewSharingServiceClient(s.client, "http://"+address)
 }
 
-func (s *Service) exchange(address string, rows []*sharingv1.Row) {
+func (s *Service) exchange(address string, req *sharingv1.ExchangeRequest) {
 	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 	defer cancel()
 	s.calls.Inc()
-	resp, err := s.clientOf(address).Exchange(ctx, connect.NewRequest(&sharingv1.ExchangeRequest{Rows: rows}))
+	resp, err := s.clientOf(address).Exchange(ctx, connect.NewRequest(req))
 	if err != nil {
 		s.failed.Inc()
 		s.opts.Log.Debug("sharing: Exchange failed.", "peer", address, "error", err)
 		return
 	}
 	s.take(decodeRows(resp.Msg.Rows))
+	s.join(resp.Msg.Levels)
+}
+
+// join takes the levels that another node sees, once.
+func (s *Service) join(levels map[string]float64) {
+	if len(levels) == 0 {
+		return
+	}
+	s.mu.Lock()
+	joined := s.mu.joined
+	s.mu.joined = true
+	s.mu.Unlock()
+	if joined {
+		return
+	}
+	out := make(map[ident.Workspace]float64, len(levels))
+	for name, n := range levels {
+		out[ident.Workspace(name)] = n
+	}
+	s.opts.Join(out)
 }
 
 // take merges rows and asks for a configuration that is newer than the own one.
@@ -228,11 +296,52 @@
 
 // Exchange implements the service.
 func (s *Service) Exchange(_ context.Context, req *connect.Request[sharingv1.ExchangeRequest]) (*connect.Response[sharingv1.ExchangeResponse], error) {
-	s.take(decodeRows(req.Msg.Rows))
+	in := req.Msg
+	if in.Own == nil || len(in.Keys) != len(in.Beats) {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("an exchange has a row, and a beat for each key"))
+	}
+	digest := make(map[uint64]uint64, len(in.Keys))
+	for i, key := range in.Keys {
+		digest[key] = in.Beats[i]
+	}
+	s.take([]Row{decodeRow(in.Own)})
 	s.mu.Lock()
-	rows := s.mu.rows.All()
+	rows := s.mu.rows.Lacking(digest)
 	s.mu.Unlock()
-	return connect.NewResponse(&sharingv1.ExchangeResponse{Rows: encodeRows(rows)}), nil
+	out := &sharingv1.ExchangeResponse{Rows: encodeRows(rows)}
+	if in.Joining {
+		out.Levels = make(map[string]float64)
+		for name, n := range s.opts.Levels() {
+			out.Levels[string(name)] = n
+		}
+	}
+	return connect.NewResponse(out), nil
+}
+
+// Changes implements the service.
+func (s *Service) Changes(ctx context.Context, req *connect.Request[sharingv1.ChangesRequest]) (*connect.Response[sharingv1.ChangesResponse], error) {
+	wait := time.Duration(req.Msg.WaitMs) * time.Millisecond
+	r, err := s.opts.Changes(ctx, platform.Key(req.Msg.Kind), req.Msg.After, wait)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&sharingv1.ChangesResponse{Objects: encodeObjects(r.Changed), Position: r.Position, Gap: r.Gap}), nil
+}
+
+// relayMargin is the time that an answer may take beyond the wait asked for.
+const relayMargin = time.Second
+
+// ChangesFrom asks another node for changes of the store's objects.
+func (s *Service) ChangesFrom(ctx context.Context, address string, kind platform.Key, after uint64, wait time.Duration) (platform.WatchResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+relayMargin)
+	defer cancel()
+	resp, err := s.clientOf(address).Changes(ctx, connect.NewRequest(&sharingv1.ChangesRequest{
+		Kind: string(kind), After: after, WaitMs: uint32(wait.Milliseconds()),
+	}))
+	if err != nil {
+		return platform.WatchResult{}, errors.Wrapf(err, "changes from %s", address)
+	}
+	return platform.WatchResult{Changed: decodeObjects(resp.Msg.Objects), Position: resp.Msg.Position, Gap: resp.Msg.Gap}, nil
 }
 
 // Config implements the service.
