--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -96,6 +96,7 @@
 		DecodeEndpoint: platform.DecodeEndpoint,
 		ConfigKey:      platform.ConfigKey,
 		EndpointKind:   platform.EndpointKind,
+		DecodeMove:     platform.DecodeMove, EncodeMoveStatus: platform.EncodeMoveStatus, MoveKind: platform.MoveKind,
 		Callers: func(h *serve.Handler, closing func() bool) http.Handler {
 			return platform.NewCallers(h, closing)
 		},
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -174,3 +174,48 @@
 		t.Error("the grace has another length")
 	}
 }
+
+// follow is a source that asks another node's watcher.
+type follow struct{ w *directory.Watcher }
+
+func (f follow) Snapshot(ctx context.Context, _ base.Key) (base.Snapshot, error) {
+	r, err := f.w.Changes(ctx, 0, 0)
+	return base.Snapshot{Objects: r.Changed, Position: r.Position}, err
+}
+
+func (f follow) Watch(ctx context.Context, _ base.Key, after uint64, wait time.Duration) (base.WatchResult, error) {
+	return f.w.Changes(ctx, after, wait)
+}
+
+// TestFollowersSeeWhatTheStoreHas: a node that follows another one has the same
+// objects, through removals and a dropped history, without a call to the store.
+func TestFollowersSeeWhatTheStoreHas(t *testing.T) {
+	standin, store, _ := newSite(t)
+	sets := make([]atomic.Pointer[[]site.Endpoint], 2)
+	registry := func(i int) *directory.Registry {
+		return directory.NewRegistry(platform.DecodeEndpoint, func(_ time.Time, l, _ []site.Endpoint) { sets[i].Store(&l) }, quiet)
+	}
+	leader := directory.NewWatcher(store, store, "servers", registry(0), func() bool { return true }, quiet)
+	follower := directory.NewWatcher(store, follow{leader}, "servers", registry(1), func() bool { return false }, quiet)
+	standin.Set("servers", "a", ready("10.0.0.1:80"))
+	start(t, leader)
+	start(t, follower)
+	has := func(i, n int) func() bool {
+		return func() bool { l := sets[i].Load(); return l != nil && len(*l) == n }
+	}
+	eventually(t, "one endpoint at the follower", has(1, 1))
+	for _, name := range []string{"b", "c", "d"} {
+		standin.Set("servers", name, ready("10.0.0.2:80"))
+	}
+	standin.Remove("servers", "a")
+	eventually(t, "three endpoints at the follower", has(1, 3))
+	standin.SetFaults(objects.Faults{Down: true})
+	standin.Set("servers", "e", ready("10.0.0.3:80"))
+	standin.Compact()
+	standin.SetFaults(objects.Faults{})
+	eventually(t, "four endpoints at the leader", has(0, 4))
+	eventually(t, "four endpoints at the follower", has(1, 4))
+	if _, err := follower.Changes(context.Background(), 0, 0); err == nil {
+		t.Error("a follower poses as one that follows the store")
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,6 +39,8 @@
 	serviceTransport kernel.Name = "endpoint.transport"
 	serviceConfig    kernel.Name = "directory.config"
 	serviceEndpoints kernel.Name = "directory.endpoints"
+	serviceMoves     kernel.Name = "directory.moves"
+	serviceVersions  kernel.Name = "rollout"
 	serviceTicker    kernel.Name = "gateway.ticker"
 	servicePeers     kernel.Name = "listener.peers"
 	serviceMetrics   kernel.Name = "listener.metrics"
@@ -97,6 +99,11 @@
 	DecodeEndpoint directory.EndpointDecoder
 	ConfigKey      platform.Key
 	EndpointKind   platform.Key
+	// DecodeMove and EncodeMoveStatus translate the orders to move a service to another
+	// version, of kind MoveKind, and what is reported of them.
+	DecodeMove       func(value, status []byte) (site.VersionMove, error)
+	EncodeMoveStatus func(target ident.Version, state site.MoveState) ([]byte, error)
+	MoveKind         platform.Key
 	// Callers returns the handler of the callers' listener, Ready that of the
 	// readiness check.
 	Callers func(h *serve.Handler, closing func() bool) http.Handler
@@ -122,6 +129,8 @@
 	planner  *scaling.Planner
 	holder   *holder.Holder
 	tally    *duty.Tally
+	versions *versions
+	moves    *directory.Watcher
 	draining atomic.Bool
 
 	rows   sync.Mutex       // guards what is taken from rows
@@ -148,6 +157,8 @@
 	if err := n.buildDuties(); err != nil {
 		return nil, err
 	}
+	n.versions = newVersions(p, n.holder, log)
+	n.moves = n.watcher(p.MoveKind, n.versions)
 	return n, n.register()
 }
 
@@ -165,6 +176,8 @@
 		return n.servers.Changes(ctx, after, wait)
 	case kindOf(n.platform.ConfigKey):
 		return n.configs.Changes(ctx, after, wait)
+	case n.platform.MoveKind:
+		return n.moves.Changes(ctx, after, wait)
 	default:
 		return platform.WatchResult{}, directory.ErrNotFollowing
 	}
@@ -204,6 +217,7 @@
 	r := sharing.Row{ConfigVersion: n.current.Version(), Leaving: n.draining.Load(), Seen: n.servers.Seen(), StoreLost: n.servers.Lost() || n.configs.Lost()}
 	r.Spent, r.Loads = n.state.own()
 	r.Windows = n.tally.Own()
+	n.versions.compose(&r)
 	return r
 }
 
@@ -224,7 +238,9 @@
 // addLoads takes the load of all other nodes.
 func (n *Node) addLoads() {
 	loads := make(map[ident.EndpointID]placement.Load)
-	for _, r := range n.sharing.Others(peerLoadAge) {
+	rows := n.sharing.Others(peerLoadAge)
+	n.versions.heard(n.sharing.Others(sharing.ForgetAfter))
+	for _, r := range rows {
 		for id, l := range r.Loads {
 			sum := loads[id]
 			loads[id] = placement.Load{Running: sum.Running + l.Running, Prefill: sum.Prefill + l.Prefill, Context: sum.Context + l.Context}
@@ -307,7 +323,7 @@
 
 func (n *Node) register() error {
 	handler := serve.NewHandler(serve.Parts{
-		View: n.state, Places: n.state, Versions: anyVersion{}, Transport: n.platform.Transport, Log: n.log,
+		View: n.state, Places: n.state, Versions: n.versions, Transport: n.platform.Transport, Log: n.log,
 		Metrics: serve.NewMetrics(n.metrics), Budget: n.retryBudget,
 	})
 	peers := http.NewServeMux()
@@ -323,6 +339,8 @@
 		{serviceTransport, n.platform.Transport},
 		{serviceConfig, n.configs},
 		{serviceEndpoints, n.servers},
+		{serviceMoves, n.moves},
+		{serviceVersions, n.versions},
 		{serviceTicker, kernel.NewLoop(tickEvery, n.tick)},
 		{serviceMetrics, newListener(metricsAddress, metrics, n.log)},
 		{servicePeers, newListener(n.peerAddress(), peers, n.log)},
@@ -374,6 +392,7 @@
 	n.hint(now)
 	n.configs.Recheck()
 	n.servers.Recheck()
+	n.moves.Recheck()
 	for _, life := range n.state.tick(now, n.sharing.Interval()) {
 		n.log.Warn("sharing: Node is silent; its part of the limits is kept for it.", "node", life.Node, "life", life.Life)
 	}
@@ -442,11 +461,3 @@
 	case <-t.C:
 	}
 }
-
-// anyVersion lets requests go to every version.
-type anyVersion struct{}
-
-func (anyVersion) Draw(ident.Service) (only, avoid ident.Version) { return "", "" }
-
-func (anyVersion) Record(ident.Service, ident.Version, placement.Outcome, ident.RouteName, time.Duration) {
-}
--- /dev/null
+++ b/internal/gateway/versions.go
@@ -0,0 +1,164 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/directory"
+	"github.com/jujubeshed/jujubeshed/internal/duty"
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/kernel"
+	"github.com/jujubeshed/jujubeshed/internal/placement"
+	"github.com/jujubeshed/jujubeshed/internal/platform"
+	"github.com/jujubeshed/jujubeshed/internal/rollout"
+	"github.com/jujubeshed/jujubeshed/internal/serve"
+	"github.com/jujubeshed/jujubeshed/internal/sharing"
+	"github.com/jujubeshed/jujubeshed/internal/site"
+)
+
+// judgeEvery is how often versions are compared: a bad one must get no request some
+// seconds after its fault shows.
+const judgeEvery = 200 * time.Millisecond
+
+// versions drives the gate of version moves.
+type versions struct {
+	platform Platform
+	right    duty.Right
+	log      *slog.Logger
+	loop     *kernel.Loop
+
+	mu struct {
+		sync.Mutex
+		gate  *rollout.Gate
+		rng   *rand.Rand
+		moves map[platform.Key]site.VersionMove
+	}
+}
+
+var (
+	_ serve.Versions     = (*versions)(nil)
+	_ directory.Listener = (*versions)(nil)
+)
+
+func newVersions(p Platform, right duty.Right, log *slog.Logger) *versions {
+	v := &versions{platform: p, right: right, log: log}
+	v.mu.gate = rollout.NewGate()
+	v.mu.rng = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	v.mu.moves = make(map[platform.Key]site.VersionMove)
+	v.loop = kernel.NewLoop(judgeEvery, v.step)
+	return v
+}
+
+// Start implements kernel.Starter.
+func (v *versions) Start(ctx context.Context) error { return v.loop.Start(ctx) }
+
+// Stop implements kernel.Stopper.
+func (v *versions) Stop(ctx context.Context) error { return v.loop.Stop(ctx) }
+
+// Draw implements serve.Versions.
+func (v *versions) Draw(s ident.Service) (only, avoid ident.Version) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.mu.gate.Draw(v.mu.rng, s)
+}
+
+// Record implements serve.Versions.
+func (v *versions) Record(s ident.Service, version ident.Version, o placement.Outcome, route ident.RouteName, took time.Duration) {
+	if o != placement.Success && o != placement.Fault {
+		return // says nothing of the version
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.mu.gate.Record(rollout.Arm{Service: s, Version: version, Route: route}, o == placement.Fault, took)
+}
+
+// Replace implements directory.Listener.
+func (v *versions) Replace(objects []platform.Object) {
+	v.mu.Lock()
+	clear(v.mu.moves)
+	v.mu.Unlock()
+	v.Change(objects)
+}
+
+// Change implements directory.Listener.
+func (v *versions) Change(objects []platform.Object) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, o := range objects {
+		if o.Version == 0 {
+			delete(v.mu.moves, o.Key)
+			continue
+		}
+		m, err := v.platform.DecodeMove(o.Value, o.Status)
+		if err != nil {
+			v.log.Warn("rollout: Order cannot be read.", "key", string(o.Key), "revision", o.Version, "error", err)
+			continue
+		}
+		v.log.Info("rollout: Order seen.", "service", m.Service, "target", m.Target, "within", m.Within, "state", string(m.State), "revision", o.Version)
+		v.mu.moves[o.Key] = m
+	}
+	list := make([]site.VersionMove, 0, len(v.mu.moves))
+	for _, m := range v.mu.moves {
+		list = append(list, m)
+	}
+	v.mu.gate.SetMoves(time.Now(), list)
+}
+
+// compose adds what this node tells the others.
+func (v *versions) compose(r *sharing.Row) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	r.Evidence, r.Bad = v.mu.gate.Own(), v.mu.gate.Bad()
+}
+
+// heard takes the evidence of all other nodes, and what they have found.
+func (v *versions) heard(rows []sharing.Row) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	sum := make(rollout.Evidence)
+	for _, r := range rows {
+		sum.Add(r.Evidence)
+		v.mu.gate.MarkBad(r.Bad)
+	}
+	v.mu.gate.SetPeers(sum)
+}
+
+// step compares the versions, and reports where this node holds the duties.
+func (v *versions) step(ctx context.Context) {
+	v.mu.Lock()
+	found := v.mu.gate.Judge()
+	due := v.mu.gate.Due(time.Now())
+	v.mu.Unlock()
+	for _, o := range found {
+		v.log.Warn("rollout: Version is bad and gets no more requests.", "service", o.Service, "target", o.Target,
+			"target_count", o.TargetCount, "base_count", o.BaseCount)
+	}
+	for _, o := range due {
+		if _, held := v.right.Held(); !held {
+			return
+		}
+		v.report(ctx, o)
+	}
+}
+
+// report writes the state of a move.
+func (v *versions) report(ctx context.Context, o rollout.Outcome) {
+	status, err := v.platform.EncodeMoveStatus(o.Target, o.State)
+	if err != nil {
+		v.log.Error("rollout: Status cannot be encoded.", "service", o.Service, "error", err)
+		return
+	}
+	key := v.platform.MoveKind + "/" + platform.Key(o.Service)
+	err = v.platform.Store.PutStatus(ctx, key, status)
+	v.log.Info("rollout: State reported.", "service", o.Service, "target", o.Target, "state", string(o.State), "reason", o.Reason,
+		"target_count", o.TargetCount, "base_count", o.BaseCount, "error", err)
+	if err != nil {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.mu.gate.Reported(o)
+}
--- /dev/null
+++ b/internal/rollout/gate.go
@@ -0,0 +1,221 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/site"
+)
+
+const (
+	// Share is the part of a service's requests that an unproved version gets: the
+	// operators allow a tenth.
+	Share = 0.06
+	// decideAt is the part of a move's time after which its outcome is reported.
+	decideAt = 0.8
+	// enough is the number of the target's requests that proves it, where none is
+	// worse: of a fault in ten, the chance to see none is one in 65.
+	enough = 40
+)
+
+// Outcome is what to report of a move.
+type Outcome struct {
+	Service ident.Service
+	Target  ident.Version
+	State   site.MoveState
+	Reason  string
+	// Target's and the others' requests that it rests on.
+	TargetCount, BaseCount Count
+}
+
+// Gate is one node's view of all moves. It is not safe for use by several goroutines.
+type Gate struct {
+	moves map[ident.Service]*move
+	own   Evidence
+	peers Evidence
+}
+
+type move struct {
+	site.VersionMove
+	begun time.Time
+	bad   bool
+}
+
+// NewGate returns a gate without moves.
+func NewGate() *Gate {
+	return &Gate{moves: make(map[ident.Service]*move), own: make(Evidence), peers: make(Evidence)}
+}
+
+// SetMoves takes the moves that are asked for now. One that is known goes on.
+func (g *Gate) SetMoves(now time.Time, list []site.VersionMove) {
+	next := make(map[ident.Service]*move, len(list))
+	for _, m := range list {
+		known := g.moves[m.Service]
+		if known == nil || known.Target != m.Target {
+			known = &move{begun: now}
+		}
+		known.VersionMove = m
+		if m.StateTarget != m.Target {
+			known.State = site.MoveNotBegun // what was reported is of an earlier move
+		}
+		known.bad = known.bad || known.State == site.MoveUndone
+		next[m.Service] = known
+	}
+	g.moves = next
+}
+
+// Draw returns the version that a request must go to, or else the one to avoid; empty
+// for none.
+func (g *Gate) Draw(rng *rand.Rand, s ident.Service) (only, avoid ident.Version) {
+	m := g.moves[s]
+	switch {
+	case m == nil:
+		return "", ""
+	case m.bad:
+		return "", m.Target
+	case m.State == site.MoveDone:
+		return m.Target, ""
+	case rng.Float64() < Share:
+		return m.Target, ""
+	default:
+		return "", m.Target
+	}
+}
+
+// Record counts how a request ended while a move of its service is under way.
+func (g *Gate) Record(a Arm, fault bool, took time.Duration) {
+	if g.moves[a.Service] == nil {
+		return
+	}
+	c := Count{Requests: 1}
+	if fault {
+		c.Faults = 1
+	} else {
+		c.Millis = uint64(took.Milliseconds())
+	}
+	g.own[a] = g.own[a].plus(c)
+}
+
+// Own returns this node's evidence of moves under way.
+func (g *Gate) Own() Evidence {
+	out := make(Evidence)
+	for a, c := range g.own {
+		if g.moves[a.Service] != nil {
+			out[a] = c
+		}
+	}
+	return out
+}
+
+// SetPeers takes the sum of the other nodes' evidence.
+func (g *Gate) SetPeers(e Evidence) { g.peers = e }
+
+// Bad returns the versions that were found bad, and MarkBad takes them from others.
+func (g *Gate) Bad() []Arm {
+	var out []Arm
+	for _, m := range g.moves {
+		if m.bad {
+			out = append(out, Arm{Service: m.Service, Version: m.Target})
+		}
+	}
+	return out
+}
+
+// MarkBad takes the word of another node that a version is bad.
+func (g *Gate) MarkBad(list []Arm) {
+	for _, a := range list {
+		if m := g.moves[a.Service]; m != nil && m.Target == a.Version && m.State != site.MoveDone {
+			m.bad = true
+		}
+	}
+}
+
+// Judge compares the versions of all moves under way and returns those that were
+// newly found bad.
+func (g *Gate) Judge() []Outcome {
+	var out []Outcome
+	for _, m := range g.moves {
+		if m.bad || m.State == site.MoveDone {
+			continue
+		}
+		if target, base, found := g.fault(m); found {
+			m.bad = true
+			out = append(out, g.outcome(m, site.MoveUndone, "worse than the other versions", target, base))
+		}
+	}
+	return out
+}
+
+// fault looks for a route, or all together, on which the target is worse.
+func (g *Gate) fault(m *move) (target, base Count, found bool) {
+	targets, bases := g.arms(m)
+	var allTarget, allBase Count
+	for route, t := range targets {
+		if worse(t, bases[route]) {
+			return t, bases[route], true
+		}
+		allTarget, allBase = allTarget.plus(t), allBase.plus(bases[route])
+	}
+	return allTarget, allBase, failsMore(allTarget, allBase)
+}
+
+// arms sums the evidence of a move by route.
+func (g *Gate) arms(m *move) (targets, bases map[ident.RouteName]Count) {
+	targets, bases = make(map[ident.RouteName]Count), make(map[ident.RouteName]Count)
+	for _, e := range []Evidence{g.own, g.peers} {
+		for a, c := range e {
+			switch {
+			case a.Service != m.Service:
+			case a.Version == m.Target:
+				targets[a.Route] = targets[a.Route].plus(c)
+			default:
+				bases[a.Route] = bases[a.Route].plus(c)
+			}
+		}
+	}
+	return targets, bases
+}
+
+func (g *Gate) outcome(m *move, state site.MoveState, reason string, target, base Count) Outcome {
+	return Outcome{Service: m.Service, Target: m.Target, State: state, Reason: reason, TargetCount: target, BaseCount: base}
+}
+
+// Due returns what the holder of the duties has to report now, ordered by service.
+func (g *Gate) Due(now time.Time) []Outcome {
+	var out []Outcome
+	for _, m := range g.moves {
+		if m.State == site.MoveDone || m.State == site.MoveUndone {
+			continue
+		}
+		target, base, _ := g.fault(m)
+		elapsed := now.Sub(m.begun)
+		switch {
+		case m.bad:
+			out = append(out, g.outcome(m, site.MoveUndone, "worse than the other versions", target, base))
+		case elapsed < time.Duration(decideAt*float64(m.Within)):
+			if m.State == site.MoveNotBegun {
+				out = append(out, g.outcome(m, site.MoveRunning, "begun", target, base))
+			}
+		case target.Requests >= enough:
+			out = append(out, g.outcome(m, site.MoveDone, "no worse by its deadline", target, base))
+		default:
+			out = append(out, g.outcome(m, site.MoveUndone, "too few requests by its deadline", target, base))
+		}
+	}
+	slices.SortFunc(out, func(a, b Outcome) int {
+		if a.Service < b.Service {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Reported notes that the holder has reported an outcome.
+func (g *Gate) Reported(o Outcome) {
+	if m := g.moves[o.Service]; m != nil && m.Target == o.Target {
+		m.State, m.StateTarget = o.State, o.Target
+	}
+}
--- a/internal/serve/attempts.go
+++ b/internal/serve/attempts.go
@@ -83,10 +83,15 @@
 // Pick implements runner.Picker.
 func (c *call) Pick(_ context.Context, p runner.PickRequest) (runner.Choice, error) {
 	only, avoid := c.h.versions.Draw(c.service)
-	choice, err := c.h.places.Pick(p.Attempt, placement.Request{
+	want := placement.Request{
 		Service: c.service, Prompt: c.req.Prompt, Exclude: p.Exclude, Version: only, AvoidVersion: avoid, Deadline: c.deadline,
 		MaxGap: c.route.MaxGap,
-	})
+	}
+	choice, err := c.h.places.Pick(p.Attempt, want)
+	if err != nil && only != "" {
+		want.Version = "" // the version drawn has no endpoint yet, or no more
+		choice, err = c.h.places.Pick(p.Attempt, want)
+	}
 	if err != nil {
 		return runner.Choice{}, err
 	}
--- a/internal/sharing/convert.go
+++ b/internal/sharing/convert.go
@@ -8,6 +8,7 @@
 	"github.com/jujubeshed/jujubeshed/internal/placement"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
 	"github.com/jujubeshed/jujubeshed/internal/quota"
+	"github.com/jujubeshed/jujubeshed/internal/rollout"
 )
 
 func encodeRows(rows []Row) []*sharingv1.Row {
@@ -21,7 +22,7 @@
 func encodeRow(r *Row) *sharingv1.Row {
 	w := &sharingv1.Row{
 		Node: string(r.Life.Node), Life: uint64(r.Life.Life), Beat: r.Beat, Address: r.Address,
-		ConfigVersion: r.ConfigVersion, Leaving: r.Leaving, Bad: r.Bad, Seen: uint64(r.Seen), StoreLost: r.StoreLost,
+		ConfigVersion: r.ConfigVersion, Leaving: r.Leaving, Seen: uint64(r.Seen), StoreLost: r.StoreLost,
 		AsOf:  r.AsOf.UnixMilli(),
 		Spent: make(map[string]float64, len(r.Spent)),
 		Loads: make(map[string]*sharingv1.Load, len(r.Loads)),
@@ -39,9 +40,27 @@
 		}
 		w.Windows = append(w.Windows, win)
 	}
+	for _, a := range r.Bad {
+		w.Bad = append(w.Bad, encodeArm(a, rollout.Count{}))
+	}
+	for a, c := range r.Evidence {
+		w.Evidence = append(w.Evidence, encodeArm(a, c))
+	}
 	return w
 }
 
+func encodeArm(a rollout.Arm, c rollout.Count) *sharingv1.Arm {
+	return &sharingv1.Arm{
+		Service: string(a.Service), Version: string(a.Version), Route: string(a.Route),
+		Requests: c.Requests, Faults: c.Faults, Millis: c.Millis,
+	}
+}
+
+func decodeArm(w *sharingv1.Arm) (rollout.Arm, rollout.Count) {
+	a := rollout.Arm{Service: ident.Service(w.Service), Version: ident.Version(w.Version), Route: ident.RouteName(w.Route)}
+	return a, rollout.Count{Requests: w.Requests, Faults: w.Faults, Millis: w.Millis}
+}
+
 func decodeRows(rows []*sharingv1.Row) []Row {
 	out := make([]Row, 0, len(rows))
 	for _, w := range rows {
@@ -53,11 +72,13 @@
 func decodeRow(w *sharingv1.Row) Row {
 	r := Row{
 		Life: quota.NodeLife{Node: ident.NodeID(w.Node), Life: ident.Incarnation(w.Life)},
-		Beat: w.Beat, Address: w.Address, ConfigVersion: w.ConfigVersion, Leaving: w.Leaving, Bad: w.Bad,
+		Beat: w.Beat, Address: w.Address, ConfigVersion: w.ConfigVersion, Leaving: w.Leaving,
 		Seen: platform.Version(w.Seen), StoreLost: w.StoreLost, AsOf: time.UnixMilli(w.AsOf),
 		Spent:   make(quota.Spending, len(w.Spent)),
 		Loads:   make(map[ident.EndpointID]placement.Load, len(w.Loads)),
 		Windows: make(map[int64]map[ident.Workspace]uint64, len(w.Windows)),
+
+		Evidence: make(rollout.Evidence, len(w.Evidence)),
 	}
 	for name, n := range w.Spent {
 		r.Spent[ident.Workspace(name)] = n
@@ -72,6 +93,14 @@
 		}
 		r.Windows[win.Number] = counts
 	}
+	for _, arm := range w.Bad {
+		a, _ := decodeArm(arm)
+		r.Bad = append(r.Bad, a)
+	}
+	for _, arm := range w.Evidence {
+		a, c := decodeArm(arm)
+		r.Evidence[a] = c
+	}
 	return r
 }
 
--- a/internal/sharing/rows.go
+++ b/internal/sharing/rows.go
@@ -10,6 +10,7 @@
 	"github.com/jujubeshed/jujubeshed/internal/placement"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
 	"github.com/jujubeshed/jujubeshed/internal/quota"
+	"github.com/jujubeshed/jujubeshed/internal/rollout"
 )
 
 // ForgetAfter is how long a node's row is kept without a new beat. It is above the
@@ -28,8 +29,10 @@
 	Loads         map[ident.EndpointID]placement.Load
 	// Leaving tells that the node is about to stop.
 	Leaving bool
-	// Bad holds versions that the node has found bad, as "service/version".
-	Bad []string
+	// Bad holds versions that the node has found bad, and Evidence what it has counted
+	// of version moves under way.
+	Bad      []rollout.Arm
+	Evidence rollout.Evidence
 	// Seen is the latest version of a registration that the node has seen.
 	Seen platform.Version
 	// StoreLost tells that the node can't follow the store at present.
