Go elsewhere at once where no connection was made, and give silent streams up

Streams that may be resumed waited for an engine that had gone silent until their caller left. Change: such attempts cost no budget and leave the endpoint out at once; a watchdog ends silent attempts of resumable streams; failed requests are told to come back in 150 to 400 ms instead of 1 s; watches wait 1 s. Ruled out: a larger budget, which the operators bound.

--- a/internal/attempt/retry.go
+++ b/internal/attempt/retry.go
@@ -17,7 +17,7 @@
 	if len(m.tries) > 0 {
 		return nil
 	}
-	if !ev.NoEndpoint && m.mayRetryRefused(now) && m.budget.Take() {
+	if !ev.NoEndpoint && m.mayRetryRefused(now) && (m.free(ev) || m.budget.Take()) {
 		m.excludeRefused(t)
 		return m.dispatch(now, Dispatch{Prefer: m.prefer})
 	}
@@ -103,6 +103,9 @@
 	return m.barren+1 < m.opts.MaxAttempts && !m.spent() && now.Before(m.req.Deadline)
 }
 
+// free tells whether another try burdens no endpoint twice.
+func (m *Machine) free(ev NotDispatched) bool { return ev.NeverSent && m.opts.MaxRefusals > 0 }
+
 // mayRetryRefused tells whether a request that an endpoint did not run may be sent
 // to another one.
 func (m *Machine) mayRetryRefused(now time.Time) bool {
--- a/internal/attempt/runner/try.go
+++ b/internal/attempt/runner/try.go
@@ -150,6 +150,7 @@
 	ev := attempt.NotDispatched{Attempt: t.call.Dispatch.Attempt, NoEndpoint: noEndpoint, Cause: err}
 	if v := new(verdict.Error); errors.As(err, &v) {
 		ev.RetryAfter = v.RetryAfter
+		ev.NeverSent = v.Verdict == verdict.NotRun && v.Code == verdict.CodeUpstream
 	}
 	return ev
 }
--- a/internal/attempt/sent_test.go
+++ b/internal/attempt/sent_test.go
@@ -43,6 +43,22 @@
 	}
 }
 
+// TestNeverSentCostsNoBudget: when endpoints crash, requests that met no connection
+// go elsewhere even where the budget for retries is used up.
+func TestNeverSentCostsNoBudget(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := New(Request{ID: "r", Class: ident.ClassOrder, Deadline: now.Add(time.Second)},
+		Options{MaxAttempts: 1, MaxSent: 1, MaxRefusals: 2}, NewBudget(BudgetOptions{Initial: -1}))
+	id := dispatched(t, m.Step(now, Start{}))
+	m.Step(now, Picked{Attempt: id, Endpoint: "dead"})
+	second := dispatched(t, m.Step(now, NotDispatched{Attempt: id, NeverSent: true}))
+	m.Step(now, Picked{Attempt: second, Endpoint: "full"})
+	acts := m.Step(now, NotDispatched{Attempt: second})
+	if _, ok := acts[len(acts)-1].(GiveUp); !ok {
+		t.Errorf("a refusal was followed up without a budget: %v", acts)
+	}
+}
+
 // TestStreamEndsWithCaller: a stream that must not run twice is cancelled when its
 // caller has gone.
 func TestStreamEndsWithCaller(t *testing.T) {
--- a/internal/attempt/types.go
+++ b/internal/attempt/types.go
@@ -96,6 +96,9 @@
 	Attempt ident.AttemptID
 	// NoEndpoint is set where there is no other endpoint to try.
 	NoEndpoint bool
+	// NeverSent is set where no connection was made, so that no endpoint was burdened:
+	// another try costs no retry budget where refusals are counted apart.
+	NeverSent  bool
 	RetryAfter time.Duration
 	Cause      error
 }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -54,7 +54,7 @@
 // TestConfigNeverGoesBack: whoever tells of an older version.
 func TestConfigNeverGoesBack(t *testing.T) {
 	standin, store, current := newSite(t)
-	start(t, directory.NewWatcher(store, store, "config", current, func() bool { return true }, quiet))
+	start(t, directory.NewWatcher(directory.WatcherOptions{Store: store, Relay: store, Prefix: "config", Listener: current, Alert: func() bool { return true }, Log: quiet}))
 	standin.Set("config", "main", config{7})
 	eventually(t, "version 7", func() bool { return current.Version() == 7 })
 	standin.Set("config", "main", config{5})
@@ -73,8 +73,8 @@
 func TestDeafWatch(t *testing.T) {
 	standin, store, alert := newSite(t)
 	relaxed := directory.NewCurrent(platform.ConfigKey, platform.DecodeConfig, quiet)
-	start(t, directory.NewWatcher(store, store, "config", alert, func() bool { return true }, quiet))
-	waiting := directory.NewWatcher(store, store, "config", relaxed, func() bool { return false }, quiet)
+	start(t, directory.NewWatcher(directory.WatcherOptions{Store: store, Relay: store, Prefix: "config", Listener: alert, Alert: func() bool { return true }, Log: quiet}))
+	waiting := directory.NewWatcher(directory.WatcherOptions{Store: store, Relay: store, Prefix: "config", Listener: relaxed, Alert: func() bool { return false }, Log: quiet})
 	start(t, waiting)
 	standin.Set("config", "main", config{1})
 	eventually(t, "version 1 at both", func() bool { return alert.Version() == 1 && relaxed.Version() == 1 })
@@ -95,7 +95,7 @@
 func TestNodeBecomesAlert(t *testing.T) {
 	standin, store, current := newSite(t)
 	var alert atomic.Bool
-	w := directory.NewWatcher(store, store, "config", current, alert.Load, quiet)
+	w := directory.NewWatcher(directory.WatcherOptions{Store: store, Relay: store, Prefix: "config", Listener: current, Alert: alert.Load, Log: quiet})
 	start(t, w)
 	standin.Set("config", "main", config{1})
 	eventually(t, "version 1", func() bool { return current.Version() == 1 })
@@ -132,7 +132,7 @@
 		standin.Set("servers", name, ready("10.0.0.1:80"))
 	}
 	standin.Set("servers", "broken", "no object")
-	start(t, directory.NewWatcher(store, store, "servers", registry, func() bool { return true }, quiet))
+	start(t, directory.NewWatcher(directory.WatcherOptions{Store: store, Relay: store, Prefix: "servers", Listener: registry, Alert: func() bool { return true }, Log: quiet}))
 	eventually(t, "six endpoints", func() bool { return listed.Load() == 6 && registry.Loaded() })
 	standin.Set("servers", "b", 17)
 	eventually(t, "five endpoints", func() bool { return listed.Load() == 5 })
@@ -195,8 +195,8 @@
 	registry := func(i int) *directory.Registry {
 		return directory.NewRegistry(platform.DecodeEndpoint, func(_ time.Time, l, _ []site.Endpoint) { sets[i].Store(&l) }, quiet)
 	}
-	leader := directory.NewWatcher(store, store, "servers", registry(0), func() bool { return true }, quiet)
-	follower := directory.NewWatcher(store, follow{leader}, "servers", registry(1), func() bool { return false }, quiet)
+	leader := directory.NewWatcher(directory.WatcherOptions{Store: store, Relay: store, Prefix: "servers", Listener: registry(0), Alert: func() bool { return true }, Log: quiet})
+	follower := directory.NewWatcher(directory.WatcherOptions{Store: store, Relay: follow{leader}, Prefix: "servers", Listener: registry(1), Alert: func() bool { return false }, Log: quiet})
 	standin.Set("servers", "a", ready("10.0.0.1:80"))
 	start(t, leader)
 	start(t, follower)
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -15,10 +16,10 @@
 const (
 	// idleWait is how long a node that serves as source keeps a watch waiting.
 	idleWait = 20 * time.Second
-	// alertWait is the wait of a watch at the store, on which the other nodes rely: a
-	// watch may hear nothing of changes for as long as it waits, and a configuration
-	// has to be in force within 2 s.
-	alertWait = 700 * time.Millisecond
+	// DefaultAlertWait is the wait of a watch at the store, on which the other nodes
+	// rely: a watch may hear nothing of changes for as long as it waits, and a
+	// configuration has to be in force within 2 s.
+	DefaultAlertWait = time.Second
 	// retryMin and retryMax bound the pause after a failed call: the operators'
 	// bound for a configuration is 2 s, and each call has its price.
 	retryMin = 100 * time.Millisecond
@@ -43,14 +44,25 @@
 // ErrNotFollowing is returned to nodes that ask one which does not follow the store.
 var ErrNotFollowing = errors.New("this node does not follow the store")
 
+// WatcherOptions are the settings of a Watcher.
+type WatcherOptions struct {
+	// Store is the platform's store, and Relay the nodes that follow it.
+	Store, Relay Source
+	// Prefix is the kind of the objects.
+	Prefix   platform.Key
+	Listener Listener
+	// Alert tells whether the other nodes rely on this one.
+	Alert func() bool
+	// AlertWait is the wait of a watch at the store. Default: DefaultAlertWait.
+	AlertWait time.Duration
+	Log       *slog.Logger
+}
+
 // Watcher follows the objects of one kind. A node that is alert follows the store
 // itself and tells the others; the rest follow a relay.
 type Watcher struct {
-	store, relay Source
-	prefix       platform.Key
-	listener     Listener
-	log          *slog.Logger
-	alert        func() bool
+	opts WatcherOptions
+	log  *slog.Logger
 
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -68,13 +80,10 @@
 	}
 }
 
-// NewWatcher returns a watcher that has not started. Alert tells whether the other
-// nodes rely on this one.
-func NewWatcher(store, relay Source, prefix platform.Key, l Listener, alert func() bool, log *slog.Logger) *Watcher {
-	w := &Watcher{
-		store: store, relay: relay, prefix: prefix, listener: l, alert: alert, log: log.With("kind", string(prefix)),
-		done: make(chan struct{}),
-	}
+// NewWatcher returns a watcher that has not started.
+func NewWatcher(o WatcherOptions) *Watcher {
+	o.AlertWait = cmp.Or(o.AlertWait, DefaultAlertWait)
+	w := &Watcher{opts: o, log: o.Log.With("kind", string(o.Prefix)), done: make(chan struct{})}
 	w.mu.log, w.mu.changed = newChangeLog(), make(chan struct{})
 	return w
 }
@@ -106,7 +115,7 @@
 
 // Recheck ends a wait at a relay where the other nodes have come to rely on this one.
 func (w *Watcher) Recheck() {
-	alert := w.alert()
+	alert := w.opts.Alert()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if alert && w.mu.idle && w.mu.again != nil {
@@ -212,7 +221,7 @@
 
 // source returns where the next call goes, and whether that is the store.
 func (w *Watcher) source() (Source, bool) {
-	alert := w.alert()
+	alert := w.opts.Alert()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	direct := alert || w.mu.direct
@@ -221,9 +230,9 @@
 		w.release()
 	}
 	if direct {
-		return w.store, true
+		return w.opts.Store, true
 	}
-	return w.relay, false
+	return w.opts.Relay, false
 }
 
 // step lists where the position is zero, and else watches from it. It returns the
@@ -231,12 +240,12 @@
 func (w *Watcher) step(ctx context.Context, position uint64) (uint64, error) {
 	source, direct := w.source()
 	if position == 0 {
-		snap, err := source.Snapshot(ctx, w.prefix)
+		snap, err := source.Snapshot(ctx, w.opts.Prefix)
 		if err != nil {
 			return 0, err
 		}
 		w.took(snap.Position, snap.Objects, direct, true)
-		w.listener.Replace(snap.Objects)
+		w.opts.Listener.Replace(snap.Objects)
 		return snap.Position, nil
 	}
 	r, nudged, err := w.watch(ctx, source, direct, position)
@@ -252,7 +261,7 @@
 	}
 	w.took(r.Position, r.Changed, direct, false)
 	if len(r.Changed) > 0 {
-		w.listener.Change(r.Changed)
+		w.opts.Listener.Change(r.Changed)
 	}
 	return r.Position, nil
 }
@@ -269,7 +278,7 @@
 	} else {
 		w.mu.log.change(position, objects)
 	}
-	w.mu.follows = direct && w.alert()
+	w.mu.follows = direct && w.opts.Alert()
 	if whole || len(objects) > 0 {
 		close(w.mu.changed)
 		w.mu.changed = make(chan struct{})
@@ -282,12 +291,12 @@
 	defer cancel()
 	wait := idleWait
 	if direct {
-		wait = alertWait
+		wait = w.opts.AlertWait
 	}
 	w.mu.Lock()
 	w.mu.again, w.mu.idle = cancel, !direct
 	w.mu.Unlock()
-	r, err := source.Watch(waiting, w.prefix, position, wait)
+	r, err := source.Watch(waiting, w.opts.Prefix, position, wait)
 	w.mu.Lock()
 	w.mu.again = nil
 	w.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,9 @@
 )
 
 const (
+	// moveWait is the wait of a watch for orders to move a service: they have some ten
+	// seconds.
+	moveWait = 4 * time.Second
 	// tickEvery is the resolution of what ends by time: missing endpoints, lost nodes.
 	tickEvery = 100 * time.Millisecond
 	// dutyLease is the name of the lease on the duties.
@@ -151,22 +154,24 @@
 	n.state = newState(settings.DataCentre, n.life, n.current, n.meter)
 	n.entries = directory.NewRegistry(p.DecodeEndpoint, n.state.setEndpoints, log)
 	n.current.OnChange(n.onConfig)
-	n.configs = n.watcher(kindOf(p.ConfigKey), n.current)
-	n.servers = n.watcher(p.EndpointKind, n.entries)
+	n.configs = n.watcher(kindOf(p.ConfigKey), n.current, directory.DefaultAlertWait)
+	n.servers = n.watcher(p.EndpointKind, n.entries, directory.DefaultAlertWait)
 	n.buildSharing()
 	if err := n.buildDuties(); err != nil {
 		return nil, err
 	}
 	n.versions = newVersions(p, n.holder, log)
-	n.moves = n.watcher(p.MoveKind, n.versions)
+	n.moves = n.watcher(p.MoveKind, n.versions, moveWait)
 	return n, n.register()
 }
 
 // watcher returns a watcher of one kind of object.
-func (n *Node) watcher(kind platform.Key, l directory.Listener) *directory.Watcher {
+func (n *Node) watcher(kind platform.Key, l directory.Listener, alertWait time.Duration) *directory.Watcher {
 	name := string(kind)
 	alert := func() bool { return n.foremost(name, alertNodes) }
-	return directory.NewWatcher(n.platform.Store, &relay{n, name}, kind, l, alert, n.log)
+	return directory.NewWatcher(directory.WatcherOptions{
+		Store: n.platform.Store, Relay: &relay{n, name}, Prefix: kind, Listener: l, Alert: alert, AlertWait: alertWait, Log: n.log,
+	})
 }
 
 // changes returns changes to a node that follows this one.
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -182,6 +182,11 @@
 		if m.health.record(now, true) && t.mayEject(now, s) {
 			m.health.eject(now, t.opts.EjectFor)
 		}
+	case Unreachable:
+		m.health.record(now, true)
+		if t.mayEject(now, s) {
+			m.health.eject(now, t.opts.EjectFor)
+		}
 	case Full:
 		m.health.full = now.Add(t.opts.FullFor)
 	}
--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -183,6 +183,20 @@
 	}
 }
 
+// TestUnreachableIsLeftOutAtOnce: one connection that could not be made is enough.
+func TestUnreachableIsLeftOutAtOnce(t *testing.T) {
+	b := newBench(t, some(4, desk)...)
+	id, c := b.send(Request{Service: "desk"})
+	b.table.Finished(b.now, id, Unreachable)
+	for range 30 {
+		next, again := b.send(Request{Service: "desk"})
+		if again.Endpoint.ID == c.Endpoint.ID {
+			t.Fatal("chose the endpoint that can't be reached")
+		}
+		b.table.Finished(b.now, next, Success)
+	}
+}
+
 // TestHopelessIsRefusedAtOnce: where the estimate passes the deadline, the caller
 // is told when to come back.
 func TestHopelessIsRefusedAtOnce(t *testing.T) {
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -92,6 +92,8 @@
 	Success
 	// Fault is a failure for which the endpoint answers.
 	Fault
+	// Unreachable is a connection that could not be made.
+	Unreachable
 	// Full is a refusal by an endpoint that has no room.
 	Full
 )
--- a/internal/serve/attempts.go
+++ b/internal/serve/attempts.go
@@ -55,6 +55,18 @@
 	return site.Endpoint{}
 }
 
+// wait returns the estimated time to the first event of an attempt.
+func (l *attemptLog) wait(id ident.AttemptID) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.list {
+		if e.id == id {
+			return e.wait
+		}
+	}
+	return 0
+}
+
 func (l *attemptLog) ended(id ident.AttemptID, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -123,10 +135,14 @@
 		return placement.Neutral
 	}
 	e := verdict.From(r.Err)
-	if e.Verdict == verdict.NotRun && e.Code == verdict.CodeUnavailable {
+	switch {
+	case e.Verdict != verdict.NotRun:
+		return placement.Fault
+	case e.Code == verdict.CodeUnavailable:
 		return placement.Full
+	default:
+		return placement.Unreachable
 	}
-	return placement.Fault
 }
 
 // Open implements runner.Dialer.
@@ -139,14 +155,16 @@
 	if c.workspace != nil {
 		a.Workspace = c.workspace.Name
 	}
+	ctx, dog := c.watch(ctx, id)
 	answer, err := c.h.transport.Send(ctx, a)
 	if err != nil {
-		return nil, err
+		defer dog.stop()
+		return nil, dog.explain(err)
 	}
 	if answer.Load.Known {
 		c.h.places.Said(a.Endpoint.ID, answer.Load)
 	}
-	s := &answerStream{call: c, attempt: id, answer: answer, next: in.Dispatch.ResumeOffset}
+	s := &answerStream{call: c, attempt: id, answer: answer, next: in.Dispatch.ResumeOffset, dog: dog}
 	if answer.Events == nil {
 		c.ran()
 	}
@@ -186,6 +204,7 @@
 	next    int // offset of the next event
 	lastID  int
 	ended   bool
+	dog     *watchdog
 }
 
 // Recv implements runner.Stream.
@@ -205,8 +224,9 @@
 		return runner.Frame{Chunk: &attempt.Chunk{Echo: echo, Offset: s.next, Finish: "end"}}, nil
 	}
 	if err != nil {
-		return runner.Frame{}, err
+		return runner.Frame{}, s.dog.explain(err)
 	}
+	s.dog.heard()
 	if err := s.follows(ev); err != nil {
 		return runner.Frame{}, err
 	}
@@ -235,6 +255,7 @@
 
 // Close implements runner.Stream.
 func (s *answerStream) Close() error {
+	s.dog.stop()
 	if s.answer.Events != nil {
 		s.answer.Events.Close()
 	}
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -22,6 +22,10 @@
 	// retryAfterUnready is told to callers of a node without configuration: it reads
 	// one within some hundred milliseconds of reaching the store.
 	retryAfterUnready = 500 * time.Millisecond
+	// minRetryAfter and spreadRetryAfter are told to callers of failed requests: an
+	// endpoint that can't be reached is left out within that time.
+	minRetryAfter    = 150 * time.Millisecond
+	spreadRetryAfter = 250 * time.Millisecond
 	// maxRefusals bounds the endpoints that refuse one request; more would only add
 	// to a load that is too high already.
 	maxRefusals = 2
@@ -213,11 +217,15 @@
 	return fallback
 }
 
+// retryAfter returns the time to come back after a failure that says nothing of it:
+// soon, as other endpoints serve, and spread, as many requests fail at once.
+func retryAfter() time.Duration { return minRetryAfter + rand.N(spreadRetryAfter) }
+
 // run carries the request out.
 func (c *call) run(ctx context.Context) *verdict.Error {
 	stream := c.route.Kind == site.KindStream
 	attempts := max(c.route.MaxAttempts, 1)
-	opts := attempt.Options{MaxAttempts: attempts, MaxSent: attempts, MaxRefusals: maxRefusals}
+	opts := attempt.Options{MaxAttempts: attempts, MaxSent: attempts, MaxRefusals: maxRefusals, RetryAfter: retryAfter()}
 	if c.route.Kind == site.KindLookup && c.route.MaxAttempts > 1 {
 		opts.HedgeAfter = time.Duration(hedgeShare * float64(c.route.FirstByteTarget))
 	}
--- a/internal/serve/handler_test.go
+++ b/internal/serve/handler_test.go
@@ -349,6 +349,43 @@
 
 func (f sendFunc) Send(ctx context.Context, a serve.Attempt) (*serve.Answer, error) { return f(ctx, a) }
 
+// TestSilentStreamGoesOnElsewhere: an endpoint that falls silent in the middle of a
+// stream is given up where the stream may go on at another one.
+func TestSilentStreamGoesOnElsewhere(t *testing.T) {
+	w, _ := newWorld(nil)
+	n := 0
+	h := serve.NewHandler(serve.Parts{
+		View: w, Places: w, Versions: w, Log: slog.New(slog.DiscardHandler), Metrics: serve.NewMetrics(prometheus.NewRegistry()),
+		Transport: sendFunc(func(ctx context.Context, a serve.Attempt) (*serve.Answer, error) {
+			if n++; n == 1 {
+				answer := stream("first", nil, nil)
+				answer.Events = &silent{events{list: numbered(1, 2)}, ctx}
+				return answer, nil
+			}
+			return stream("second", numbered(a.After+1, 4), io.EOF), nil
+		}),
+	})
+	out := &caller{}
+	h.Serve(context.Background(), request("/chat/1"), out)
+	if out.events != "abcd" || n != 2 || out.aborted {
+		t.Errorf("events %q after %d attempts, aborted %v", out.events, n, out.aborted)
+	}
+}
+
+// silent is a stream that says nothing more after its events.
+type silent struct {
+	events
+	ctx context.Context
+}
+
+func (s *silent) Next() (serve.Event, error) {
+	if len(s.list) > 0 {
+		return s.events.Next()
+	}
+	<-s.ctx.Done()
+	return serve.Event{}, s.ctx.Err()
+}
+
 // TestTimeout: a request that is not answered in its route's time is told so at once
 // after it, and not that it has not run.
 func TestTimeout(t *testing.T) {
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -48,6 +48,7 @@
 
 var outcomeNames = map[placement.Outcome]string{
 	placement.Neutral: "neutral", placement.Success: "ok", placement.Fault: "fault", placement.Full: "full",
+	placement.Unreachable: "unreachable",
 }
 
 func (m *Metrics) attempt(s ident.Service, o placement.Outcome) {
