--- a/internal/serve/handler_test.go
+++ b/internal/serve/handler_test.go
@@ -119,7 +119,6 @@
 
 // caller records what it is given.
 type caller struct {
-	mu      sync.Mutex
 	head    *serve.Head
 	body    string
 	events  string
--- a/internal/standin/objects/objects.go
+++ b/internal/standin/objects/objects.go
@@ -237,7 +237,7 @@
 	}
 	for begun := false; ; begun = true {
 		for _, c := range s.history {
-			if c.kind == kind && c.revision > after && !(begun && s.faults.DeafWatches) {
+			if c.kind == kind && c.revision > after && (!begun || !s.faults.DeafWatches) {
 				out.Events = append(out.Events, event{c.object, c.removed})
 			}
 		}
