--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -277,6 +278,9 @@
 	attrs = append(attrs, "status", c.delivery.status(), "events", c.delivery.events(), "first_ms", c.delivery.firstAfter(c.req.Arrived).Milliseconds())
 	attrs = append(attrs, c.attempts.attrs()...)
 	outcome := "ok"
+	if c.delivery.status() >= http.StatusInternalServerError {
+		outcome = "endpoint-error" // the endpoint's own answer, passed on
+	}
 	if err != nil {
 		outcome = string(err.Code)
 		attrs = append(attrs, "verdict", err.Verdict.String(), "retry_after_ms", err.RetryAfter.Milliseconds(), "cause", err.Cause.Error())
