Use half of what may be taken beyond a workspace's limit

Cause: in the seconds of a hot workspace requests that count as owed were refused: the bucket held the limit to the token, while the operators allow a tenth and a slack for what the nodes spend at the same time, of which hardly anything was used.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -151,7 +151,9 @@
 	n.meter = duty.NewMeter(max(settings.Bounds.UsageWindow, time.Second))
 	n.tally = duty.NewTally(string(n.life.Node), uint64(n.life.Life), n.meter)
 	n.current = directory.NewCurrent(p.ConfigKey, p.DecodeConfig, log)
-	n.state = newState(settings.DataCentre, n.life, n.current, n.meter)
+	n.state = newState(settings.DataCentre, quota.Options{
+		Self: n.life, Overshoot: settings.Bounds.LimitOvershoot, Slack: settings.Bounds.LimitSlack,
+	}, n.current, n.meter)
 	n.entries = directory.NewRegistry(p.DecodeEndpoint, n.state.setEndpoints, log)
 	n.current.OnChange(n.onConfig)
 	n.configs = n.watcher(kindOf(p.ConfigKey), n.current, directory.DefaultAlertWait)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -42,10 +42,10 @@
 	_ serve.Places = (*state)(nil)
 )
 
-func newState(dc ident.DataCentre, self quota.NodeLife, current *directory.Current, meter *duty.Meter) *state {
+func newState(dc ident.DataCentre, ledger quota.Options, current *directory.Current, meter *duty.Meter) *state {
 	s := &state{current: current, meter: meter}
 	s.mu.table = placement.New(placement.Options{DataCentre: dc})
-	s.mu.ledger = quota.New(quota.Options{Self: self})
+	s.mu.ledger = quota.New(ledger)
 	s.mu.rng = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return s
 }
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -19,6 +19,10 @@
 	rateWindow = 3 * time.Second
 	// evenShare is the part of an even share that a node keeps without any demand.
 	evenShare = 0.5
+	// usedOvershoot and usedSlack are the parts of what may be taken beyond a limit that
+	// are taken on purpose; the rest is for what nodes spend at the same time.
+	usedOvershoot = 0.5
+	usedSlack     = 0.25
 	// minPart keeps the time to come back finite where a node has no part of a limit.
 	minPart = 0.01
 	// minRetryAfter is the shortest time to come back that callers are told.
@@ -41,6 +45,10 @@
 	Self        NodeLife
 	LostAfter   time.Duration
 	ForgetAfter time.Duration
+	// Overshoot and Slack are what may be taken beyond a limit, as a part of it and in
+	// its unit. Some of both is used, so that callers within their limit are not
+	// refused for what the nodes don't know yet of each other. Default: 0.
+	Overshoot, Slack float64
 }
 
 // Ledger keeps the buckets of all workspaces. It is not safe for use by several
@@ -112,11 +120,15 @@
 		seen[w.Name] = true
 		b := l.buckets[w.Name]
 		if b == nil {
-			b = &bucket{at: now, level: w.Burst, theirs: make(map[NodeLife]*smoothed), kept: make(map[NodeLife]float64)}
+			b = &bucket{at: now, level: math.Inf(1), theirs: make(map[NodeLife]*smoothed), kept: make(map[NodeLife]float64)}
 			l.buckets[w.Name] = b
 		}
 		l.refill(now, b)
-		b.rate, b.burst = w.Rate, w.Burst
+		b.rate = w.Rate * (1 + usedOvershoot*l.opts.Overshoot)
+		b.burst = w.Burst * (1 + usedOvershoot*l.opts.Overshoot)
+		if w.CountTokens && w.Rate > 0 {
+			b.burst += usedSlack * l.opts.Slack
+		}
 		b.level = min(b.level, b.burst)
 	}
 	for name := range l.buckets {
--- a/internal/site/settings.go
+++ b/internal/site/settings.go
@@ -54,6 +54,10 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// LimitOvershoot and LimitSlack are what all nodes together may take of a
+	// workspace beyond its limit, as a part of it and in tokens.
+	LimitOvershoot float64
+	LimitSlack     float64
 	// UsageWindow is the length of a usage window; a report is due UsageLate after.
 	UsageWindow time.Duration
 	UsageLate   time.Duration
