Let many nodes compare a part of the engines each

Cause: on the grown deployments the busiest engine had 2.06 times the mean load (1.2 at 8 nodes) and 3,131 requests met a full engine: 59 nodes chose the engine that looked best to all of them, by rows up to a second old. Ruled out: older loads corrected by a guess of the others' choices (package route does it; the guess is as stale).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -253,7 +253,7 @@
 			loads[id] = placement.Load{Running: sum.Running + l.Running, Prefill: sum.Prefill + l.Prefill, Context: sum.Context + l.Context}
 		}
 	}
-	n.state.setPeers(loads)
+	n.state.setPeers(loads, len(rows)+1)
 }
 
 // aliveFor is the age of a row up to which its node counts as alive.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -167,10 +167,11 @@
 	s.mu.ledger.Heard(now, from, spent)
 }
 
-// setPeers takes the load of all other nodes.
-func (s *state) setPeers(loads map[ident.EndpointID]placement.Load) {
+// setPeers takes the load of all other nodes, and the number of all nodes.
+func (s *state) setPeers(loads map[ident.EndpointID]placement.Load, nodes int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.mu.table.SetNodes(nodes)
 	s.mu.table.SetPeers(loads)
 }
 
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -26,6 +26,12 @@
 	// retryAfterNone is told to callers where a service has no endpoint to choose:
 	// a new one boots in some seconds, a lost list is back in one or two.
 	retryAfterNone = 700 * time.Millisecond
+	// freeNodes is the number of nodes up to which each compares all endpoints. They
+	// know of each other's choices some hundred milliseconds late; the more of them
+	// choose the best one meanwhile, the fuller it is when they arrive. With more nodes
+	// each compares its part of the endpoints only, minSample at least.
+	freeNodes = 8
+	minSample = 8
 	// tieWindow is the difference of two estimates below which chance decides, so
 	// that nodes with the same view don't all choose the same endpoint.
 	tieWindow = 500 * time.Microsecond
@@ -46,7 +52,7 @@
 	home := t.homes(pool, r.Prompt)
 	var best Choice
 	var bestCost time.Duration
-	for _, m := range candidates {
+	for _, m := range t.sample(rng, candidates, home) {
 		c, cost := t.estimate(now, s, m, r, slices.Contains(home, m))
 		c.long = long
 		if !slices.Contains(pool, m) {
@@ -64,6 +70,22 @@
 	return best, nil
 }
 
+// sample returns the endpoints to compare: all where few nodes choose among them,
+// and else the homes and some drawn at random.
+func (t *Table) sample(rng *rand.Rand, candidates, home []*member) []*member {
+	n := max(len(candidates)*freeNodes/max(t.nodes, 1), minSample)
+	if n >= len(candidates) {
+		return candidates
+	}
+	out := slices.Clone(home)
+	for _, i := range rng.Perm(len(candidates))[:n] {
+		if !slices.Contains(out, candidates[i]) {
+			out = append(out, candidates[i])
+		}
+	}
+	return out
+}
+
 // candidates returns the endpoints that may be chosen: the best of some tiers that
 // is not empty.
 func (t *Table) candidates(now time.Time, s *service, r Request) []*member {
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -175,3 +175,37 @@
 		t.Errorf("%.3f of the long prompts are late, %.3f by the naive choice", sum[1], base[1])
 	}
 }
+
+// TestManyNodesDoNotHerd answers the pattern of many nodes that choose by the same
+// stale loads: where each compares its part of the endpoints only, the ones that look
+// best get less than half of what they get otherwise.
+func TestManyNodesDoNotHerd(t *testing.T) {
+	const nodes, endpoints, requests = 60, 90, 720
+	worst := func(told int) int {
+		at := make(map[ident.EndpointID]int)
+		list := some(endpoints, llm)
+		loads := make(map[ident.EndpointID]Load)
+		for i, e := range list {
+			loads[e.ID] = Load{Running: i % 30} // the same stale view at all nodes
+		}
+		for n := range nodes {
+			b := newBench(t, list...)
+			b.rng = rand.New(rand.NewPCG(uint64(n), 9))
+			b.table.SetPeers(loads)
+			b.table.SetNodes(told)
+			for i := range requests / nodes {
+				_, c := b.send(Request{Service: "llm", Prompt: Prompt{Input: 800, Output: 100, Parts: []Part{{uint64(n*1000 + i), 800}}}})
+				at[c.Endpoint.ID]++
+			}
+		}
+		most := 0
+		for _, n := range at {
+			most = max(most, n)
+		}
+		return most
+	}
+	alone, many := worst(1), worst(nodes)
+	if 2*many > alone {
+		t.Errorf("the busiest endpoint got %d of %d; %d where each node compares all", many, requests, alone)
+	}
+}
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -14,6 +14,7 @@
 	members  map[ident.EndpointID]*member
 	services map[ident.Service]*service
 	work     map[ident.AttemptID]*work
+	nodes    int // that choose among the same endpoints, this one included
 }
 
 // service is what is known of a service as a whole.
@@ -83,6 +84,9 @@
 	return s
 }
 
+// SetNodes takes the number of nodes that choose among the same endpoints.
+func (t *Table) SetNodes(n int) { t.nodes = n }
+
 // SetPeers takes the load of all other nodes by endpoint.
 func (t *Table) SetPeers(loads map[ident.EndpointID]Load) {
 	for id, m := range t.members {
--- a/internal/sharing/service.go
+++ b/internal/sharing/service.go
@@ -27,7 +27,7 @@
 	DefaultInterval = 200 * time.Millisecond
 	// nodesPerInterval stretches the rounds of a larger deployment, so that a node's
 	// work on rows grows slower than their number; maxInterval bounds that.
-	nodesPerInterval = 20
+	nodesPerInterval = 40
 	maxInterval      = 800 * time.Millisecond
 	// fanout is the number of nodes that each round asks for the rows it lacks: rows of
 	// eight nodes are everywhere after two rounds, of seventy after four.
