Keep the stand-in and the test of the users' protocol in platform/, split the wiring

Change: platformtest, follow.go, kernel.Sleep; a node that knows no other reads the records in the store (TestNodesFindEachOtherByTheStore failed before by design, as nothing looked there).

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -14,8 +13,6 @@
 
 	"github.com/jujubeshed/jujubeshed/internal/gateway"
 	"github.com/jujubeshed/jujubeshed/internal/logqueue"
-	"github.com/jujubeshed/jujubeshed/internal/serve"
-	"github.com/jujubeshed/jujubeshed/internal/site"
 	"github.com/jujubeshed/jujubeshed/platform"
 )
 
@@ -65,7 +62,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
 	}
 	reg := prometheus.NewRegistry()
-	n, err := gateway.New(settings, usersPlatform(settings, reg), reg, log)
+	n, err := gateway.New(settings, platform.New(settings, reg), reg, log)
 	if err != nil {
 		return err
 	}
@@ -85,21 +82,3 @@
 		}
 	}
 }
-
-// usersPlatform wires the adapter of the users' platform in.
-func usersPlatform(s site.Settings, reg prometheus.Registerer) gateway.Platform {
-	return gateway.Platform{
-		Store:          platform.NewStore(s.StoreAddress, reg),
-		Cloud:          platform.NewCloud(s.CloudAddress, s.Node),
-		Transport:      platform.NewWorkers(reg),
-		DecodeConfig:   platform.DecodeConfig,
-		DecodeEndpoint: platform.DecodeEndpoint,
-		ConfigKey:      platform.ConfigKey,
-		EndpointKind:   platform.EndpointKind,
-		DecodeMove:     platform.DecodeMove, EncodeMoveStatus: platform.EncodeMoveStatus, MoveKind: platform.MoveKind,
-		Callers: func(h *serve.Handler, closing func() bool) http.Handler {
-			return platform.NewCallers(h, closing)
-		},
-		Ready: platform.ServeReady,
-	}
-}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -14,8 +14,8 @@
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	base "github.com/jujubeshed/jujubeshed/internal/platform"
 	"github.com/jujubeshed/jujubeshed/internal/site"
-	"github.com/jujubeshed/jujubeshed/internal/standin/objects"
 	"github.com/jujubeshed/jujubeshed/platform"
+	"github.com/jujubeshed/jujubeshed/platform/platformtest"
 )
 
 var quiet = slog.New(slog.DiscardHandler)
@@ -34,9 +34,9 @@
 	Version uint64 `json:"version"`
 }
 
-func newSite(t *testing.T) (*objects.Store, *platform.Store, *directory.Current) {
+func newSite(t *testing.T) (*platformtest.Store, *platform.Store, *directory.Current) {
 	t.Helper()
-	standin := objects.New()
+	standin := platformtest.New()
 	srv := httptest.NewServer(standin.Handler())
 	t.Cleanup(srv.Close)
 	store := platform.NewStore(srv.Listener.Addr().String(), prometheus.NewRegistry())
@@ -78,7 +78,7 @@
 	start(t, waiting)
 	standin.Set("config", "main", config{1})
 	eventually(t, "version 1 at both", func() bool { return alert.Version() == 1 && relaxed.Version() == 1 })
-	standin.SetFaults(objects.Faults{DeafWatches: true})
+	standin.SetFaults(platformtest.Faults{DeafWatches: true})
 	time.Sleep(20 * time.Millisecond) // both watches wait
 	seen := standin.Set("config", "main", config{2})
 	standin.Compact()
@@ -99,7 +99,7 @@
 	start(t, w)
 	standin.Set("config", "main", config{1})
 	eventually(t, "version 1", func() bool { return current.Version() == 1 })
-	standin.SetFaults(objects.Faults{DeafWatches: true})
+	standin.SetFaults(platformtest.Faults{DeafWatches: true})
 	time.Sleep(20 * time.Millisecond) // the watch waits
 	standin.Set("config", "main", config{2})
 	standin.Compact()
@@ -136,12 +136,12 @@
 	eventually(t, "six endpoints", func() bool { return listed.Load() == 6 && registry.Loaded() })
 	standin.Set("servers", "b", 17)
 	eventually(t, "five endpoints", func() bool { return listed.Load() == 5 })
-	standin.SetFaults(objects.Faults{Down: true})
+	standin.SetFaults(platformtest.Faults{Down: true})
 	for _, name := range []string{"c", "d", "e", "f"} {
 		standin.Remove("servers", name)
 	}
 	standin.Compact()
-	standin.SetFaults(objects.Faults{})
+	standin.SetFaults(platformtest.Faults{})
 	eventually(t, "one endpoint and the missing ones", func() bool { return listed.Load() == 1 && missing.Load() >= 4 })
 	standin.Set("servers", "c", ready("10.0.0.1:80"))
 	eventually(t, "c is back", func() bool { return listed.Load() == 2 })
@@ -209,10 +209,10 @@
 	}
 	standin.Remove("servers", "a")
 	eventually(t, "three endpoints at the follower", has(1, 3))
-	standin.SetFaults(objects.Faults{Down: true})
+	standin.SetFaults(platformtest.Faults{Down: true})
 	standin.Set("servers", "e", ready("10.0.0.3:80"))
 	standin.Compact()
-	standin.SetFaults(objects.Faults{})
+	standin.SetFaults(platformtest.Faults{})
 	eventually(t, "four endpoints at the leader", has(0, 4))
 	eventually(t, "four endpoints at the follower", has(1, 4))
 	if _, err := follower.Changes(context.Background(), 0, 0); err == nil {
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jujubeshed/jujubeshed/internal/kernel"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
 )
 
@@ -193,7 +194,7 @@
 			position, pause = next, retryMin
 			continue
 		}
-		sleep(ctx, pause/2+rand.N(pause/2+1))
+		kernel.Sleep(ctx, pause/2+rand.N(pause/2+1))
 		pause = min(2*pause, retryMax)
 	}
 }
@@ -302,12 +303,3 @@
 	w.mu.Unlock()
 	return r, err != nil && waiting.Err() != nil && ctx.Err() == nil, err
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -15,8 +15,8 @@
 	"github.com/jujubeshed/jujubeshed/internal/duty"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	base "github.com/jujubeshed/jujubeshed/internal/platform"
-	"github.com/jujubeshed/jujubeshed/internal/standin/objects"
 	"github.com/jujubeshed/jujubeshed/platform"
+	"github.com/jujubeshed/jujubeshed/platform/platformtest"
 )
 
 var quiet = slog.New(slog.DiscardHandler)
@@ -24,9 +24,9 @@
 // window is as short as a test can wait for.
 const window = 100 * time.Millisecond
 
-func newStore(t *testing.T) (*objects.Store, *platform.Store) {
+func newStore(t *testing.T) (*platformtest.Store, *platform.Store) {
 	t.Helper()
-	standin := objects.New()
+	standin := platformtest.New()
 	srv := httptest.NewServer(standin.Handler())
 	t.Cleanup(srv.Close)
 	return standin, platform.NewStore(srv.Listener.Addr().String(), prometheus.NewRegistry())
@@ -121,9 +121,9 @@
 	at := time.Now()
 	k := keeperOf(store, duty.NewTally("n", 1, m))
 	m.Count(at, "w")
-	standin.SetFaults(objects.Faults{LoseWrites: true})
+	standin.SetFaults(platformtest.Faults{LoseWrites: true})
 	k.Flush(ctx)
-	standin.SetFaults(objects.Faults{})
+	standin.SetFaults(platformtest.Faults{})
 	m.Count(at, "w")
 	k.Flush(ctx)
 	if n := reported(t, store, m.WindowAt(at)); n != 2 {
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -133,13 +133,36 @@
 	if err != nil {
 		return err
 	}
-	for _, o := range snap.Objects {
+	for _, r := range decodeRecords(snap.Objects, log) {
+		t.Add(r)
+	}
+	return nil
+}
+
+// decodeRecords decodes the records that can be read.
+func decodeRecords(objects []platform.Object, log *slog.Logger) []Record {
+	out := make([]Record, 0, len(objects))
+	for _, o := range objects {
 		var r Record
 		if err := json.Unmarshal(o.Value, &r); err != nil {
 			log.Warn("usage: Record of a node is not readable.", "key", string(o.Key), "error", err)
 			continue
 		}
-		t.Add(r)
+		out = append(out, r)
 	}
-	return nil
+	return out
+}
+
+// Addresses returns the addresses that nodes have recorded; some may be of nodes that
+// are gone.
+func Addresses(ctx context.Context, store platform.Store, log *slog.Logger) ([]string, error) {
+	objects, err := store.List(ctx, kindNodes)
+	if err != nil {
+		return nil, err
+	}
+	var out []string
+	for _, r := range decodeRecords(objects, log) {
+		out = append(out, r.Address)
+	}
+	return out, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,12 +1,10 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"log/slog"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -26,7 +24,6 @@
 	"github.com/jujubeshed/jujubeshed/internal/placement"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
 	"github.com/jujubeshed/jujubeshed/internal/quota"
-	"github.com/jujubeshed/jujubeshed/internal/rendezvous"
 	"github.com/jujubeshed/jujubeshed/internal/scaling"
 	"github.com/jujubeshed/jujubeshed/internal/serve"
 	"github.com/jujubeshed/jujubeshed/internal/sharing"
@@ -42,6 +39,7 @@
 	serviceMoves     kernel.Name = "directory.moves"
 	serviceVersions  kernel.Name = "rollout"
 	serviceTicker    kernel.Name = "gateway.ticker"
+	serviceFinder    kernel.Name = "gateway.finder"
 	servicePeers     kernel.Name = "listener.peers"
 	serviceMetrics   kernel.Name = "listener.metrics"
 	serviceSharing   kernel.Name = "sharing"
@@ -64,6 +62,8 @@
 	moveWait = 4 * time.Second
 	// tickEvery is the resolution of what ends by time: missing endpoints, lost nodes.
 	tickEvery = 100 * time.Millisecond
+	// findEvery is how often a node that knows no other looks for them in the store.
+	findEvery = 2 * time.Second
 	// dutyLease is the name of the lease on the duties.
 	dutyLease = "duty"
 	// dutyCandidates is the number of nodes that seek the duties: two may die at once.
@@ -167,29 +167,6 @@
 	return n, n.register()
 }
 
-// watcher returns a watcher of one kind of object.
-func (n *Node) watcher(kind platform.Key, l directory.Listener, alertWait time.Duration) *directory.Watcher {
-	name := string(kind)
-	alert := func() bool { return n.foremost(name, alertNodes) }
-	return directory.NewWatcher(directory.WatcherOptions{
-		Store: n.platform.Store, Relay: &relay{n, name}, Prefix: kind, Listener: l, Alert: alert, AlertWait: alertWait, Log: n.log,
-	})
-}
-
-// changes returns changes to a node that follows this one.
-func (n *Node) changes(ctx context.Context, kind platform.Key, after uint64, wait time.Duration) (platform.WatchResult, error) {
-	switch kind {
-	case n.platform.EndpointKind:
-		return n.servers.Changes(ctx, after, wait)
-	case kindOf(n.platform.ConfigKey):
-		return n.configs.Changes(ctx, after, wait)
-	case n.platform.MoveKind:
-		return n.moves.Changes(ctx, after, wait)
-	default:
-		return platform.WatchResult{}, directory.ErrNotFollowing
-	}
-}
-
 // onConfig puts a configuration in force in the decision packages.
 func (n *Node) onConfig(cfg *site.Config) {
 	n.state.setWorkspaces(cfg)
@@ -259,6 +236,9 @@
 // aliveFor is the age of a row up to which its node counts as alive.
 const aliveFor = 3 * time.Second
 
+// Known returns the number of other nodes that are alive.
+func (n *Node) Known() int { return len(n.sharing.Others(aliveFor)) }
+
 // alive returns the nodes that are alive, this one included.
 func (n *Node) alive() []string {
 	out := []string{string(n.life.Node)}
@@ -268,45 +248,6 @@
 	return out
 }
 
-// alertNodes is the number of nodes that follow the store for all: one may be cut off.
-const alertNodes = 2
-
-// before returns the addresses of the live nodes that come before this one in the
-// order that a name gives to those that reach the store.
-func (n *Node) before(name string) []string {
-	own := rendezvous.Weight(name, string(n.life.Node))
-	type ranked struct {
-		address string
-		weight  uint64
-	}
-	var list []ranked
-	for _, r := range n.sharing.Others(aliveFor) {
-		if w := rendezvous.Weight(name, string(r.Life.Node)); !r.Leaving && !r.StoreLost && w > own {
-			list = append(list, ranked{r.Address, w})
-		}
-	}
-	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.weight, a.weight) })
-	out := make([]string, 0, len(list))
-	for _, r := range list {
-		out = append(out, r.address)
-	}
-	return out
-}
-
-// foremost tells whether this node is among the first in the order of a name.
-func (n *Node) foremost(name string, count int) bool { return len(n.before(name)) < count }
-
-// followers returns the nodes that follow the store for this one, in an order that
-// spreads the others over them.
-func (n *Node) followers(name string) []string {
-	list := n.before(name)
-	list = list[:min(len(list), alertNodes)]
-	if rendezvous.Weight("half", string(n.life.Node))%2 == 1 {
-		slices.Reverse(list)
-	}
-	return list
-}
-
 func (n *Node) buildDuties() error {
 	term := max(n.settings.Bounds.Lease, time.Second)
 	h, err := holder.New(holder.Options{
@@ -349,6 +290,7 @@
 		{serviceMoves, n.moves},
 		{serviceVersions, n.versions},
 		{serviceTicker, kernel.NewLoop(tickEvery, n.tick)},
+		{serviceFinder, kernel.NewLoop(findEvery, n.findNodes)},
 		{serviceMetrics, newListener(metricsAddress, metrics, n.log)},
 		{servicePeers, newListener(n.peerAddress(), peers, n.log)},
 		{serviceSharing, n.sharing},
@@ -365,16 +307,6 @@
 	return nil
 }
 
-// kindOf returns the kind of an object's key.
-func kindOf(key platform.Key) platform.Key {
-	for i := range key {
-		if key[i] == '/' {
-			return key[:i]
-		}
-	}
-	return key
-}
-
 func (n *Node) officer() *duty.Officer {
 	o := duty.Options{
 		Store: n.platform.Store, Cloud: n.platform.Cloud, Right: n.holder, Meter: n.meter, Tally: n.tally,
@@ -405,25 +337,18 @@
 	}
 }
 
-// hintPatience is how long the changes that another node has seen may take on their
-// way through the relay before this node asks the store itself.
-const hintPatience = 500 * time.Millisecond
-
-// hint asks the store where other nodes have been ahead of this one for a while.
-func (n *Node) hint(now time.Time) {
-	n.rows.Lock()
-	defer n.rows.Unlock()
-	if n.hinted <= n.servers.Seen() {
-		n.behind = time.Time{}
+// findNodes looks for other nodes by their records in the store where none is known:
+// the addresses in the settings may all be stale.
+func (n *Node) findNodes(ctx context.Context) {
+	if n.Known() > 0 {
 		return
 	}
-	if n.behind.IsZero() {
-		n.behind = now
-	}
-	if now.Sub(n.behind) >= hintPatience {
-		n.servers.Nudge(n.hinted)
-		n.behind = now
+	addresses, err := duty.Addresses(ctx, n.platform.Store, n.log)
+	if err != nil {
+		n.log.Warn("gateway: No other node is known, and none can be looked up.", "error", err)
+		return
 	}
+	n.sharing.AddSeeds(addresses)
 }
 
 // Start starts the node's services.
@@ -449,7 +374,7 @@
 	ctx, cancel := context.WithTimeout(ctx, max(n.settings.Bounds.Grace-exitMargin, time.Second))
 	defer cancel()
 	n.holder.Release(true)
-	pause(ctx, min(balancerDelay, n.settings.Bounds.Grace/2))
+	kernel.Sleep(ctx, min(balancerDelay, n.settings.Bounds.Grace/2))
 	err := n.registry.Drain(ctx)
 	stopCtx, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), exitMargin/2)
 	defer cancelStop()
@@ -459,12 +384,3 @@
 	n.log.Info("gateway: Stopped.", "error", err)
 	return err
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/kernel/loop.go
+++ b/internal/kernel/loop.go
@@ -55,3 +55,13 @@
 	<-l.done
 	return nil
 }
+
+// Sleep waits for d, or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/sharing/service.go
+++ b/internal/sharing/service.go
@@ -17,6 +17,7 @@
 	"github.com/jujubeshed/jujubeshed/api/gen/sharing/v1/sharingv1connect"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/keepalive"
+	"github.com/jujubeshed/jujubeshed/internal/kernel"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
 	"github.com/jujubeshed/jujubeshed/internal/quota"
 )
@@ -123,7 +124,7 @@
 		defer close(s.done)
 		for ctx.Err() == nil {
 			s.round()
-			sleep(ctx, s.Interval())
+			kernel.Sleep(ctx, s.Interval())
 		}
 	}()
 	return nil
@@ -146,15 +147,6 @@
 	return min(max(s.opts.Interval, s.opts.Interval*n/nodesPerInterval), maxInterval)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // AddSeeds takes further addresses of nodes, for example from the store.
 func (s *Service) AddSeeds(addresses []string) {
 	s.mu.Lock()
