Read the services from the configuration in force when planning

Cause, found by reading: the planner's services were set by the goroutine of the configuration's watcher and read by that of the duties. Change: the planner asks for them.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -170,9 +170,6 @@
 // onConfig puts a configuration in force in the decision packages.
 func (n *Node) onConfig(cfg *site.Config) {
 	n.state.setWorkspaces(cfg)
-	if n.planner != nil {
-		n.planner.SetServices(cfg.Services)
-	}
 	n.entries.Refresh()
 }
 
@@ -258,7 +255,7 @@
 	})
 	n.holder = h
 	if n.settings.Autoscale {
-		n.planner = scaling.New(n.state.usage)
+		n.planner = scaling.New(n.state.services, n.state.usage)
 	}
 	return err
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -119,15 +119,20 @@
 
 // setEndpoints takes the endpoints from the directory.
 func (s *state) setEndpoints(now time.Time, listed, missing []site.Endpoint) {
-	var services map[ident.Service]site.Service
-	if cfg := s.current.Config(); cfg != nil {
-		services = cfg.Services
-	}
+	services := s.services()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.mu.table.SetEndpoints(now, listed, missing, services)
 }
 
+// services returns the services of the configuration in force.
+func (s *state) services() map[ident.Service]site.Service {
+	if cfg := s.current.Config(); cfg != nil {
+		return cfg.Services
+	}
+	return nil
+}
+
 // setWorkspaces takes the limits of a configuration.
 func (s *state) setWorkspaces(cfg *site.Config) {
 	s.mu.Lock()
--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -53,7 +53,7 @@
 // Planner plans the endpoints of all services that may be scaled. It is not safe
 // for use by several goroutines.
 type Planner struct {
-	services map[ident.Service]site.Service
+	services func() map[ident.Service]site.Service
 	usage    func(ident.Service) placement.Usage
 	ordered  map[key]order
 	standing map[ident.Service]standing
@@ -82,16 +82,15 @@
 
 var _ duty.Planner = (*Planner)(nil)
 
-// New returns a planner; usage tells how busy a service is.
-func New(usage func(ident.Service) placement.Usage) *Planner {
+// New returns a planner. Services returns those of the configuration in force, and
+// usage tells how busy one is.
+func New(services func() map[ident.Service]site.Service, usage func(ident.Service) placement.Usage) *Planner {
 	return &Planner{
-		usage: usage, ordered: make(map[key]order), standing: make(map[ident.Service]standing), demand: make(map[ident.Service]*demand),
+		services: services, usage: usage, ordered: make(map[key]order), standing: make(map[ident.Service]standing),
+		demand: make(map[ident.Service]*demand),
 	}
 }
 
-// SetServices takes the services of the configuration.
-func (p *Planner) SetServices(services map[ident.Service]site.Service) { p.services = services }
-
 // Reset implements duty.Planner.
 func (p *Planner) Reset() {
 	clear(p.ordered)
@@ -114,8 +113,9 @@
 
 // Next implements duty.Planner.
 func (p *Planner) Next(now time.Time) (duty.Order, bool) {
-	for _, name := range slices.Sorted(maps.Keys(p.services)) {
-		s := p.services[name]
+	services := p.services()
+	for _, name := range slices.Sorted(maps.Keys(services)) {
+		s := services[name]
 		if s.Scale == nil {
 			continue
 		}
--- a/internal/scaling/planner_test.go
+++ b/internal/scaling/planner_test.go
@@ -48,7 +48,7 @@
 	for dc := range testServices["llm"].Scale.Prices {
 		w.have[placement.Place{DataCentre: dc}] = lasting
 	}
-	w.planner = New(func(ident.Service) placement.Usage {
+	w.planner = New(func() map[ident.Service]site.Service { return testServices }, func(ident.Service) placement.Usage {
 		u := placement.Usage{Endpoints: make(map[placement.Place]int), Running: w.load}
 		for p, n := range w.have {
 			u.Endpoints[p] = n
@@ -56,7 +56,6 @@
 		}
 		return u
 	})
-	w.planner.SetServices(testServices)
 	return w
 }
 
