Let the budget for retries follow the number of nodes

Cause, found by reading: a node that starts knows no other node, took an eighth of the bound's slack at its first request and kept it: 59 nodes that were killed together would have had 745 retries of 158. Change: the bound on what is saved up is set anew with the number of live nodes, and a start has 1.5 retries.

--- a/internal/attempt/budget.go
+++ b/internal/attempt/budget.go
@@ -16,11 +16,11 @@
 // multiply the load of a service that fails. Requests share it; it is safe for
 // concurrent use.
 type Budget struct {
-	share, max float64
+	share float64
 
 	mu struct {
 		sync.Mutex
-		saved float64
+		saved, max float64
 	}
 }
 
@@ -35,16 +35,26 @@
 	if o.Max == 0 {
 		o.Max = 100
 	}
-	b := &Budget{share: o.Share, max: o.Max}
+	b := &Budget{share: o.Share}
+	b.mu.max = o.Max
 	b.mu.saved = max(min(o.Initial, o.Max), 0)
 	return b
 }
 
+// Bound sets the most that may be saved up, as the number of those changes that share
+// a bound.
+func (b *Budget) Bound(most float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.mu.max = most
+	b.mu.saved = min(b.mu.saved, most)
+}
+
 // Success counts a request that succeeded.
 func (b *Budget) Success() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.mu.saved = min(b.mu.saved+b.share, b.max)
+	b.mu.saved = min(b.mu.saved+b.share, b.mu.max)
 }
 
 // Take takes one retry where there is one.
--- a/internal/attempt/sent_test.go
+++ b/internal/attempt/sent_test.go
@@ -73,6 +73,17 @@
 	}
 }
 
+// TestBoundOfABudget: what was saved up falls with the bound.
+func TestBoundOfABudget(t *testing.T) {
+	b := NewBudget(BudgetOptions{Initial: 5, Max: 5})
+	b.Bound(2)
+	for i := range 3 {
+		if took := b.Take(); took != (i < 2) {
+			t.Errorf("retry %d is allowed: %v", i+1, took)
+		}
+	}
+}
+
 // dispatched returns the attempt that the last of some actions asks for.
 func dispatched(t *testing.T, acts []Action) ident.AttemptID {
 	t.Helper()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,9 @@
 	leaseRetryPart = 4
 	// leaseCallTimeout bounds a call for the lease: a slow store answers in 250 ms.
 	leaseCallTimeout = 600 * time.Millisecond
+	// initialRetries is what a node that just started may retry before it has served
+	// anything or knows the others.
+	initialRetries = 1.5
 	// retryShare and retrySlackShare are the parts of the bound on retries that all
 	// nodes together use, and minNodes the fewest that share the slack: a node that
 	// just started doesn't know the others yet.
@@ -262,8 +265,8 @@
 
 // retryBudget is this node's part of the bound on retries.
 func (n *Node) retryBudget() attempt.BudgetOptions {
-	initial := retrySlackShare * n.settings.Bounds.RetrySlack / float64(max(len(n.alive()), minNodes))
-	return attempt.BudgetOptions{Share: retryShare * n.settings.Bounds.RetryRatio, Initial: initial, Max: initial}
+	slack := retrySlackShare * n.settings.Bounds.RetrySlack / float64(max(n.Known()+1, minNodes))
+	return attempt.BudgetOptions{Share: retryShare * n.settings.Bounds.RetryRatio, Initial: min(slack, initialRetries), Max: slack}
 }
 
 func (n *Node) register() error {
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -82,8 +82,8 @@
 	Transport Transport
 	Log       *slog.Logger
 	Metrics   *Metrics
-	// Budget returns the bound on this node's retries of a service; it is asked at the
-	// service's first request. Nil for the defaults.
+	// Budget returns the bound on this node's retries of a service, which changes with
+	// the number of nodes. Nil for the defaults.
 	Budget func() attempt.BudgetOptions
 }
 
@@ -108,10 +108,16 @@
 func (b *budgets) of(s ident.Service) *attempt.Budget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.byService[s] == nil {
-		b.byService[s] = attempt.NewBudget(b.opts())
+	opts := b.opts()
+	budget := b.byService[s]
+	if budget == nil {
+		budget = attempt.NewBudget(opts)
+		b.byService[s] = budget
 	}
-	return b.byService[s]
+	if opts.Max > 0 {
+		budget.Bound(opts.Max)
+	}
+	return budget
 }
 
 // call is a request on its way.
