--- a/internal/duty/tally.go
+++ b/internal/duty/tally.go
@@ -49,7 +49,7 @@
 
 // Own returns this life's counts of the latest windows.
 func (t *Tally) Own() Windows {
-	all, _ := t.meter.Snapshot()
+	all := t.meter.Snapshot()
 	first := t.meter.WindowAt(time.Now()) - toldWindows + 1
 	maps.DeleteFunc(all, func(window int64, _ Counts) bool { return window < first })
 	return all
@@ -87,7 +87,7 @@
 
 // refresh takes this life's own counts and forgets old windows. The lock is held.
 func (t *Tally) refresh(now time.Time) {
-	own, _ := t.meter.Snapshot()
+	own := t.meter.Snapshot()
 	for window, counts := range own {
 		t.merge(t.node, t.life, window, counts)
 	}
--- a/internal/duty/usage.go
+++ b/internal/duty/usage.go
@@ -28,7 +28,6 @@
 	mu     struct {
 		sync.Mutex
 		windows map[int64]Counts
-		changed bool
 	}
 }
 
@@ -56,12 +55,10 @@
 		m.mu.windows[k] = make(Counts)
 	}
 	m.mu.windows[k][w]++
-	m.mu.changed = true
 }
 
-// Snapshot returns the counts of the latest windows, and whether they have changed
-// since the last snapshot.
-func (m *Meter) Snapshot() (map[int64]Counts, bool) {
+// Snapshot returns the counts of the latest windows.
+func (m *Meter) Snapshot() Windows {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	keys := slices.Sorted(maps.Keys(m.mu.windows))
@@ -73,7 +70,5 @@
 	for k, counts := range m.mu.windows {
 		out[k] = maps.Clone(counts)
 	}
-	changed := m.mu.changed
-	m.mu.changed = false
-	return out, changed
+	return out
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/directory"
@@ -75,12 +76,8 @@
 
 // kindOf returns the kind of an object's key.
 func kindOf(key platform.Key) platform.Key {
-	for i := range key {
-		if key[i] == '/' {
-			return key[:i]
-		}
-	}
-	return key
+	kind, _, _ := strings.Cut(string(key), "/")
+	return platform.Key(kind)
 }
 
 // relay has the changes of the store's objects from the nodes that follow it. Where
