Move runs off leaving engines, fetch shared prefixes, keep time through clock steps

A run is now copied to another engine while it goes on, stopped, and goes on there after the last event read; it stays the same run, so streams that must not run twice are moved, too. Ruled out: the machine's own move (Leaving), which drops what the old engine still sends, so that a move refused in the end would lose it.

A request that goes past the home of its shared prefix names the engine to fetch it from; homes are taken over all endpoints, as the pools of nodes differ.

Package walltime counts by the time since boot and by what most nodes agree on.

--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -47,7 +47,7 @@
 	if err := json.Unmarshal(o.Value, &r); err != nil {
 		t.Fatal(err)
 	}
-	tally := duty.NewTally("other", 1, duty.NewMeter(window))
+	tally := duty.NewTally("other", 1, duty.NewMeter(window), time.Now)
 	tally.Add(r)
 	return tally.Sum(time.Now(), number)["w"]
 }
@@ -87,7 +87,7 @@
 	for life := range uint64(2) {
 		m := duty.NewMeter(window)
 		m.Count(at, "w")
-		keeperOf(store, duty.NewTally("n", life+1, m)).Flush(ctx)
+		keeperOf(store, duty.NewTally("n", life+1, m, time.Now)).Flush(ctx)
 	}
 	if n := reported(t, store, duty.NewMeter(window).WindowAt(at)); n != 2 {
 		t.Errorf("%d requests are recorded, 2 were counted", n)
@@ -100,7 +100,7 @@
 	m := duty.NewMeter(window)
 	now := time.Now()
 	k := m.WindowAt(now)
-	tally := duty.NewTally("n", 1, m)
+	tally := duty.NewTally("n", 1, m, time.Now)
 	m.Count(now, "w")
 	tally.Heard("dead", 1, now, map[int64]map[ident.Workspace]uint64{k: {"w": 5}})
 	tally.Add(duty.Record{Node: "dead", AsOf: now.UnixMilli(), Lives: map[uint64]duty.Windows{1: {k: {"w": 3}}}})
@@ -119,7 +119,7 @@
 	ctx := context.Background()
 	m := duty.NewMeter(window)
 	at := time.Now()
-	k := keeperOf(store, duty.NewTally("n", 1, m))
+	k := keeperOf(store, duty.NewTally("n", 1, m, time.Now))
 	m.Count(at, "w")
 	standin.SetFaults(platformtest.Faults{LoseWrites: true})
 	k.Flush(ctx)
@@ -136,12 +136,12 @@
 func TestWindowIsReportedWithOneCount(t *testing.T) {
 	_, store := newStore(t)
 	m := duty.NewMeter(window)
-	tally := duty.NewTally("n", 1, m)
+	tally := duty.NewTally("n", 1, m, time.Now)
 	k := keeperOf(store, tally)
 	c := &cloud{reports: make(chan duty.Report, 1000), lose: make(map[int64]bool)}
 	newOfficer := func(r duty.Right) *duty.Officer {
 		return duty.NewOfficer(duty.Options{
-			Store: store, Cloud: c, Right: r, Meter: m, Tally: tally, Late: time.Minute, Usage: true, Log: quiet,
+			Store: store, Cloud: c, Right: r, Meter: m, Tally: tally, Late: time.Minute, Usage: true, Now: time.Now, Log: quiet,
 			Alive: func() []string { return []string{"n"} },
 		})
 	}
@@ -204,7 +204,7 @@
 	var r right
 	r.epoch.Store(1)
 	f := duty.NewOfficer(duty.Options{
-		Store: store, Cloud: c, Right: &r, Meter: m, Tally: duty.NewTally("n", 1, m), Late: time.Hour, Usage: true, Log: quiet,
+		Store: store, Cloud: c, Right: &r, Meter: m, Tally: duty.NewTally("n", 1, m, time.Now), Late: time.Hour, Usage: true, Now: time.Now, Log: quiet,
 		Alive: func() []string { return []string{"n", "silent"} },
 	})
 	if err := f.Start(ctx); err != nil {
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -84,7 +84,7 @@
 	if !k.known && !k.recall(ctx) {
 		return
 	}
-	record := k.tally.Record(k.last, k.address)
+	record := k.tally.Record(k.address)
 	counts, err := json.Marshal(record.Lives)
 	if err != nil {
 		k.log.Error("usage: Counts cannot be encoded.", "error", err)
--- a/internal/duty/officer.go
+++ b/internal/duty/officer.go
@@ -77,7 +77,9 @@
 	// is to be reported.
 	Planner Planner
 	Usage   bool
-	Log     *slog.Logger
+	// Now tells the time of day that windows go by.
+	Now func() time.Time
+	Log *slog.Logger
 }
 
 // Officer does the duties while it holds the right to.
@@ -156,7 +158,7 @@
 	if !f.read && !f.recall(ctx) {
 		return
 	}
-	now := time.Now()
+	now := f.opts.Now()
 	for _, r := range f.journal.Open {
 		if !f.sent[r.Window] && !f.send(ctx, r) {
 			return
--- a/internal/duty/tally.go
+++ b/internal/duty/tally.go
@@ -31,6 +31,7 @@
 	node  string
 	life  uint64
 	meter *Meter
+	now   func() time.Time
 
 	mu struct {
 		sync.Mutex
@@ -39,9 +40,10 @@
 	}
 }
 
-// NewTally returns the tally of a node, which counts on a meter.
-func NewTally(node string, life uint64, m *Meter) *Tally {
-	t := &Tally{node: node, life: life, meter: m}
+// NewTally returns the tally of a node, which counts on a meter; now tells the time of
+// day that windows go by.
+func NewTally(node string, life uint64, m *Meter, now func() time.Time) *Tally {
+	t := &Tally{node: node, life: life, meter: m, now: now}
 	t.mu.counts = make(map[string]map[uint64]Windows)
 	t.mu.asOf = make(map[string]time.Time)
 	return t
@@ -50,7 +52,7 @@
 // Own returns this life's counts of the latest windows.
 func (t *Tally) Own() Windows {
 	all := t.meter.Snapshot()
-	first := t.meter.WindowAt(time.Now()) - toldWindows + 1
+	first := t.meter.WindowAt(t.now()) - toldWindows + 1
 	maps.DeleteFunc(all, func(window int64, _ Counts) bool { return window < first })
 	return all
 }
@@ -114,7 +116,8 @@
 }
 
 // Record returns what to keep of this node in the store.
-func (t *Tally) Record(now time.Time, address string) Record {
+func (t *Tally) Record(address string) Record {
+	now := t.now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.refresh(now)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/jujubeshed/jujubeshed/internal/serve"
 	"github.com/jujubeshed/jujubeshed/internal/sharing"
 	"github.com/jujubeshed/jujubeshed/internal/site"
+	"github.com/jujubeshed/jujubeshed/internal/walltime"
 )
 
 // Names of a node's services. They start in the order of register, and drain and
@@ -46,6 +47,7 @@
 	serviceKeeper    kernel.Name = "duty.keeper"
 	serviceLease     kernel.Name = "duty.lease"
 	serviceOfficer   kernel.Name = "duty.officer"
+	serviceMover     kernel.Name = "serve.mover"
 	serviceReady     kernel.Name = "listener.ready"
 	serviceCallers   kernel.Name = "listener.callers"
 )
@@ -124,6 +126,7 @@
 	metrics  *prometheus.Registry
 	registry *kernel.Registry
 	life     quota.NodeLife
+	clock    *walltime.Host
 
 	current  *directory.Current
 	entries  *directory.Registry
@@ -150,13 +153,14 @@
 		settings: settings, platform: p, log: log, metrics: reg, registry: kernel.New(log),
 		life: quota.NodeLife{Node: settings.Node, Life: ident.Incarnation(time.Now().UnixMilli())},
 	}
+	n.clock = walltime.NewHost(log)
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	n.meter = duty.NewMeter(max(settings.Bounds.UsageWindow, time.Second))
-	n.tally = duty.NewTally(string(n.life.Node), uint64(n.life.Life), n.meter)
+	n.tally = duty.NewTally(string(n.life.Node), uint64(n.life.Life), n.meter, n.clock.Now)
 	n.current = directory.NewCurrent(p.ConfigKey, p.DecodeConfig, log)
-	n.state = newState(settings.DataCentre, quota.Options{
+	n.state = newState(placement.Options{DataCentre: settings.DataCentre, Drain: settings.Bounds.Drain}, quota.Options{
 		Self: n.life, Overshoot: settings.Bounds.LimitOvershoot, Slack: settings.Bounds.LimitSlack,
-	}, n.current, n.meter)
+	}, n.current, n.meter, n.clock)
 	n.entries = directory.NewRegistry(p.DecodeEndpoint, n.state.setEndpoints, log)
 	n.current.OnChange(n.onConfig)
 	n.configs = n.watcher(kindOf(p.ConfigKey), n.current, directory.DefaultAlertWait)
@@ -187,7 +191,7 @@
 func (n *Node) buildSharing() {
 	n.sharing = sharing.New(sharing.Options{
 		Self: n.life, Address: n.peerAddress(), Seeds: n.settings.Seeds, Log: n.log, Metrics: n.metrics,
-		Compose: n.compose, OnRows: n.onRows,
+		Compose: n.compose, OnRows: n.onRows, Now: n.clock.Now, OnTime: n.clock.Heard,
 		Config:   n.current.Raw,
 		OnConfig: func(raw []byte, from string) { n.current.Offer(raw, "peer "+from) },
 		Levels:   n.state.levels,
@@ -298,6 +302,7 @@
 		{serviceLease, &leaseService{holder: n.holder}},
 		{serviceOfficer, n.officer()},
 		{serviceReady, newListener(n.settings.ReadyAddress, n.platform.Ready(n.ready), n.log)},
+		{serviceMover, kernel.NewLoop(serve.MoveTick, func(context.Context) { handler.MoveRuns(time.Now()) })},
 		{serviceCallers, newDrainedListener(n.settings.CallersAddress, callers, n.log)},
 	} {
 		if err := n.registry.Register(s.name, s.service); err != nil {
@@ -310,7 +315,7 @@
 func (n *Node) officer() *duty.Officer {
 	o := duty.Options{
 		Store: n.platform.Store, Cloud: n.platform.Cloud, Right: n.holder, Meter: n.meter, Tally: n.tally,
-		Late: n.settings.Bounds.UsageLate, Alive: n.alive, Usage: n.settings.Usage, Log: n.log,
+		Late: n.settings.Bounds.UsageLate, Alive: n.alive, Usage: n.settings.Usage, Now: n.clock.Now, Log: n.log,
 	}
 	if n.planner != nil {
 		o.Planner = n.planner
@@ -326,6 +331,7 @@
 
 func (n *Node) tick(context.Context) {
 	now := time.Now()
+	n.clock.Correct()
 	n.entries.Tick(now)
 	n.addLoads()
 	n.hint(now)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -13,6 +13,7 @@
 	"github.com/jujubeshed/jujubeshed/internal/serve"
 	"github.com/jujubeshed/jujubeshed/internal/site"
 	"github.com/jujubeshed/jujubeshed/internal/verdict"
+	"github.com/jujubeshed/jujubeshed/internal/walltime"
 )
 
 // peerLoadAge is how old the load that another node told of may be: after it the
@@ -28,6 +29,7 @@
 type state struct {
 	current *directory.Current
 	meter   *duty.Meter
+	clock   *walltime.Host
 
 	mu struct {
 		sync.Mutex
@@ -42,9 +44,9 @@
 	_ serve.Places = (*state)(nil)
 )
 
-func newState(dc ident.DataCentre, ledger quota.Options, current *directory.Current, meter *duty.Meter) *state {
-	s := &state{current: current, meter: meter}
-	s.mu.table = placement.New(placement.Options{DataCentre: dc})
+func newState(places placement.Options, ledger quota.Options, current *directory.Current, meter *duty.Meter, clock *walltime.Host) *state {
+	s := &state{current: current, meter: meter, clock: clock}
+	s.mu.table = placement.New(places)
 	s.mu.ledger = quota.New(ledger)
 	s.mu.rng = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return s
@@ -68,7 +70,7 @@
 }
 
 // Began implements serve.View.
-func (s *state) Began(w ident.Workspace) { s.meter.Count(time.Now(), w) }
+func (s *state) Began(w ident.Workspace) { s.meter.Count(s.clock.Now(), w) }
 
 // Pick implements serve.Places. The attempt counts as sent from here on.
 func (s *state) Pick(id ident.AttemptID, r placement.Request) (placement.Choice, *verdict.Error) {
@@ -110,6 +112,13 @@
 	return s.mu.table.Leaving(id)
 }
 
+// Departure implements serve.Places.
+func (s *state) Departure(id ident.EndpointID) (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mu.table.Departure(id)
+}
+
 // usage returns how busy a service is.
 func (s *state) usage(name ident.Service) placement.Usage {
 	s.mu.Lock()
--- a/internal/placement/member.go
+++ b/internal/placement/member.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +16,7 @@
 	hash     uint64
 	engine   *site.Engine // nil at a plain service
 	missing  time.Time    // since when the list lacks it; zero while listed
+	leaves   time.Time    // when it ends, for one that leaves; zero otherwise
 	inflight map[ident.AttemptID]*work
 	prefill  backlog
 	context  int // tokens of own requests in memory
@@ -54,6 +56,17 @@
 	return m
 }
 
+// setDeparture notes when a leaving endpoint ends: at the time that it tells, or some
+// time after it was first seen to leave, or to be gone from the list.
+func (m *member) setDeparture(now time.Time, drain time.Duration) {
+	switch {
+	case !m.Leaving && m.missing.IsZero():
+		m.leaves = time.Time{}
+	case m.leaves.IsZero():
+		m.leaves = now.Add(cmp.Or(m.LeavesIn, drain))
+	}
+}
+
 // running estimates the requests at the endpoint.
 func (m *member) running(now time.Time) int {
 	n := len(m.inflight) + m.peers.Running
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -49,11 +49,13 @@
 	}
 	long := s.isLong(r)
 	pool, others := t.pool(s, candidates, r.Prompt, long)
-	home := t.homes(pool, r.Prompt)
+	ranked := t.homes(candidates, r.Prompt)
+	home := ranked[:min(homes, len(ranked))]
+	have := t.holders(now, s, r, ranked)
 	var best Choice
 	var bestCost time.Duration
 	for _, m := range t.sample(rng, candidates, home) {
-		c, cost := t.estimate(now, s, m, r, slices.Contains(home, m))
+		c, cost := t.estimate(now, s, m, r, slices.Contains(home, m), have)
 		c.long = long
 		if !slices.Contains(pool, m) {
 			cost += others
@@ -96,7 +98,9 @@
 		case r.Version != "" && m.Version != r.Version:
 		case r.AvoidVersion != "" && m.Version == r.AvoidVersion:
 		case !m.missing.IsZero():
-			gone = append(gone, m)
+			if !r.Imported {
+				gone = append(gone, m)
+			}
 		case m.health.out(now) || m.health.busy(now):
 			tired = append(tired, m)
 		default:
@@ -111,7 +115,8 @@
 	return nil
 }
 
-// homes returns the endpoints that a prompt's shared prefix belongs to.
+// homes returns the endpoints that a prompt's shared prefix belongs to: its home, and
+// the next ones in its order.
 func (t *Table) homes(candidates []*member, p Prompt) []*member {
 	if p.sharedTokens() < homeTokens {
 		return nil
@@ -119,7 +124,7 @@
 	shared := p.shared()
 	key := shared[len(shared)-1].ID
 	var out []*member
-	for range min(homes, len(candidates)) {
+	for range min(fetchCandidates, len(candidates)) {
 		var best *member
 		for _, m := range candidates {
 			if !slices.Contains(out, m) && (best == nil || mix(m.hash^key) > mix(best.hash^key)) {
@@ -133,7 +138,7 @@
 
 // estimate returns the choice of a member and its cost: the time to the first
 // event, and what the choice takes from others.
-func (t *Table) estimate(now time.Time, s *service, m *member, r Request, home bool) (Choice, time.Duration) {
+func (t *Table) estimate(now time.Time, s *service, m *member, r Request, home bool, have []holder) (Choice, time.Duration) {
 	running := m.running(now)
 	wait := t.opts.RunningCost * time.Duration(running)
 	if over := running + 1 - m.Slots; over > 0 {
@@ -152,9 +157,17 @@
 	if home {
 		cachedTokens = max(cachedTokens, int(homeShare*float64(sharedTokens)))
 	}
-	uncached := max(p.Input-cachedTokens, 1)
+	from, fetched := m.fetch(have, cachedTokens)
+	c := Choice{Endpoint: m.Endpoint, Uncached: max(p.Input-cachedTokens-fetched, 1)}
+	if from != nil {
+		c.FetchFrom = from.Address
+		wait += m.fetchTime(from, fetched)
+	}
+	if r.Imported {
+		c.Uncached = 1
+	}
 	ahead := m.prefill.left(now, s.prefill) + float64(m.peers.Prefill)
-	reading := seconds((ahead + float64(uncached)) / s.prefill)
+	reading := seconds((ahead + float64(c.Uncached)) / s.prefill)
 	wait += reading
 	if reading > r.longestRead() {
 		cost += pauseCost * time.Duration(running)
@@ -162,9 +175,12 @@
 	if m.context+m.peers.Context+p.Tokens() > int(contextShare*float64(m.engine.CacheTokens)) {
 		cost += fullCost
 	}
-	again := max(sharedTokens-cachedTokens, 0)
-	cost += seconds(t.opts.ReadAgainWeight * float64(again) / s.prefill)
-	return Choice{Endpoint: m.Endpoint, Wait: wait, Uncached: uncached}, wait + cost
+	if !r.Imported {
+		again := float64(max(sharedTokens-cachedTokens-fetched, 0)) + fetchWeight*float64(fetched)
+		cost += seconds(t.opts.ReadAgainWeight * again / s.prefill)
+	}
+	c.Wait = wait
+	return c, wait + cost
 }
 
 // mix spreads the bits of x (the finalizer of SplitMix64).
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -53,6 +53,7 @@
 		case m.missing.IsZero():
 			m.missing = now
 		}
+		m.setDeparture(now, t.opts.Drain)
 		seen[e.ID] = m
 	}
 	for _, e := range missing {
@@ -213,6 +214,15 @@
 	return m == nil || m.Leaving || !m.missing.IsZero()
 }
 
+// Departure returns when an endpoint ends that leaves, and whether it does.
+func (t *Table) Departure(id ident.EndpointID) (time.Time, bool) {
+	m := t.members[id]
+	if m == nil || m.leaves.IsZero() {
+		return time.Time{}, false
+	}
+	return m.leaves, true
+}
+
 // Usage is how busy a service is.
 type Usage struct {
 	// Endpoints that may be chosen, by data centre and kind.
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -58,6 +58,9 @@
 	MaxGap time.Duration
 	// Deadline by which the first event must come; zero for none.
 	Deadline time.Time
+	// Imported tells that the run comes with its KV cache, so that nothing is to be
+	// read. Only a registered endpoint takes it.
+	Imported bool
 }
 
 // Choice is the endpoint to send a request to.
@@ -67,6 +70,9 @@
 	Wait time.Duration
 	// Uncached tokens of the prompt are expected to be read.
 	Uncached int
+	// FetchFrom is the address of an endpoint that likely holds more of the prompt's
+	// KV cache; empty where none does.
+	FetchFrom string
 
 	long bool // the prompt is one that delays others
 }
@@ -128,6 +134,9 @@
 	// FullFor is how long an endpoint that refused for want of room is left out.
 	// Default: 150ms.
 	FullFor time.Duration
+	// Drain is how long an endpoint serves after it was seen to leave where it doesn't
+	// tell. Default: 2s.
+	Drain time.Duration
 }
 
 func (o Options) withDefaults() Options {
@@ -141,5 +150,6 @@
 	o.MaxEjected = cmp.Or(o.MaxEjected, 0.4)
 	o.CacheMemory = cmp.Or(o.CacheMemory, 20*time.Second)
 	o.FullFor = cmp.Or(o.FullFor, 150*time.Millisecond)
+	o.Drain = cmp.Or(o.Drain, 2*time.Second)
 	return o
 }
--- a/internal/serve/attempts.go
+++ b/internal/serve/attempts.go
@@ -2,15 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
-	"time"
 
-	"github.com/cockroachdb/errors"
-
-	"github.com/jujubeshed/jujubeshed/internal/attempt"
 	"github.com/jujubeshed/jujubeshed/internal/attempt/runner"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/placement"
@@ -31,40 +26,27 @@
 }
 
 type attemptEntry struct {
-	id       ident.AttemptID
-	endpoint site.Endpoint
-	wait     time.Duration
-	uncached int
-	err      error
+	id     ident.AttemptID
+	choice placement.Choice
+	err    error
 }
 
 func (l *attemptLog) add(id ident.AttemptID, c placement.Choice) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.list = append(l.list, attemptEntry{id: id, endpoint: c.Endpoint, wait: c.Wait, uncached: c.Uncached})
+	l.list = append(l.list, attemptEntry{id: id, choice: c})
 }
 
-func (l *attemptLog) endpoint(id ident.AttemptID) site.Endpoint {
+// choice returns the endpoint chosen for an attempt.
+func (l *attemptLog) choice(id ident.AttemptID) placement.Choice {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, e := range l.list {
 		if e.id == id {
-			return e.endpoint
+			return e.choice
 		}
 	}
-	return site.Endpoint{}
-}
-
-// wait returns the estimated time to the first event of an attempt.
-func (l *attemptLog) wait(id ident.AttemptID) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, e := range l.list {
-		if e.id == id {
-			return e.wait
-		}
-	}
-	return 0
+	return placement.Choice{}
 }
 
 func (l *attemptLog) ended(id ident.AttemptID, err error) {
@@ -84,7 +66,10 @@
 	out := []any{"attempts", len(l.list)}
 	for i, e := range l.list {
 		n := strconv.Itoa(i + 1)
-		out = append(out, "endpoint_"+n, e.endpoint.ID, "estimate_ms_"+n, e.wait.Milliseconds(), "uncached_"+n, e.uncached)
+		out = append(out, "endpoint_"+n, e.choice.Endpoint.ID, "estimate_ms_"+n, e.choice.Wait.Milliseconds(), "uncached_"+n, e.choice.Uncached)
+		if e.choice.FetchFrom != "" {
+			out = append(out, "fetch_from_"+n, e.choice.FetchFrom)
+		}
 		if e.err != nil {
 			out = append(out, "error_"+n, e.err.Error())
 		}
@@ -148,13 +133,9 @@
 // Open implements runner.Dialer.
 func (c *call) Open(ctx context.Context, in runner.Call) (runner.Stream, error) {
 	id := in.Dispatch.Attempt
-	a := Attempt{
-		Request: c.req, Endpoint: c.attempts.endpoint(id), Deadline: c.deadline, Priority: c.priority(),
-		After: c.lastEvent(), Stream: c.route.Kind == site.KindStream,
-	}
-	if c.workspace != nil {
-		a.Workspace = c.workspace.Name
-	}
+	choice := c.attempts.choice(id)
+	a := c.attemptAt(choice.Endpoint)
+	a.FetchFrom = choice.FetchFrom
 	ctx, dog := c.watch(ctx, id)
 	answer, err := c.h.transport.Send(ctx, a)
 	if err != nil {
@@ -164,13 +145,28 @@
 	if answer.Load.Known {
 		c.h.places.Said(a.Endpoint.ID, answer.Load)
 	}
-	s := &answerStream{call: c, attempt: id, answer: answer, next: in.Dispatch.ResumeOffset, dog: dog}
+	s := &answerStream{call: c, ctx: ctx, attempt: id, endpoint: choice.Endpoint, answer: answer, next: in.Dispatch.ResumeOffset, dog: dog}
 	if answer.Events == nil {
 		c.ran()
+	} else {
+		c.h.runs.add(s)
 	}
 	return s, nil
 }
 
+// attemptAt returns the request as it goes to an endpoint, after the events that the
+// caller has.
+func (c *call) attemptAt(e site.Endpoint) Attempt {
+	a := Attempt{
+		Request: c.req, Endpoint: e, Deadline: c.deadline, Priority: c.priority(),
+		After: c.lastEvent(), Stream: c.route.Kind == site.KindStream,
+	}
+	if c.workspace != nil {
+		a.Workspace = c.workspace.Name
+	}
+	return a
+}
+
 // priority returns the request's rank at an engine.
 func (c *call) priority() int {
 	if c.workspace != nil && c.workspace.Priority != nil {
@@ -195,69 +191,3 @@
 		}
 	})
 }
-
-// answerStream is the answer of one attempt.
-type answerStream struct {
-	call    *call
-	attempt ident.AttemptID
-	answer  *Answer
-	next    int // offset of the next event
-	lastID  int
-	ended   bool
-	dog     *watchdog
-}
-
-// Recv implements runner.Stream.
-func (s *answerStream) Recv() (runner.Frame, error) {
-	echo := attempt.Echo{Request: s.call.req.ID, Attempt: s.attempt}
-	if s.answer.Events == nil {
-		r := &attempt.Response{Attempt: s.attempt, Echo: echo, Status: s.answer.Head.Status}
-		return runner.Frame{Response: r, Body: s.answer}, nil
-	}
-	if s.ended {
-		return runner.Frame{End: true}, nil
-	}
-	ev, err := s.answer.Events.Next()
-	if errors.Is(err, io.EOF) {
-		s.ended = true
-		s.call.delivery.complete(s.answer.Head)
-		return runner.Frame{Chunk: &attempt.Chunk{Echo: echo, Offset: s.next, Finish: "end"}}, nil
-	}
-	if err != nil {
-		return runner.Frame{}, s.dog.explain(err)
-	}
-	s.dog.heard()
-	if err := s.follows(ev); err != nil {
-		return runner.Frame{}, err
-	}
-	if s.lastID == 0 {
-		s.call.ran()
-		s.call.h.places.FirstEvent(s.attempt)
-	}
-	s.lastID = ev.ID
-	s.call.delivery.offer(s.answer.Head, s.next, ev.ID)
-	chunk := &attempt.Chunk{Echo: echo, Offset: s.next, Tokens: []string{ev.Raw}}
-	s.next++
-	return runner.Frame{Chunk: chunk}, nil
-}
-
-// follows checks that an event is the next one of its stream.
-func (s *answerStream) follows(ev Event) error {
-	last := s.lastID
-	if last == 0 {
-		last = s.call.lastEvent()
-	}
-	if last > 0 && ev.ID != last+1 {
-		return errors.Newf("event %d follows event %d", ev.ID, last)
-	}
-	return nil
-}
-
-// Close implements runner.Stream.
-func (s *answerStream) Close() error {
-	s.dog.stop()
-	if s.answer.Events != nil {
-		s.answer.Events.Close()
-	}
-	return nil
-}
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -53,6 +53,8 @@
 	Said(id ident.EndpointID, l Load)
 	Finished(id ident.AttemptID, o placement.Outcome)
 	Leaving(id ident.EndpointID) bool
+	// Departure returns when an endpoint ends that leaves, and whether it does.
+	Departure(id ident.EndpointID) (time.Time, bool)
 }
 
 // Versions draws which version of a service a request goes to, and takes evidence.
@@ -72,6 +74,7 @@
 	log       *slog.Logger
 	metrics   *Metrics
 	budgets   *budgets
+	runs      *runs
 }
 
 // Parts are what a Handler works with.
@@ -95,6 +98,7 @@
 	return &Handler{
 		view: p.View, places: p.Places, versions: p.Versions, transport: p.Transport, log: p.Log, metrics: p.Metrics,
 		budgets: &budgets{opts: p.Budget, byService: make(map[ident.Service]*attempt.Budget)},
+		runs:    newRuns(),
 	}
 }
 
--- a/internal/serve/handler_test.go
+++ b/internal/serve/handler_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/jujubeshed/jujubeshed/internal/ident"
@@ -96,9 +97,17 @@
 	return c, err
 }
 
-func (w *world) FirstEvent(ident.AttemptID)              {}
-func (w *world) Said(ident.EndpointID, serve.Load)       {}
-func (w *world) Leaving(ident.EndpointID) bool           { return false }
+func (w *world) FirstEvent(ident.AttemptID)        {}
+func (w *world) Said(ident.EndpointID, serve.Load) {}
+func (w *world) Leaving(ident.EndpointID) bool     { return false }
+func (w *world) Departure(id ident.EndpointID) (time.Time, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.table.Departure(id)
+}
+func (w *world) Move(context.Context, serve.Move) (*serve.Copy, error) {
+	return nil, errors.New("no move is expected")
+}
 func (w *world) Draw(ident.Service) (_, _ ident.Version) { return "", "" }
 func (w *world) Record(ident.Service, ident.Version, placement.Outcome, ident.RouteName, time.Duration) {
 }
@@ -347,6 +356,9 @@
 type sendFunc func(ctx context.Context, a serve.Attempt) (*serve.Answer, error)
 
 func (f sendFunc) Send(ctx context.Context, a serve.Attempt) (*serve.Answer, error) { return f(ctx, a) }
+func (f sendFunc) Move(context.Context, serve.Move) (*serve.Copy, error) {
+	return nil, errors.New("no move is expected")
+}
 
 // TestSilentStreamGoesOnElsewhere: an endpoint that falls silent in the middle of a
 // stream is given up where the stream may go on at another one.
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -15,6 +15,7 @@
 	attempts *prometheus.CounterVec
 	took     *prometheus.HistogramVec
 	first    *prometheus.HistogramVec
+	moves    *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics with reg.
@@ -34,7 +35,10 @@
 			Name: "request_first_byte_seconds", Help: "Time to the beginning of the answer.", Buckets: buckets,
 		}, []string{"route", "workspace"}),
 	}
-	reg.MustRegister(m.requests, m.attempts, m.took, m.first)
+	m.moves = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "run_move_total", Help: "Runs moved off endpoints that leave, by service and outcome.",
+	}, []string{"service", "outcome"})
+	reg.MustRegister(m.requests, m.attempts, m.took, m.first, m.moves)
 	return m
 }
 
@@ -54,3 +58,12 @@
 func (m *Metrics) attempt(s ident.Service, o placement.Outcome) {
 	m.attempts.WithLabelValues(string(s), outcomeNames[o]).Inc()
 }
+
+// moved counts the move of a run.
+func (m *Metrics) moved(s ident.Service, err error) {
+	outcome := "ok"
+	if err != nil {
+		outcome = "failed"
+	}
+	m.moves.WithLabelValues(string(s), outcome).Inc()
+}
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -67,6 +67,28 @@
 	After int
 	// Stream tells that a successful answer comes as events.
 	Stream bool
+	// FetchFrom is the address of an engine that likely holds a part of the prompt's KV
+	// cache; empty for none.
+	FetchFrom string
+	// Import is the run that this attempt goes on with; nil where it begins anew.
+	Import *Copy
+}
+
+// Copy is the memory of a run that was moved to another engine.
+type Copy struct {
+	// Source is the address of the engine that the run was stopped at.
+	Source string
+	// Handle names the copy. It can be used once.
+	Handle string
+}
+
+// Move asks for a copy of a run's memory.
+type Move struct {
+	Request  ident.RequestID
+	From, To site.Endpoint
+	// Stop ends the run at its engine before the last part is copied; its stream ends
+	// there without an end mark. Without it the run goes on.
+	Stop bool
 }
 
 // Answer is what an endpoint sent back: either a body or events follow its head.
@@ -105,4 +127,7 @@
 // where nothing was sent, or where the endpoint says that it has not run the request.
 type Transport interface {
 	Send(ctx context.Context, a Attempt) (*Answer, error)
+	// Move copies the memory of a run to another engine. A copy is returned beside an
+	// error where the run was stopped and has to go on at its own engine.
+	Move(ctx context.Context, m Move) (*Copy, error)
 }
--- a/internal/sharing/rows.go
+++ b/internal/sharing/rows.go
@@ -37,7 +37,7 @@
 	Seen platform.Version
 	// StoreLost tells that the node can't follow the store at present.
 	StoreLost bool
-	// AsOf is when the node told this, by its own clock.
+	// AsOf is when the node told this, by the time of day as the node takes it to be.
 	AsOf time.Time
 	// Windows holds the requests begun in the latest usage windows, by workspace.
 	Windows map[int64]map[ident.Workspace]uint64
--- a/internal/sharing/service.go
+++ b/internal/sharing/service.go
@@ -51,6 +51,10 @@
 	Interval time.Duration
 	// Compose returns this node's row; node, beat and address are filled in.
 	Compose func() Row
+	// Now tells the time of day that rows bear, and OnTime takes what another node told
+	// as the time just now.
+	Now    func() time.Time
+	OnTime func(node ident.NodeID, told time.Time)
 	// OnRows takes the rows that are new.
 	OnRows func(now time.Time, fresh []Row)
 	// Config returns the configuration in force as the operator wrote it, and
@@ -172,7 +176,7 @@
 	defer s.mu.Unlock()
 	s.mu.beat++
 	now := time.Now()
-	row.Life, row.Beat, row.Address, row.AsOf = s.opts.Self, s.mu.beat, s.opts.Address, now
+	row.Life, row.Beat, row.Address, row.AsOf = s.opts.Self, s.mu.beat, s.opts.Address, s.opts.Now()
 	s.mu.rows.Merge(now, []Row{row})
 	s.mu.rows.Expire(now)
 	req := &sharingv1.ExchangeRequest{Own: encodeRow(&row), Joining: !s.mu.joined}
@@ -296,7 +300,9 @@
 	for i, key := range in.Keys {
 		digest[key] = in.Beats[i]
 	}
-	s.take([]Row{decodeRow(in.Own)})
+	own := decodeRow(in.Own)
+	s.opts.OnTime(own.Life.Node, own.AsOf)
+	s.take([]Row{own})
 	s.mu.Lock()
 	rows := s.mu.rows.Lacking(digest)
 	s.mu.Unlock()
--- a/internal/sharing/sharing_test.go
+++ b/internal/sharing/sharing_test.go
@@ -64,12 +64,16 @@
 	services []*sharing.Service
 	heard    []atomic.Int64 // rows of others
 	joined   []atomic.Int64
+	times    []atomic.Int64 // that others told as of now
 }
 
+// ahead is what the nodes' time is off by.
+const ahead = time.Hour
+
 // newNodes starts services of which only the first knows an address: that of the last.
 func newNodes(t *testing.T, n int) *nodes {
 	t.Helper()
-	f := &nodes{heard: make([]atomic.Int64, n), joined: make([]atomic.Int64, n)}
+	f := &nodes{heard: make([]atomic.Int64, n), joined: make([]atomic.Int64, n), times: make([]atomic.Int64, n)}
 	var first string
 	for i := range n {
 		srv := httptest.NewUnstartedServer(nil)
@@ -80,6 +84,12 @@
 			Compose: func() sharing.Row {
 				return sharing.Row{Spent: quota.Spending{"w": float64(i)}, Windows: map[int64]map[ident.Workspace]uint64{7: {"w": uint64(i)}}}
 			},
+			Now: func() time.Time { return time.Now().Add(ahead) },
+			OnTime: func(node ident.NodeID, told time.Time) {
+				if d := time.Until(told); node != "" && d > ahead-10*time.Second && d <= ahead {
+					f.times[i].Add(1)
+				}
+			},
 			OnRows: func(_ time.Time, fresh []sharing.Row) { f.heard[i].Add(int64(len(fresh))) },
 			Config: func() []byte { return []byte("config") },
 			OnConfig: func(raw []byte, _ string) {
@@ -143,6 +153,26 @@
 	}
 }
 
+// TestNodesTellEachOtherTheTime: each node hears from others what they take for the
+// time.
+func TestNodesTellEachOtherTheTime(t *testing.T) {
+	f := newNodes(t, 3)
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		heard := 0
+		for i := range f.times {
+			if f.times[i].Load() > 0 {
+				heard++
+			}
+		}
+		if heard == len(f.times) {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d of %d nodes have heard of the time", heard, len(f.times))
+		}
+	}
+}
+
 // TestChangesOfTheStore: a node that does not follow it says so.
 func TestChangesOfTheStore(t *testing.T) {
 	f := newNodes(t, 2)
--- a/internal/site/config.go
+++ b/internal/site/config.go
@@ -95,6 +95,9 @@
 	CacheTokens int
 	// MovesRuns tells whether a running request can be moved between engines.
 	MovesRuns bool
+	// TokenBytes is the KV cache of one token, in bytes, and LinkBytes what the link of
+	// an engine carries, in bytes a second; zero where engines don't exchange cache.
+	TokenBytes, LinkBytes float64
 }
 
 // Scale says which numbers of endpoints may be ordered, and at what price.
