--- a/internal/attempt/answer.go
+++ b/internal/attempt/answer.go
@@ -120,6 +120,9 @@
 		}
 		return m.fail(now, t, fmt.Errorf("answer to request %q came on attempt %q", r.Echo.Request, t.id))
 	}
+	if m.offset > 0 {
+		return m.fail(now, t, fmt.Errorf("status %d in the place of token %d", r.Status, m.offset))
+	}
 	if m.req.Idempotent && passing(r.Status) && m.mayRetry(now) && m.budget.Take() {
 		return m.passOver(now, t, fmt.Errorf("endpoint answered with status %d", r.Status))
 	}
--- a/internal/attempt/sent_test.go
+++ b/internal/attempt/sent_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
 )
 
 // TestMaxSentCountsHedges: a lookup that may go to two endpoints failed at the
@@ -95,3 +96,30 @@
 	t.Fatalf("no dispatch in %v", acts)
 	return ""
 }
+
+// TestErrorDoesNotContinueAStream: an endpoint that answers the resume of a stream with
+// an error has not continued it; its answer must not end what the caller has.
+func TestErrorDoesNotContinueAStream(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := New(Request{ID: "r", Class: ident.ClassQuick, Idempotent: true, Stream: true, Opaque: true, Deadline: now.Add(10 * time.Second)},
+		Options{MaxAttempts: 2, MaxSent: 2}, NewBudget(BudgetOptions{}))
+	first := dispatched(t, m.Step(now, Start{}))
+	m.Step(now, Picked{Attempt: first, Endpoint: "a"})
+	m.Step(now, Chunk{Attempt: first, Echo: Echo{"r", first}, Offset: 0, Tokens: []string{"x"}})
+	second := dispatched(t, m.Step(now, Truncated{Attempt: first}))
+	m.Step(now, Picked{Attempt: second, Endpoint: "b"})
+	for _, a := range m.Step(now, Response{Attempt: second, Echo: Echo{"r", second}, Status: 500}) {
+		switch a := a.(type) {
+		case Respond, Finish:
+			t.Errorf("the stream was ended by %#v", a)
+		}
+	}
+	for _, a := range m.Step(now.Add(10*time.Second), Tick{}) {
+		if g, ok := a.(GiveUp); ok && g.Err.Verdict != verdict.MayHaveRun {
+			t.Errorf("given up as %v", g.Err)
+		}
+	}
+	if !m.Done() {
+		t.Error("the request has not ended by its deadline")
+	}
+}
--- a/internal/serve/handler_test.go
+++ b/internal/serve/handler_test.go
@@ -229,6 +229,22 @@
 	}
 }
 
+// TestErrorEndsNoStream: a stream that broke off and whose resume is answered with an
+// error, each time, is broken off, too.
+func TestErrorEndsNoStream(t *testing.T) {
+	_, h := newWorld(func(n int, _ serve.Attempt) (*serve.Answer, error) {
+		if n == 1 {
+			return stream("first", numbered(1, 2), io.ErrUnexpectedEOF), nil
+		}
+		return whole(500, "error"), nil
+	})
+	out := &caller{}
+	h.Serve(context.Background(), request("/chat/x"), out)
+	if out.events != "ab" || !out.aborted || out.body != "" {
+		t.Errorf("events %q, body %q, aborted %t", out.events, out.body, out.aborted)
+	}
+}
+
 // TestOrderRunsOnce: it goes to a second endpoint only where the first has surely
 // not run it, and a refusal says "not run" only where nothing has.
 func TestOrderRunsOnce(t *testing.T) {
