--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -203,7 +203,7 @@
 // compose returns this node's row.
 func (n *Node) compose() sharing.Row {
 	r := sharing.Row{ConfigVersion: n.current.Version(), Leaving: n.draining.Load(), Seen: n.servers.Seen(), StoreLost: n.servers.Lost() || n.configs.Lost()}
-	r.Spent, r.Loads = n.state.own()
+	r.Spent, r.Loads, r.Held = n.state.own()
 	r.Windows = n.tally.Own()
 	n.versions.compose(&r)
 	return r
@@ -214,7 +214,7 @@
 	n.rows.Lock()
 	defer n.rows.Unlock()
 	for _, r := range fresh {
-		n.state.heard(now, r.Life, r.Spent)
+		n.state.heard(now, r.Life, r.Spent, r.Held)
 		n.tally.Heard(string(r.Life.Node), uint64(r.Life.Life), r.AsOf, r.Windows)
 		if r.ConfigVersion > n.current.Version() {
 			n.sharing.FetchConfig(r.Address)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -149,15 +149,17 @@
 	s.mu.ledger.SetWorkspaces(time.Now(), cfg.Workspaces)
 }
 
-// own returns what this node tells the others of its spending and load.
-func (s *state) own() (quota.Spending, map[ident.EndpointID]placement.Load) {
+// own returns what this node tells the others of its spending and load, and of where
+// it has sent prefixes.
+func (s *state) own() (quota.Spending, map[ident.EndpointID]placement.Load, []placement.Held) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	spent := make(quota.Spending)
 	for w, n := range s.mu.ledger.Spent() {
 		spent[w] = n
 	}
-	return spent, s.mu.table.Loads(time.Now())
+	now := time.Now()
+	return spent, s.mu.table.Loads(now), s.mu.table.Held(now)
 }
 
 // levels returns the levels of the workspaces' buckets, for a node that starts.
@@ -174,11 +176,12 @@
 	s.mu.ledger.Join(time.Now(), levels)
 }
 
-// heard takes what another node has spent.
-func (s *state) heard(now time.Time, from quota.NodeLife, spent quota.Spending) {
+// heard takes what another node has spent, and where it has sent prefixes.
+func (s *state) heard(now time.Time, from quota.NodeLife, spent quota.Spending, held []placement.Held) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.mu.ledger.Heard(now, from, spent)
+	s.mu.table.Learn(now, held)
 }
 
 // setPeers takes the load of all other nodes, and the number of all nodes.
--- a/internal/placement/fetch.go
+++ b/internal/placement/fetch.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -19,10 +20,14 @@
 	remoteFetch = 2
 	// minFetch is the least number of tokens worth a fetch: below it, its set-up takes
 	// as long as the reading.
-	minFetch = 400
-	// fetchCandidates is the number of endpoints by rendezvous that may hold a shared
-	// prefix: its home, and the one that was its home before that one came.
-	fetchCandidates = 2
+	minFetch = 150
+	// tellFor is how long a node tells the others of a prefix that it has sent somewhere:
+	// all have heard of it after some rounds of their exchange.
+	tellFor = 2 * time.Second
+	// maxTold bounds the prefixes that a node tells of at once, and maxKnown those known
+	// of one endpoint.
+	maxTold  = 64
+	maxKnown = 2048
 )
 
 // holder is an endpoint that likely has leading tokens of a prompt in its cache.
@@ -31,10 +36,71 @@
 	tokens int
 }
 
-// holders returns the endpoints that likely have a prompt's shared prefix, the
-// likeliest first: those that this node sent it to, and its homes. Endpoints that
-// fail hold nothing that can be had; leaving ones still do.
-func (t *Table) holders(now time.Time, s *service, r Request, ranked []*member) []holder {
+// Held tells that an endpoint, named by a hash, holds a prefix since a node has sent a
+// request with it there.
+type Held struct {
+	Prefix   uint64
+	Endpoint uint32
+}
+
+// sentPrefix is a prefix that this node has sent somewhere.
+type sentPrefix struct {
+	Held
+	at time.Time
+}
+
+// note remembers that a prompt's prefix was sent to an endpoint.
+func (t *Table) note(now time.Time, m *member, p Prompt) {
+	if m.engine == nil || m.engine.LinkBytes <= 0 || p.sharedTokens() < homeTokens {
+		return
+	}
+	t.sent = append(t.sent, sentPrefix{Held{p.prefix(), uint32(m.hash)}, now})
+}
+
+// Held returns where this node has lately sent prefixes, to be told to the others.
+func (t *Table) Held(now time.Time) []Held {
+	t.sent = slices.DeleteFunc(t.sent, func(s sentPrefix) bool { return now.Sub(s.at) > tellFor })
+	if n := len(t.sent); n > maxTold {
+		t.sent = slices.Delete(t.sent, 0, n-maxTold)
+	}
+	out := make([]Held, 0, len(t.sent))
+	for _, s := range t.sent {
+		out = append(out, s.Held)
+	}
+	return out
+}
+
+// Learn takes what another node has told of prefixes.
+func (t *Table) Learn(now time.Time, held []Held) {
+	for _, h := range held {
+		m := t.byHash[h.Endpoint]
+		if m == nil {
+			continue // it has ended, or is not listed here yet
+		}
+		if len(m.told) >= maxKnown {
+			maps.DeleteFunc(m.told, func(_ uint64, at time.Time) bool { return now.Sub(at) > t.opts.CacheMemory/2 })
+		}
+		m.told[h.Prefix] = now
+	}
+}
+
+// cachedTokens returns how many leading tokens of a prompt an endpoint likely holds.
+func (t *Table) cachedTokens(now time.Time, m *member, p Prompt) int {
+	own := m.cache.prefix(now, p.Parts, t.opts.CacheMemory)
+	shared := p.sharedTokens()
+	if own >= shared || shared == 0 {
+		return own
+	}
+	if at, ok := m.told[p.prefix()]; ok && now.Sub(at) <= t.opts.CacheMemory {
+		return shared
+	}
+	return own
+}
+
+// holders returns the endpoints that likely hold a prompt's shared prefix, those with
+// most of it first. Endpoints that fail hold nothing that can be had; leaving ones
+// still do.
+func (t *Table) holders(now time.Time, s *service, r Request) []holder {
 	shared := r.Prompt.sharedTokens()
 	if r.Imported || shared < homeTokens || len(s.members) == 0 || s.members[0].engine == nil || s.members[0].engine.LinkBytes <= 0 {
 		return nil
@@ -44,26 +110,30 @@
 		if !m.missing.IsZero() || m.health.out(now) {
 			continue
 		}
-		if n := min(m.cache.prefix(now, r.Prompt.Parts, t.opts.CacheMemory), shared); n >= minFetch {
+		if n := min(t.cachedTokens(now, m, r.Prompt), shared); n >= minFetch {
 			out = append(out, holder{m, n})
 		}
 	}
 	slices.SortStableFunc(out, func(a, b holder) int { return b.tokens - a.tokens })
-	for _, m := range ranked {
-		out = append(out, holder{m, int(homeShare * float64(shared))})
-	}
 	return out
 }
 
 // fetch returns the endpoint that m should have cache from, and how many tokens more
-// than the cached ones come from there.
+// than the cached ones come from there: the most, and of these the nearest.
 func (m *member) fetch(holders []holder, cached int) (*member, int) {
+	var best holder
 	for _, h := range holders {
-		if h.member != m && h.tokens-cached >= minFetch {
-			return h.member, h.tokens - cached
+		if h.member == m || h.tokens-cached < minFetch || h.tokens < best.tokens {
+			continue
+		}
+		if best.member == nil || best.DataCentre != m.DataCentre && h.DataCentre == m.DataCentre {
+			best = h
 		}
 	}
-	return nil, 0
+	if best.member == nil {
+		return nil, 0
+	}
+	return best.member, best.tokens - cached
 }
 
 // fetchTime returns the time that a transfer takes.
--- a/internal/placement/fetch_test.go
+++ b/internal/placement/fetch_test.go
@@ -108,3 +108,60 @@
 		t.Errorf("choice %+v, error %v", c, err)
 	}
 }
+
+// TestNodesTellWherePrefixesAre: a node that was told where another has sent a prefix
+// goes there, or has it from there; what it was told is forgotten in time.
+func TestNodesTellWherePrefixesAre(t *testing.T) {
+	one, two := linkedBench(t, 18), linkedBench(t, 18)
+	for i := range 10 { // all of the first node's prefixes lie where two would not look
+		r := draft(uint64(100+i), i)
+		home := one.table.home(one.table.services["llm"].members, r.Prompt)
+		r.Exclude = []ident.EndpointID{home.ID}
+		one.send(r)
+	}
+	held := one.table.Held(one.now)
+	if len(held) != 10 {
+		t.Fatalf("the node tells of %d prefixes", len(held))
+	}
+	two.table.Learn(two.now, held)
+	for i := range 10 {
+		r := draft(uint64(100+i), 50+i)
+		c, err := two.pick(r)
+		if err != nil || c.Uncached > r.Prompt.Input-r.Prompt.sharedTokens() {
+			t.Errorf("subject %d: %d tokens are read, error %v", 100+i, c.Uncached, err)
+		}
+	}
+	one.now = one.now.Add(tellFor + time.Millisecond)
+	if held := one.table.Held(one.now); len(held) > 0 {
+		t.Errorf("the node still tells of %d prefixes", len(held))
+	}
+	two.now = two.now.Add(21 * time.Second) // past CacheMemory
+	if c, err := two.pick(draft(100, 70)); err != nil || c.FetchFrom != "" || c.Uncached < 11000 {
+		t.Errorf("a prefix counts as held after 21 s: %+v, error %v", c, err)
+	}
+	two.table.Learn(two.now, []Held{{Prefix: 1, Endpoint: 12345}}) // of an unknown endpoint
+}
+
+// TestOpenConnectionIsPreferred: of many engines, a node with few requests goes back to
+// those that it has connections to, and spreads where these are busier.
+func TestOpenConnectionIsPreferred(t *testing.T) {
+	b := newBench(t, some(40, llm)...)
+	b.table.SetNodes(60)
+	dialled := make(map[ident.EndpointID]bool)
+	for i := range 60 {
+		id, c := b.send(Request{Service: "llm", Prompt: Prompt{Input: 500, Output: 50}})
+		dialled[c.Endpoint.ID] = true
+		b.now = b.now.Add(300 * time.Millisecond)
+		b.table.Finished(b.now, id, Success)
+		if i == 59 && len(dialled) > 5 {
+			t.Errorf("60 requests, one after the other, went to %d engines", len(dialled))
+		}
+	}
+	for range 60 {
+		_, c := b.send(Request{Service: "llm", Prompt: Prompt{Input: 500, Output: 50}})
+		dialled[c.Endpoint.ID] = true
+	}
+	if len(dialled) < 8 {
+		t.Errorf("60 requests at once went to %d engines", len(dialled))
+	}
+}
--- a/internal/placement/member.go
+++ b/internal/placement/member.go
@@ -23,7 +23,9 @@
 	peers    Load
 	said     saidLoad
 	cache    cache
+	told     map[uint64]time.Time // prefixes that other nodes have sent there
 	health   health
+	warm     warm
 }
 
 // work is one attempt of this node under way.
@@ -48,7 +50,7 @@
 const saidFor = 400 * time.Millisecond
 
 func newMember(e site.Endpoint, engine *site.Engine) *member {
-	m := &member{Endpoint: e, hash: xxhash.Sum64String(string(e.ID)), engine: engine, inflight: make(map[ident.AttemptID]*work)}
+	m := &member{Endpoint: e, hash: xxhash.Sum64String(string(e.ID)), engine: engine, inflight: make(map[ident.AttemptID]*work), told: make(map[uint64]time.Time)}
 	m.cache.parts = make(map[uint64]cached)
 	if engine != nil {
 		m.cache.limit = engine.CacheTokens
@@ -154,3 +156,20 @@
 		}
 	}
 }
+
+// warm counts the connections to an endpoint that are likely open and idle.
+type warm struct {
+	idle int
+	last time.Time // when one was put back
+}
+
+// warmFor is how long an idle connection is taken to stay open: endpoints close theirs
+// after some seconds.
+const warmFor = 5 * time.Second
+
+func (w *warm) take() { w.idle = max(w.idle-1, 0) }
+
+func (w *warm) put(now time.Time) { w.idle, w.last = w.idle+1, now }
+
+// any tells whether there is such a connection.
+func (w *warm) any(now time.Time) bool { return w.idle > 0 && now.Sub(w.last) < warmFor }
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -9,14 +9,12 @@
 )
 
 const (
-	// homeShare is the part of a shared prefix that a home is taken to hold where this
-	// node does not know better: all nodes send the prefix there.
+	// homeShare is what the home of a prefix is worth where nobody holds it, as a part of
+	// the time of reading it: nodes that have the same prefix at once meet there.
 	homeShare = 0.8
-	// homes is the number of endpoints that a shared prefix belongs to.
-	homes = 1
 	// homeTokens is the least shared prefix worth a home: what is smaller is read in
 	// less time than a busier endpoint costs.
-	homeTokens = 1000
+	homeTokens = 150
 	// contextShare is the part of an engine's memory past which running requests are
 	// likely preempted.
 	contextShare = 0.85
@@ -32,6 +30,12 @@
 	// each compares its part of the endpoints only, minSample at least.
 	freeNodes = 8
 	minSample = 8
+	// maxSampled bounds the endpoints compared beside those drawn, of each sort.
+	maxSampled = 4
+	// dialCost is added at an engine to which no connection is open: a round trip, its
+	// time for it, and its share of the connections that it takes. Other services have
+	// few endpoints, to which connections are open anyway.
+	dialCost = 3 * time.Millisecond
 	// tieWindow is the difference of two estimates below which chance decides, so
 	// that nodes with the same view don't all choose the same endpoint.
 	tieWindow = 500 * time.Microsecond
@@ -49,13 +53,12 @@
 	}
 	long := s.isLong(r)
 	pool, others := t.pool(s, candidates, r.Prompt, long)
-	ranked := t.homes(candidates, r.Prompt)
-	home := ranked[:min(homes, len(ranked))]
-	have := t.holders(now, s, r, ranked)
+	home := t.home(candidates, r.Prompt)
+	have := t.holders(now, s, r)
 	var best Choice
 	var bestCost time.Duration
-	for _, m := range t.sample(rng, candidates, home) {
-		c, cost := t.estimate(now, s, m, r, slices.Contains(home, m), have)
+	for _, m := range t.sample(now, rng, candidates, home, have) {
+		c, cost := t.estimate(now, s, m, r, m == home, have)
 		c.long = long
 		if !slices.Contains(pool, m) {
 			cost += others
@@ -72,17 +75,35 @@
 	return best, nil
 }
 
-// sample returns the endpoints to compare: all where few nodes choose among them,
-// and else the homes and some drawn at random.
-func (t *Table) sample(rng *rand.Rand, candidates, home []*member) []*member {
+// sample returns the endpoints to compare: all where few nodes choose among them, and
+// else some drawn at random, those that hold the prefix or are its home, and some to
+// which a connection is open.
+func (t *Table) sample(now time.Time, rng *rand.Rand, candidates []*member, home *member, have []holder) []*member {
 	n := max(len(candidates)*freeNodes/max(t.nodes, 1), minSample)
 	if n >= len(candidates) {
 		return candidates
 	}
-	out := slices.Clone(home)
-	for _, i := range rng.Perm(len(candidates))[:n] {
-		if !slices.Contains(out, candidates[i]) {
-			out = append(out, candidates[i])
+	var out []*member
+	add := func(m *member) {
+		if m != nil && !slices.Contains(out, m) {
+			out = append(out, m)
+		}
+	}
+	add(home)
+	for _, h := range have[:min(len(have), maxSampled)] {
+		if slices.Contains(candidates, h.member) {
+			add(h.member)
+		}
+	}
+	order := rng.Perm(len(candidates))
+	for _, i := range order[:n] {
+		add(candidates[i])
+	}
+	warm := 0
+	for _, i := range order[n:] {
+		if m := candidates[i]; warm < maxSampled && m.warm.any(now) {
+			add(m)
+			warm++
 		}
 	}
 	return out
@@ -115,25 +136,20 @@
 	return nil
 }
 
-// homes returns the endpoints that a prompt's shared prefix belongs to: its home, and
-// the next ones in its order.
-func (t *Table) homes(candidates []*member, p Prompt) []*member {
+// home returns the endpoint that a prompt's shared prefix goes to where nobody is known
+// to hold it: the same at all nodes.
+func (t *Table) home(candidates []*member, p Prompt) *member {
 	if p.sharedTokens() < homeTokens {
 		return nil
 	}
-	shared := p.shared()
-	key := shared[len(shared)-1].ID
-	var out []*member
-	for range min(fetchCandidates, len(candidates)) {
-		var best *member
-		for _, m := range candidates {
-			if !slices.Contains(out, m) && (best == nil || mix(m.hash^key) > mix(best.hash^key)) {
-				best = m
-			}
+	key := p.prefix()
+	var best *member
+	for _, m := range candidates {
+		if best == nil || mix(m.hash^key) > mix(best.hash^key) {
+			best = m
 		}
-		out = append(out, best)
 	}
-	return out
+	return best
 }
 
 // estimate returns the choice of a member and its cost: the time to the first
@@ -151,12 +167,12 @@
 	if m.engine == nil {
 		return Choice{Endpoint: m.Endpoint, Wait: wait}, wait + cost
 	}
+	if !m.warm.any(now) {
+		cost += dialCost
+	}
 	p := r.Prompt
 	sharedTokens := p.sharedTokens()
-	cachedTokens := m.cache.prefix(now, p.Parts, t.opts.CacheMemory)
-	if home {
-		cachedTokens = max(cachedTokens, int(homeShare*float64(sharedTokens)))
-	}
+	cachedTokens := t.cachedTokens(now, m, p)
 	from, fetched := m.fetch(have, cachedTokens)
 	c := Choice{Endpoint: m.Endpoint, Uncached: max(p.Input-cachedTokens-fetched, 1)}
 	if from != nil {
@@ -175,6 +191,9 @@
 	if m.context+m.peers.Context+p.Tokens() > int(contextShare*float64(m.engine.CacheTokens)) {
 		cost += fullCost
 	}
+	if home && len(have) == 0 {
+		cost -= seconds((1 + t.opts.ReadAgainWeight) * homeShare * float64(sharedTokens) / s.prefill)
+	}
 	if !r.Imported {
 		again := float64(max(sharedTokens-cachedTokens-fetched, 0)) + fetchWeight*float64(fetched)
 		cost += seconds(t.opts.ReadAgainWeight * again / s.prefill)
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -14,7 +14,9 @@
 	members  map[ident.EndpointID]*member
 	services map[ident.Service]*service
 	work     map[ident.AttemptID]*work
-	nodes    int // that choose among the same endpoints, this one included
+	byHash   map[uint32]*member
+	sent     []sentPrefix // of this node, the oldest first
+	nodes    int          // that choose among the same endpoints, this one included
 }
 
 // service is what is known of a service as a whole.
@@ -63,6 +65,10 @@
 		keep(e, false)
 	}
 	t.members = seen
+	t.byHash = make(map[uint32]*member, len(seen))
+	for _, m := range seen {
+		t.byHash[uint32(m.hash)] = m
+	}
 	for _, s := range t.services {
 		s.members = s.members[:0]
 	}
@@ -119,6 +125,8 @@
 	m.prefill.add(now, s.prefill, w.uncached)
 	s.long.add(now, s.work(c.Uncached, p.Output), c.long)
 	m.cache.use(now, p.Parts)
+	t.note(now, m, p)
+	m.warm.take()
 }
 
 // FirstEvent notes that an attempt's answer has begun.
@@ -181,6 +189,7 @@
 	t.settle(now, m, s)
 	switch o {
 	case Success:
+		m.warm.put(now)
 		s.took += measureGain * (now.Sub(w.at).Seconds() - s.took)
 		m.health.record(now, false)
 	case Fault:
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -43,6 +43,12 @@
 	return p.Parts[:len(p.Parts)-1]
 }
 
+// prefix names all shared parts by the last one.
+func (p Prompt) prefix() uint64 {
+	shared := p.shared()
+	return shared[len(shared)-1].ID
+}
+
 // Request asks for an endpoint.
 type Request struct {
 	Service ident.Service
--- a/internal/sharing/convert.go
+++ b/internal/sharing/convert.go
@@ -27,6 +27,9 @@
 		Spent: make(map[string]float64, len(r.Spent)),
 		Loads: make(map[string]*sharingv1.Load, len(r.Loads)),
 	}
+	for _, h := range r.Held {
+		w.Prefixes, w.Holders = append(w.Prefixes, h.Prefix), append(w.Holders, h.Endpoint)
+	}
 	for name, n := range r.Spent {
 		w.Spent[string(name)] = n
 	}
@@ -80,6 +83,9 @@
 
 		Evidence: make(rollout.Evidence, len(w.Evidence)),
 	}
+	for i := range min(len(w.Prefixes), len(w.Holders)) {
+		r.Held = append(r.Held, placement.Held{Prefix: w.Prefixes[i], Endpoint: w.Holders[i]})
+	}
 	for name, n := range w.Spent {
 		r.Spent[ident.Workspace(name)] = n
 	}
--- a/internal/sharing/rows.go
+++ b/internal/sharing/rows.go
@@ -33,6 +33,8 @@
 	// of version moves under way.
 	Bad      []rollout.Arm
 	Evidence rollout.Evidence
+	// Held are the prefixes that the node has lately sent to engines.
+	Held []placement.Held
 	// Seen is the latest version of a registration that the node has seen.
 	Seen platform.Version
 	// StoreLost tells that the node can't follow the store at present.
