Estimate the reading of long prompts by their square, too

A prompt of 24,000 tokens was taken to be read in 470 ms and had its first event after 1100: the work of attention grows with the square of the length, and the speed learned from all prompts together took short ones for slow and long ones for fast. The work is now counted in tokens at the start of a prompt. TestReadingWork compares it with an engine that reads in chunks.

--- a/internal/placement/member.go
+++ b/internal/placement/member.go
@@ -30,12 +30,12 @@
 
 // work is one attempt of this node under way.
 type work struct {
-	m        *member
-	at       time.Time
-	uncached int
-	context  int
-	first    bool // its first event has come
-	alone    bool // no prefill was ahead of it
+	m       *member
+	at      time.Time
+	reading int // tokens of work, see readingWork
+	context int
+	first   bool // its first event has come
+	alone   bool // no prefill was ahead of it
 }
 
 // saidLoad is what an endpoint last said of its load, beside what this node then
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -183,7 +183,8 @@
 		c.Uncached = 1
 	}
 	ahead := m.prefill.left(now, s.prefill) + float64(m.peers.Prefill)
-	reading := seconds((ahead + float64(c.Uncached)) / s.prefill)
+	c.reading = readingWork(p.Input-c.Uncached, c.Uncached)
+	reading := seconds((ahead + float64(c.reading)) / s.prefill)
 	wait += reading
 	if reading > r.longestRead() {
 		cost += pauseCost * time.Duration(running)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -18,8 +18,8 @@
 
 const (
 	// pauseShare is the part of the longest pause that streams bear which the reading
-	// of prompts may fill: a prompt's later chunks take longer than the measured
-	// speed says, and the steps of the batch come on top.
+	// of prompts may fill: the steps of the batch come on top, and other nodes send
+	// prompts that this one hears of some hundred milliseconds late.
 	pauseShare = 0.55
 	// defaultGap is assumed where the longest pause is not known.
 	defaultGap = 400 * time.Millisecond
@@ -78,16 +78,28 @@
 	return l.long / l.all
 }
 
+// attentionTokens is the length of a prompt of which the part of the work that grows
+// with its square is as large as the other one: it is about the same for all sizes of
+// the usual models.
+const attentionTokens = 48_000
+
+// readingWork returns the work of reading tokens of a prompt behind those that are
+// cached, in tokens at the start of a prompt: each token attends to all before it.
+func readingWork(cached, uncached int) int {
+	cached = max(cached, 0)
+	return uncached + uncached*(2*cached+uncached)/attentionTokens
+}
+
 // work returns the engine time that a request takes, in seconds.
-func (s *service) work(uncached, output int) float64 {
-	return float64(uncached)/s.prefill + tokenWork*float64(output)
+func (s *service) work(reading, output int) float64 {
+	return float64(reading)/s.prefill + tokenWork*float64(output)
 }
 
 // isLong tells whether a prompt delays others. Half of its shared parts is taken to
 // be cached, so that all nodes agree.
 func (s *service) isLong(r Request) bool {
 	unread := float64(r.Prompt.Input) - float64(r.Prompt.sharedTokens())/2
-	return seconds(unread/s.prefill) > r.longestRead()
+	return seconds(float64(readingWork(r.Prompt.Input-int(unread), int(unread)))/s.prefill) > r.longestRead()
 }
 
 // pool returns the candidates for a prompt of this length, and the penalty of the
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -209,3 +209,21 @@
 		t.Errorf("the busiest endpoint got %d of %d; %d where each node compares all", many, requests, alone)
 	}
 }
+
+// TestReadingWork: the work of a long prompt grows as that of the model engine does,
+// which reads it in chunks.
+func TestReadingWork(t *testing.T) {
+	for _, n := range []int{500, 5000, 20_000, 50_000} {
+		for _, cached := range []int{0, 5000} {
+			want := 0.0 // milliseconds
+			for read := 0; read < n; read += simChunk {
+				c := float64(min(simChunk, n-read))
+				want += c/simPrefill + c*(float64(cached+read)+c/2)/1e6*simPairs
+			}
+			got := float64(readingWork(cached, n)) / simPrefill
+			if math.Abs(got-want) > 0.05*want {
+				t.Errorf("%d tokens behind %d take %.0f ms, the engine takes %.0f", n, cached, got, want)
+			}
+		}
+	}
+}
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -119,11 +119,11 @@
 		return
 	}
 	s := t.service(m.Service)
-	w := &work{m: m, at: now, uncached: c.Uncached, context: p.Tokens(), alone: m.prefill.left(now, s.prefill)+float64(m.peers.Prefill) == 0}
+	w := &work{m: m, at: now, reading: c.reading, context: p.Tokens(), alone: m.prefill.left(now, s.prefill)+float64(m.peers.Prefill) == 0}
 	t.work[id], m.inflight[id] = w, w
 	m.context += w.context
-	m.prefill.add(now, s.prefill, w.uncached)
-	s.long.add(now, s.work(c.Uncached, p.Output), c.long)
+	m.prefill.add(now, s.prefill, w.reading)
+	s.long.add(now, s.work(c.reading, p.Output), c.long)
 	m.cache.use(now, p.Parts)
 	t.note(now, m, p)
 	m.warm.take()
@@ -151,10 +151,10 @@
 // measure learns the speed of prefill from a request that had it for itself.
 func (s *service) measure(now time.Time, w *work) {
 	took := now.Sub(w.at).Seconds()
-	if !w.alone || w.uncached < measuredTokens || took <= 0 {
+	if !w.alone || w.reading < measuredTokens || took <= 0 {
 		return
 	}
-	s.prefill += measureGain * (float64(w.uncached)/took - s.prefill)
+	s.prefill += measureGain * (float64(w.reading)/took - s.prefill)
 }
 
 // settle bounds a member's backlog by what its attempts without an event have left.
@@ -162,7 +162,7 @@
 	most := 0.0
 	for _, w := range m.inflight {
 		if !w.first {
-			most += float64(w.uncached)
+			most += float64(w.reading)
 		}
 	}
 	m.prefill.drop(now, s.prefill, most)
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -76,6 +76,8 @@
 	Wait time.Duration
 	// Uncached tokens of the prompt are expected to be read.
 	Uncached int
+	// reading is the work of that in tokens at the start of a prompt.
+	reading int
 	// FetchFrom is the address of an endpoint that likely holds more of the prompt's
 	// KV cache; empty where none does.
 	FetchFrom string
