Free the engine that a run was not moved to

A move that failed left its target loaded by the run until the stream ended, and told it for a success then. Found by reading; TestRefusedMoveLeavesNoLoad failed before.

--- a/internal/serve/runs.go
+++ b/internal/serve/runs.go
@@ -79,9 +79,10 @@
 type move struct {
 	to      site.Endpoint // changes to the run's own engine where it must go on there
 	attempt ident.AttemptID
-	done    chan struct{} // closed when copy and err are set
+	done    chan struct{} // closed when copied and err are set
 	copied  *Copy
 	err     error
+	taken   bool // the run goes on at the other engine
 }
 
 // moveSlot holds the move of a stream.
@@ -142,11 +143,15 @@
 			m.to = s.endpoint // it was stopped, and its memory is still there
 		}
 	}
+	if m.err != nil {
+		c.h.places.Finished(m.attempt, placement.Neutral)
+	}
 	c.h.metrics.moved(c.service, m.err)
 	attrs := []any{"request", c.req.ID, "from", s.endpoint.ID, "to", m.to.ID, "ends_in_ms", left.Milliseconds(),
 		"copy_ms", first.Milliseconds(), "stop_ms", (time.Since(start) - first).Milliseconds()}
 	if m.err != nil {
-		attrs = append(attrs, "error", m.err.Error())
+		c.h.log.Info("request: Move failed.", append(attrs, "error", m.err.Error())...)
+		return
 	}
 	c.h.log.Info("request: Run moved.", attrs...)
 }
@@ -178,18 +183,21 @@
 		s.call.h.log.Warn("request: Moved run is not taken.", "request", s.call.req.ID, "to", m.to.ID, "error", err)
 		return nil
 	}
-	s.call.h.places.Finished(s.attempt, placement.Neutral)
+	if m.to.ID != s.endpoint.ID {
+		m.taken = true
+		s.call.h.places.Finished(s.attempt, placement.Neutral)
+	}
 	return answer
 }
 
 // settleMove tells the end of the part at the other engine.
 func (s *answerStream) settleMove() {
 	m := s.move.get()
-	if m == nil || m.to.ID == "" {
+	if m == nil {
 		return
 	}
 	outcome := placement.Neutral
-	if s.ended {
+	if m.taken && s.ended {
 		outcome = placement.Success
 	}
 	s.call.h.places.Finished(m.attempt, outcome)
--- a/internal/serve/runs_test.go
+++ b/internal/serve/runs_test.go
@@ -169,3 +169,46 @@
 		t.Fatalf("attempts: %+v", m.sent)
 	}
 }
+
+// refusing is a transport whose engines copy nothing.
+type refusing struct{ *movable }
+
+func (r refusing) Move(context.Context, serve.Move) (*serve.Copy, error) {
+	return nil, refusal(verdict.NotRun)
+}
+
+// TestRefusedMoveLeavesNoLoad: an engine to which a run was not moved does not count as
+// loaded by it, nor as one that has served it.
+func TestRefusedMoveLeavesNoLoad(t *testing.T) {
+	w, _ := newWorld(nil)
+	cfg := *testConfig
+	engine := site.Engine{Slots: 8, CacheTokens: 10000, MovesRuns: true}
+	cfg.Services = map[ident.Service]site.Service{"llm": {Name: "llm", Engine: &engine}}
+	w.config = &cfg
+	tr := &movable{stopped: make(chan struct{})}
+	h := serve.NewHandler(serve.Parts{
+		View: w, Places: w, Versions: w, Transport: refusing{tr}, Log: slog.New(slog.DiscardHandler),
+		Metrics: serve.NewMetrics(prometheus.NewRegistry()),
+	})
+	ctx, leave := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.Serve(ctx, request("/draft/x"), &caller{})
+	}()
+	from := w.leaveWhenSent(tr)
+	h.MoveRuns(time.Now().Add(1500 * time.Millisecond))
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		w.mu.Lock()
+		loads := w.table.Loads(time.Now())
+		w.mu.Unlock()
+		if _, there := loads[from.ID]; there && len(loads) == 1 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("loads after a refused move: %v", loads)
+		}
+	}
+	leave()
+	<-done
+}
