Tell all nodes at once of spending that can't wait for the rows

A node now sends a datagram to all others as soon as it has spent its part of a fifth of a limit's burst; rows that come later and tell of less are known by their time. Fleets of up to 16 nodes have rows soon enough and send none.

Ruled out: pacing each node at one and a half times its part of the limit, which refused a quarter of what a workspace within its limit asks, as one request is more than a node's part of a second; rows at a shorter interval, whose bytes grow with the square of nodes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,7 @@
 	servicePeers     kernel.Name = "listener.peers"
 	serviceMetrics   kernel.Name = "listener.metrics"
 	serviceSharing   kernel.Name = "sharing"
+	serviceNews      kernel.Name = "sharing.news"
 	serviceKeeper    kernel.Name = "duty.keeper"
 	serviceLease     kernel.Name = "duty.lease"
 	serviceOfficer   kernel.Name = "duty.officer"
@@ -214,7 +215,7 @@
 	n.rows.Lock()
 	defer n.rows.Unlock()
 	for _, r := range fresh {
-		n.state.heard(now, r.Life, r.Spent, r.Held)
+		n.state.heard(now, r.Life, r.AsOf, r.Spent, r.Held)
 		n.tally.Heard(string(r.Life.Node), uint64(r.Life.Life), r.AsOf, r.Windows)
 		if r.ConfigVersion > n.current.Version() {
 			n.sharing.FetchConfig(r.Address)
@@ -298,6 +299,10 @@
 		{serviceMetrics, newListener(metricsAddress, metrics, n.log)},
 		{servicePeers, newListener(n.peerAddress(), peers, n.log)},
 		{serviceSharing, n.sharing},
+		{serviceNews, sharing.NewNews(sharing.NewsOptions{
+			Self: n.life, IP: n.settings.IP, Port: n.settings.PeerPort,
+			Others: n.sharing.Others, Spent: n.state.news, OnSpent: n.state.heardNews, Now: n.clock.Now,
+		})},
 		{serviceKeeper, duty.NewKeeper(n.platform.Store, n.peerAddress(), n.tally, func() int { return len(n.alive()) }, n.log)},
 		{serviceLease, &leaseService{holder: n.holder}},
 		{serviceOfficer, n.officer()},
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -177,13 +177,25 @@
 }
 
 // heard takes what another node has spent, and where it has sent prefixes.
-func (s *state) heard(now time.Time, from quota.NodeLife, spent quota.Spending, held []placement.Held) {
+func (s *state) heard(now time.Time, from quota.NodeLife, asOf time.Time, spent quota.Spending, held []placement.Held) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.mu.ledger.Heard(now, from, spent)
+	s.mu.ledger.Heard(now, from, asOf, spent)
 	s.mu.table.Learn(now, held)
 }
 
+// news returns the spending that all nodes have to know at once.
+func (s *state) news() quota.Spending {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mu.ledger.News()
+}
+
+// heardNews takes what another node has spent as of a time by its clock.
+func (s *state) heardNews(from quota.NodeLife, asOf time.Time, spent quota.Spending) {
+	s.heard(time.Now(), from, asOf, spent, nil)
+}
+
 // setPeers takes the load of all other nodes, and the number of all nodes.
 func (s *state) setPeers(loads map[ident.EndpointID]placement.Load, nodes int) {
 	s.mu.Lock()
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -57,6 +57,7 @@
 	opts    Options
 	buckets map[ident.Workspace]*bucket
 	spent   Spending
+	told    Spending // of spent, by News
 	peers   map[NodeLife]*peer
 	joined  bool
 }
@@ -81,6 +82,7 @@
 // peer is another node.
 type peer struct {
 	heard time.Time
+	asOf  time.Time // of its spending, by its own clock
 	lost  bool
 	spent Spending
 }
@@ -105,7 +107,8 @@
 	opts.LostAfter = cmp.Or(opts.LostAfter, DefaultLostAfter)
 	opts.ForgetAfter = cmp.Or(opts.ForgetAfter, DefaultForgetAfter)
 	return &Ledger{
-		opts: opts, buckets: make(map[ident.Workspace]*bucket), spent: make(Spending), peers: make(map[NodeLife]*peer),
+		opts: opts, buckets: make(map[ident.Workspace]*bucket), spent: make(Spending), told: make(Spending),
+		peers: make(map[NodeLife]*peer),
 	}
 }
 
@@ -272,17 +275,23 @@
 	}
 }
 
-// Heard takes the total spending of another node as of now.
-func (l *Ledger) Heard(now time.Time, from NodeLife, spent Spending) {
+// Heard takes the total spending of another node as of a time by that node's clock.
+// Workspaces that are not named have spent what they had. What is older than what was
+// heard before, as it came by a longer way, only shows that the node lives.
+func (l *Ledger) Heard(now time.Time, from NodeLife, asOf time.Time, spent Spending) {
 	if from == l.opts.Self {
 		return
 	}
 	p := l.peers[from]
 	if p == nil {
-		p = &peer{spent: copyOf(spent)}
+		p = &peer{spent: copyOf(spent), asOf: asOf}
 		l.peers[from] = p
 		l.forgetLives(from)
 	}
+	if asOf.Before(p.asOf) {
+		spent = nil
+	}
+	p.asOf = maxTime(p.asOf, asOf)
 	back := p.lost
 	for name, total := range spent {
 		delta := total - p.spent[name]
@@ -356,6 +365,13 @@
 	return lost
 }
 
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func copyOf(s Spending) Spending {
 	out := make(Spending, len(s))
 	for k, v := range s {
--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -47,7 +47,7 @@
 	for i, l := range f.ledgers {
 		for j, o := range f.ledgers {
 			if i != j && !f.cut[i] && !f.cut[j] {
-				l.Heard(f.now, f.lives[j], copyOf(o.Spent()))
+				l.Heard(f.now, f.lives[j], f.now, copyOf(o.Spent()))
 			}
 		}
 		l.Tick(f.now)
--- /dev/null
+++ b/internal/quota/many_test.go
@@ -0,0 +1,147 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// gossip is a fleet whose nodes have the rows of others by rounds, from some of them.
+type gossip struct {
+	*fleet
+	interval time.Duration
+	beat     uint64
+	known    [][]told // by node, of all others
+}
+
+// told is what a node knows of another.
+type told struct {
+	beat  uint64
+	asOf  time.Time
+	spent Spending
+}
+
+const gossipFanout = 2
+
+func newGossip(n int, interval time.Duration) *gossip {
+	g := &gossip{fleet: newFleet(n), interval: interval, known: make([][]told, n)}
+	for i := range g.known {
+		g.known[i] = make([]told, n)
+		g.ledgers[i].SetLostAfter(4 * interval)
+	}
+	return g
+}
+
+// round lets each node ask some others for what it lacks, and tell them its own row.
+func (g *gossip) round(rng *rand.Rand) {
+	g.beat++
+	for i, l := range g.ledgers {
+		g.known[i][i] = told{g.beat, g.now, copyOf(l.Spent())}
+	}
+	for i := range g.ledgers {
+		for range gossipFanout {
+			j := rng.IntN(len(g.ledgers))
+			g.learn(j, i, g.known[i][i])
+			for k, row := range g.known[j] {
+				g.learn(i, k, row)
+			}
+		}
+	}
+	for _, l := range g.ledgers {
+		l.Tick(g.now)
+	}
+}
+
+func (g *gossip) learn(node, of int, row told) {
+	if node != of && row.beat > g.known[node][of].beat {
+		g.known[node][of] = row
+		g.ledgers[node].Heard(g.now, g.lives[of], row.asOf, row.spent)
+	}
+}
+
+// news lets each node tell all others at once of what they have to know; some of it is
+// lost.
+func (g *gossip) news(rng *rand.Rand) {
+	const lost = 0.05
+	for i, l := range g.ledgers {
+		spent := l.News()
+		if spent == nil {
+			continue
+		}
+		for j, o := range g.ledgers {
+			if i != j && rng.Float64() >= lost {
+				o.Heard(g.now, g.lives[i], g.now, spent)
+			}
+		}
+	}
+}
+
+// newsEvery is how often nodes look for news.
+const newsEvery = 50 * time.Millisecond
+
+// ask lets all nodes be asked for a demand, in parts, and returns the part that was let
+// through.
+func (g *gossip) ask(rng *rand.Rand, d time.Duration, parts []float64, demand, cost float64) float64 {
+	const step = 5 * time.Millisecond
+	asked, let := 0, 0
+	next := g.now
+	for end := g.now.Add(d); g.now.Before(end); g.now = g.now.Add(step) {
+		for i, l := range g.ledgers {
+			for wanted := demand * testRate * parts[i] * step.Seconds() / cost; rng.Float64() < wanted; wanted-- {
+				asked++
+				if _, ok := l.Take(g.now, "w", cost); ok {
+					g.taken = append(g.taken, spend{g.now, cost})
+					let++
+				}
+			}
+		}
+		if !g.now.Before(next) {
+			g.round(rng)
+			next = g.now.Add(g.interval)
+		}
+		if g.now.UnixMilli()%newsEvery.Milliseconds() == 0 {
+			g.news(rng)
+		}
+	}
+	return float64(let) / float64(max(asked, 1))
+}
+
+// unevenShares draws the parts of nodes, some of which have several times as much as
+// others.
+func unevenShares(rng *rand.Rand, n int) []float64 {
+	out, sum := make([]float64, n), 0.0
+	for i := range out {
+		out[i] = 0.2 + rng.Float64()*rng.Float64()*4
+		sum += out[i]
+	}
+	for i := range out {
+		out[i] /= sum
+	}
+	return out
+}
+
+// TestHotWorkspaceAtManyNodes answers the pattern of a workspace that sends ten times
+// its limit through sixty nodes, which hear of each other's spending more than a second
+// late: what they admit stays within the bound, and a workspace within its limit is let
+// through all the same.
+func TestHotWorkspaceAtManyNodes(t *testing.T) {
+	const interval = 340 * time.Millisecond
+	for seed := range uint64(6) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		parts := unevenShares(rng, 60)
+		const cost = 20 // a fiftieth of the burst
+		g := newGossip(60, interval)
+		if let := g.ask(rng, 15*time.Second, parts, 0.6, cost); let < 0.97 {
+			t.Errorf("seed %d: within its limit, %.3f of a workspace's requests were let through", seed, let)
+		}
+		g.ask(rng, 12*time.Second, parts, 12, cost)
+		bound := (testRate*testWindow.Seconds() + testBurst) * overshoot
+		got := g.most(testWindow)
+		if got > bound {
+			t.Errorf("seed %d: %.0f were taken in %s, %.0f are allowed", seed, got, testWindow, bound)
+		}
+		if got < testRate*testWindow.Seconds()*0.85 {
+			t.Errorf("seed %d: only %.0f were taken in %s", seed, got, testWindow)
+		}
+	}
+}
--- /dev/null
+++ b/internal/quota/news.go
@@ -0,0 +1,37 @@
+package quota
+
+import "math"
+
+// Rows of a large fleet reach all nodes more than a second late. A workspace that
+// suddenly sends many times its limit finds a full bucket at every node, and would empty
+// it several times over before all have heard. Spending that matters is therefore told
+// to all nodes at once, beside the rows.
+
+const (
+	// newsShare is the part of a limit's burst that all nodes together may have spent
+	// without telling each other at once; it is small beside what the operators allow
+	// beyond a limit in their window.
+	newsShare = 0.2
+	// quietNodes is the number of nodes up to which rows are soon enough.
+	quietNodes = 16
+)
+
+// News returns the spending to tell all nodes at once: of workspaces of which this node
+// has spent its part of what may go untold. It counts as told from here on.
+func (l *Ledger) News() Spending {
+	nodes := len(l.peers) + 1
+	if nodes <= quietNodes {
+		return nil
+	}
+	var out Spending
+	for name, b := range l.buckets {
+		if b.rate <= 0 || math.Abs(l.spent[name]-l.told[name]) < newsShare*b.burst/float64(nodes) {
+			continue
+		}
+		if out == nil {
+			out = make(Spending)
+		}
+		out[name], l.told[name] = l.spent[name], l.spent[name]
+	}
+	return out
+}
--- a/internal/sharing/service.go
+++ b/internal/sharing/service.go
@@ -171,12 +171,13 @@
 
 // request renews this node's row and returns what a round asks with.
 func (s *Service) request() *sharingv1.ExchangeRequest {
+	asOf := s.opts.Now() // before what it tells, so that later news are never older
 	row := s.opts.Compose()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.mu.beat++
 	now := time.Now()
-	row.Life, row.Beat, row.Address, row.AsOf = s.opts.Self, s.mu.beat, s.opts.Address, s.opts.Now()
+	row.Life, row.Beat, row.Address, row.AsOf = s.opts.Self, s.mu.beat, s.opts.Address, asOf
 	s.mu.rows.Merge(now, []Row{row})
 	s.mu.rows.Expire(now)
 	req := &sharingv1.ExchangeRequest{Own: encodeRow(&row), Joining: !s.mu.joined}
