--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -8,11 +8,11 @@
 //
 //	prefill ahead of it + its own uncached prompt + what a full batch costs
 //
-// Requests that share parts of their prompts go where those parts are likely
-// cached: to the endpoint that had them last from this node, or else to the home
-// that the rendezvous hash of the deepest shared part names, on which all nodes
-// agree without a word. A home that is busy loses to an idle endpoint by the same
-// estimate.
+// Requests that share parts of their prompts go where those parts are likely cached, as
+// this node or another one has sent them there, or have them fetched from there. Where
+// nobody is known to hold them they go to the home that the rendezvous hash of the
+// deepest shared part names, on which all nodes agree without a word. A holder or home
+// that is busy loses to an idle endpoint by the same estimate.
 //
 // Invariants:
 //   - A leaving endpoint is never chosen, and one that is gone from the list only
--- a/internal/placement/fetch.go
+++ b/internal/placement/fetch.go
@@ -18,8 +18,9 @@
 	fetchWeight = 0.2
 	// remoteFetch is the time of a transfer between data centres, as a multiple.
 	remoteFetch = 2
-	// minFetch is the least number of tokens worth a fetch: below it, its set-up takes
-	// as long as the reading.
+	// minFetch is the least number of tokens worth a fetch: with fewer its set-up takes
+	// longer than the reading, but trials down to 150 had fewer tokens read again and no
+	// more answers late (docs/design/placement.md).
 	minFetch = 150
 	// tellFor is how long a node tells the others of a prefix that it has sent somewhere:
 	// all have heard of it after some rounds of their exchange.
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -12,8 +12,8 @@
 	// homeShare is what the home of a prefix is worth where nobody holds it, as a part of
 	// the time of reading it: nodes that have the same prefix at once meet there.
 	homeShare = 0.8
-	// homeTokens is the least shared prefix worth a home: what is smaller is read in
-	// less time than a busier endpoint costs.
+	// homeTokens is the least shared prefix that has a home, and that nodes tell each
+	// other of: to read it again takes a millisecond or two, and has its price.
 	homeTokens = 150
 	// contextShare is the part of an engine's memory past which running requests are
 	// likely preempted.
@@ -167,14 +167,19 @@
 	if m.engine == nil {
 		return Choice{Endpoint: m.Endpoint, Wait: wait}, wait + cost
 	}
-	if !m.warm.any(now) {
-		cost += dialCost
-	}
+	c, engineWait, engineCost := t.estimateEngine(now, s, m, r, running, home, have)
+	c.Wait = wait + engineWait
+	return c, c.Wait + cost + engineCost
+}
+
+// estimateEngine returns what an engine has to read of a prompt, the time of that, and
+// what it costs others.
+func (t *Table) estimateEngine(now time.Time, s *service, m *member, r Request, running int, home bool, have []holder) (c Choice, wait, cost time.Duration) {
 	p := r.Prompt
 	sharedTokens := p.sharedTokens()
 	cachedTokens := t.cachedTokens(now, m, p)
 	from, fetched := m.fetch(have, cachedTokens)
-	c := Choice{Endpoint: m.Endpoint, Uncached: max(p.Input-cachedTokens-fetched, 1)}
+	c = Choice{Endpoint: m.Endpoint, Uncached: max(p.Input-cachedTokens-fetched, 1)}
 	if from != nil {
 		c.FetchFrom = from.Address
 		wait += m.fetchTime(from, fetched)
@@ -192,6 +197,9 @@
 	if m.context+m.peers.Context+p.Tokens() > int(contextShare*float64(m.engine.CacheTokens)) {
 		cost += fullCost
 	}
+	if !m.warm.any(now) {
+		cost += dialCost
+	}
 	if home && len(have) == 0 {
 		cost -= seconds((1 + t.opts.ReadAgainWeight) * homeShare * float64(sharedTokens) / s.prefill)
 	}
@@ -199,8 +207,7 @@
 		again := float64(max(sharedTokens-cachedTokens-fetched, 0)) + fetchWeight*float64(fetched)
 		cost += seconds(t.opts.ReadAgainWeight * again / s.prefill)
 	}
-	c.Wait = wait
-	return c, wait + cost
+	return c, wait, cost
 }
 
 // mix spreads the bits of x (the finalizer of SplitMix64).
