Keep one mixer of hashes, beside rendezvous hashing

Cause: placement had a second copy of route's. Both call rendezvous.Mix now; the function is the same, so that all choices are. Tests of route, placement and rendezvous pass.

--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/jujubeshed/jujubeshed/internal/rendezvous"
 	"github.com/jujubeshed/jujubeshed/internal/verdict"
 )
 
@@ -145,7 +146,7 @@
 	key := p.prefix()
 	var best *member
 	for _, m := range candidates {
-		if best == nil || mix(m.hash^key) > mix(best.hash^key) {
+		if best == nil || rendezvous.Mix(m.hash^key) > rendezvous.Mix(best.hash^key) {
 			best = m
 		}
 	}
@@ -210,15 +211,6 @@
 	return c, wait, cost
 }
 
-// mix spreads the bits of x (the finalizer of SplitMix64).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 func seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
 }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/rendezvous"
 )
 
 // Long prompts delay the tokens of every request that runs beside them: an engine
@@ -109,7 +111,7 @@
 		return candidates, 0
 	}
 	ordered := slices.Clone(candidates)
-	slices.SortFunc(ordered, func(a, b *member) int { return cmp.Compare(mix(a.hash), mix(b.hash)) })
+	slices.SortFunc(ordered, func(a, b *member) int { return cmp.Compare(rendezvous.Mix(a.hash), rendezvous.Mix(b.hash)) })
 	n := int(math.Ceil(poolRoom * s.long.value() * float64(len(ordered))))
 	n = min(max(n, 1), len(ordered)/2)
 	if long {
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/jujubeshed/jujubeshed/internal/rendezvous"
 	"github.com/jujubeshed/jujubeshed/internal/verdict"
 )
 
@@ -259,7 +260,7 @@
 		best, top := -1, uint64(0)
 		for s := eligible &^ chosen; s != 0; s &= s - 1 {
 			i := bits.TrailingZeros64(s)
-			if score := mix(key ^ p.subset[i].hash); best < 0 || score > top {
+			if score := rendezvous.Mix(key ^ p.subset[i].hash); best < 0 || score > top {
 				best, top = i, score
 			}
 		}
@@ -277,7 +278,7 @@
 	for s := cs.slots; s != 0; s &= s - 1 {
 		i := bits.TrailingZeros64(s)
 		c := candidate{m: p.subset[i], estimate: t.estimate(now, p, p.subset[i], r)}
-		c.rank, c.tie = c.estimate.Total(), mix(c.m.hash^cs.salt)
+		c.rank, c.tie = c.estimate.Total(), rendezvous.Mix(c.m.hash^cs.salt)
 		if cs.homes>>i&1 != 0 {
 			c.rank -= time.Duration(homePreference * float64(c.estimate.Prefill))
 		}
--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/rendezvous"
 )
 
 // Rebuild of a subset waits this long after the last one unless half is unusable.
@@ -167,7 +168,7 @@
 	}
 	seed := hashString(string(t.opts.DataCentre))
 	slices.SortFunc(ms, func(a, b *member) int {
-		if c := cmp.Compare(mix(a.hash^seed), mix(b.hash^seed)); c != 0 {
+		if c := cmp.Compare(rendezvous.Mix(a.hash^seed), rendezvous.Mix(b.hash^seed)); c != 0 {
 			return c
 		}
 		return cmp.Compare(a.id, b.id)
--- a/internal/route/pool_test.go
+++ b/internal/route/pool_test.go
@@ -10,6 +10,7 @@
 	"github.com/jujubeshed/jujubeshed/internal/endpoint"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
+	"github.com/jujubeshed/jujubeshed/internal/rendezvous"
 )
 
 // fleet lists n endpoints of one service over dcs data centres.
@@ -224,7 +225,7 @@
 	before := heapBytes()
 	x := newPrefixIndex(1<<17, time.Minute)
 	for i := range uint64(1 << 18) {
-		x.add(mix(i), int(i%MaxCandidates))
+		x.add(rendezvous.Mix(i), int(i%MaxCandidates))
 	}
 	t.Logf("prefix index: %d entries, %d bytes each", x.len(), (heapBytes()-before)/x.len())
 	if x.len() > 1<<17 {
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -16,6 +16,7 @@
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/invariant"
 	"github.com/jujubeshed/jujubeshed/internal/platform"
+	"github.com/jujubeshed/jujubeshed/internal/rendezvous"
 )
 
 // script runs the commands of testdata/scripts against a Table in dc0.
@@ -95,7 +96,7 @@
 		text, times, ok := strings.Cut(part, "*")
 		n, _ := strconv.Atoi(times)
 		for i := 0; ok && i < n; i++ {
-			h = mix(h + hashString(text))
+			h = rendezvous.Mix(h + hashString(text))
 			out = append(out, h)
 		}
 	}
