Compute what a choice has in common once, and pass it as one value

Cause: the comparison of engines took seven arguments and summed the shared parts of a prompt anew for each engine. The estimate and every choice are the same; tests of placement pass. BenchmarkPickHeld, new, at 18, 90 and 720 engines: 5.9, 28.1, 378 us before and 5.7, 28.5, 396 us after: no change beyond noise, so that the gain is in reading only.

--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -42,6 +42,14 @@
 	tieWindow = 500 * time.Microsecond
 )
 
+// search is a request for an endpoint, and what is the same for all that are compared.
+type search struct {
+	Request
+	shared  int      // tokens of the prefix that other requests may have
+	home    *member  // of that prefix; nil for none
+	holders []holder // of that prefix
+}
+
 // Pick returns the endpoint with the least estimated cost. The error's verdict is
 // NotRun: CodeUnavailable where no endpoint may be chosen, CodeDeadline where the
 // estimate passes the deadline.
@@ -54,12 +62,11 @@
 	}
 	long := s.isLong(r)
 	pool, others := t.pool(s, candidates, r.Prompt, long)
-	home := t.home(candidates, r.Prompt)
-	have := t.holders(now, s, r)
+	q := search{Request: r, shared: r.Prompt.sharedTokens(), home: t.home(candidates, r.Prompt), holders: t.holders(now, s, r)}
 	var best Choice
 	var bestCost time.Duration
-	for _, m := range t.sample(now, rng, candidates, home, have) {
-		c, cost := t.estimate(now, s, m, r, m == home, have)
+	for _, m := range t.sample(now, rng, candidates, q) {
+		c, cost := t.estimate(now, s, m, q)
 		c.long = long
 		if !slices.Contains(pool, m) {
 			cost += others
@@ -79,7 +86,7 @@
 // sample returns the endpoints to compare: all where few nodes choose among them, and
 // else some drawn at random, those that hold the prefix or are its home, and some to
 // which a connection is open.
-func (t *Table) sample(now time.Time, rng *rand.Rand, candidates []*member, home *member, have []holder) []*member {
+func (t *Table) sample(now time.Time, rng *rand.Rand, candidates []*member, q search) []*member {
 	n := max(len(candidates)*freeNodes/max(t.nodes, 1), minSample)
 	if n >= len(candidates) {
 		return candidates
@@ -90,8 +97,8 @@
 			out = append(out, m)
 		}
 	}
-	add(home)
-	for _, h := range have[:min(len(have), maxSampled)] {
+	add(q.home)
+	for _, h := range q.holders[:min(len(q.holders), maxSampled)] {
 		if slices.Contains(candidates, h.member) {
 			add(h.member)
 		}
@@ -155,7 +162,7 @@
 
 // estimate returns the choice of a member and its cost: the time to the first
 // event, and what the choice takes from others.
-func (t *Table) estimate(now time.Time, s *service, m *member, r Request, home bool, have []holder) (Choice, time.Duration) {
+func (t *Table) estimate(now time.Time, s *service, m *member, q search) (Choice, time.Duration) {
 	running := m.running(now)
 	wait := t.opts.RunningCost * time.Duration(running)
 	if over := running + 1 - m.Slots; over > 0 {
@@ -168,31 +175,30 @@
 	if m.engine == nil {
 		return Choice{Endpoint: m.Endpoint, Wait: wait}, wait + cost
 	}
-	c, engineWait, engineCost := t.estimateEngine(now, s, m, r, running, home, have)
+	c, engineWait, engineCost := t.estimateEngine(now, s, m, q, running)
 	c.Wait = wait + engineWait
 	return c, c.Wait + cost + engineCost
 }
 
 // estimateEngine returns what an engine has to read of a prompt, the time of that, and
 // what it costs others.
-func (t *Table) estimateEngine(now time.Time, s *service, m *member, r Request, running int, home bool, have []holder) (c Choice, wait, cost time.Duration) {
-	p := r.Prompt
-	sharedTokens := p.sharedTokens()
+func (t *Table) estimateEngine(now time.Time, s *service, m *member, q search, running int) (c Choice, wait, cost time.Duration) {
+	p := q.Prompt
 	cachedTokens := t.cachedTokens(now, m, p)
-	from, fetched := m.fetch(have, cachedTokens)
+	from, fetched := m.fetch(q.holders, cachedTokens)
 	c = Choice{Endpoint: m.Endpoint, Uncached: max(p.Input-cachedTokens-fetched, 1)}
 	if from != nil {
 		c.FetchFrom = from.Address
 		wait += m.fetchTime(from, fetched)
 	}
-	if r.Imported {
+	if q.Imported {
 		c.Uncached = 1
 	}
 	ahead := m.prefill.left(now, s.prefill) + float64(m.peers.Prefill)
 	c.reading = readingWork(p.Input-c.Uncached, c.Uncached)
 	reading := seconds((ahead + float64(c.reading)) / s.prefill)
 	wait += reading
-	if reading > r.longestRead() {
+	if reading > q.longestRead() {
 		cost += pauseCost * time.Duration(running)
 	}
 	if m.context+m.peers.Context+p.Tokens() > int(contextShare*float64(m.engine.CacheTokens)) {
@@ -201,11 +207,11 @@
 	if !m.warm.any(now) {
 		cost += dialCost
 	}
-	if home && len(have) == 0 {
-		cost -= seconds((1 + t.opts.ReadAgainWeight) * homeShare * float64(sharedTokens) / s.prefill)
+	if q.home == m && len(q.holders) == 0 {
+		cost -= seconds((1 + t.opts.ReadAgainWeight) * homeShare * float64(q.shared) / s.prefill)
 	}
-	if !r.Imported {
-		again := float64(max(sharedTokens-cachedTokens-fetched, 0)) + fetchWeight*float64(fetched)
+	if !q.Imported {
+		again := float64(max(q.shared-cachedTokens-fetched, 0)) + fetchWeight*float64(fetched)
 		cost += seconds(t.opts.ReadAgainWeight * again / s.prefill)
 	}
 	return c, wait, cost
