--- a/internal/e2e/processes_test.go
+++ b/internal/e2e/processes_test.go
@@ -7,15 +7,13 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
-	// The processes are built from it: go test runs anew where it has changed.
-	_ "github.com/jujubeshed/jujubeshed/internal/cli"
+	"github.com/jujubeshed/jujubeshed/internal/testbinary"
 )
 
 const (
@@ -25,26 +23,7 @@
 
 var binary string
 
-func TestMain(m *testing.M) {
-	os.Exit(run(m))
-}
-
-func run(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "e2e")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	binary = filepath.Join(dir, "jujubeshed")
-	build := exec.Command("go", "build", "-o", binary, "../../cmd/jujubeshed")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "build:", err)
-		return 1
-	}
-	return m.Run()
-}
+func TestMain(m *testing.M) { os.Exit(testbinary.Run(m, &binary)) }
 
 // process is one running process of the program.
 type process struct {
