Stop only started services, end false stalls, and keep test addresses apart

TestFailedStartStopsOnlyStarted. Cause: the registry stopped every provisioned service after a failed start, also those never started, and one whose Stop relies on Start panics (`leaseService`). It records the started ones now and drains and stops only these, so that a port that can't be bound ends the process with the error that names it.

TestQueuedRequestIsNotStalled. A sound stream was cut and its engine blamed. The guard now checks under its lock that the timeout has not been restarted since. Ruled out: the probe (it succeeds), the pause between tokens (20 ms in virtual time, the timeout is 50 ms).

Tests that found a free port, released it and bound it later: another socket could take the port in between. Package testaddress gives each test an IP address of its own, by the process's ID and a counter, with ports below the ephemeral ones, as e2e did already; nothing is bound and released any more.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -10,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/goleak"
@@ -263,32 +265,87 @@
 	}
 }
 
-// TestQueuedRequestIsNotStalled queues a chat completion at its engine for longer than the
-// stall timeout. It must stay there, as the engine responds to probes.
-func TestQueuedRequestIsNotStalled(t *testing.T) {
-	b := newOrderedBalancer()
-	first := engine.New(engine.Options{ID: "first", Version: "v1", MaxRunning: 1})
-	b.add(t, "first", first.Handler())
-	s := newSender(t, b)
-	s.opts.StallTimeout = 50 * time.Millisecond
-	ahead, _ := newChat(20)
-	ahead.Request.ID = "n~dc.1.2"
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		s.Chat(context.Background(), ahead)
-	}()
-	for ahead.Answer.Len() == 0 {
-		time.Sleep(time.Millisecond)
+// pipeListener is an in-memory listener. Unlike sockets, its connections let the time of a
+// synctest bubble advance.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
 	}
-	chat, want := newChat(5)
-	s.Chat(context.Background(), chat)
-	<-done
-	if chat.Answer.Text() != want || len(b.outcomes["first"]) != 2 {
-		t.Errorf("answer of %d tokens after the attempts %v", chat.Answer.Len(), b.outcomes["first"])
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
+
+// dial has the signature of net.Dialer.DialContext.
+func (l *pipeListener) dial(context.Context, string, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	select {
+	case l.conns <- server:
+		return client, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
 	}
 }
 
+// TestQueuedRequestIsNotStalled queues a chat completion at its engine for longer than the
+// stall timeout. A queued request has no tokens yet and must not count as stalled. The test
+// runs on virtual time, as a busy machine delays tokens by more than the stall timeout.
+func TestQueuedRequestIsNotStalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newOrderedBalancer()
+		first := engine.New(engine.Options{ID: "first", Version: "v1", MaxRunning: 1})
+		l := newPipeListener()
+		srv := &http.Server{Handler: first.Handler()}
+		go func() { _ = srv.Serve(l) }()
+		b.ids, b.addrs["first"] = []ident.EndpointID{"first"}, "engine.test:80"
+		client := endpoint.NewClientWithDialer(l.dial)
+		s := New(Options{LeavingInterval: 5 * time.Millisecond, StallTimeout: 50 * time.Millisecond}, client, b, b)
+		if err := s.Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		ahead, _ := newChat(20)
+		ahead.Request.ID = "n~dc.1.2"
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			s.Chat(context.Background(), ahead)
+		}()
+		for ahead.Answer.Len() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		chat, want := newChat(5)
+		start := time.Now()
+		s.Chat(context.Background(), chat)
+		<-done
+		if chat.Answer.Text() != want || len(b.outcomes["first"]) != 2 {
+			t.Errorf("answer of %d tokens after the attempts %v", chat.Answer.Len(), b.outcomes["first"])
+		}
+		if waited := time.Since(start); waited <= s.opts.StallTimeout {
+			t.Errorf("the request took %s in all and was not queued for longer than the stall timeout", waited)
+		}
+		_ = s.Stop(context.Background())
+		client.Close()
+		_ = srv.Close()
+	})
+}
+
 // scriptedService handles the n-th request according to steps[n-1], and all later ones
 // according to the last step.
 type scriptedService struct {
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -118,7 +118,7 @@
 		return runner.Frame{}, io.EOF
 	}
 	s.sent = true
-	s.guard.timer.Stop()
+	s.guard.disarm()
 	return runner.Frame{Response: &attempt.Response{Echo: s.echo, Status: s.resp.StatusCode}, Body: s.resp}, nil
 }
 
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,9 +34,14 @@
 type stallGuard struct {
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	timer  *time.Timer
-	// received is set once data of the response has arrived.
-	received atomic.Bool
+
+	mu struct {
+		sync.Mutex
+		timer    *time.Timer
+		expires  time.Time // when the timer fires
+		received bool      // data of the response has arrived
+		disarmed bool
+	}
 }
 
 // newStallGuard returns a guard that cancels its context after wait, unless it is reset
@@ -44,7 +49,7 @@
 func newStallGuard(ctx context.Context, wait time.Duration) *stallGuard {
 	g := &stallGuard{}
 	g.ctx, g.cancel = context.WithCancelCause(ctx)
-	g.timer = time.AfterFunc(wait, func() { g.cancel(errStalled) })
+	g.startTimer(wait, g.cancelIfExpired)
 	return g
 }
 
@@ -55,36 +60,85 @@
 	g := &stallGuard{}
 	g.ctx, g.cancel = context.WithCancelCause(ctx)
 	end := time.Now().Add(limit)
-	ready := make(chan struct{})
-	defer close(ready)
-	g.timer = time.AfterFunc(interval, func() {
-		<-ready // g.timer is set
-		if !g.received.Load() && time.Now().Before(end) && g.responds(probe) {
-			g.timer.Reset(interval)
+	g.startTimer(interval, func() {
+		if !g.hasReceived() && time.Now().Before(end) && g.responds(probe) {
+			g.rearm(interval)
 			return
 		}
-		g.cancel(errStalled)
+		g.cancelIfExpired()
 	})
 	return g
 }
 
+func (g *stallGuard) startTimer(wait time.Duration, f func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.mu.expires = time.Now().Add(wait)
+	g.mu.timer = time.AfterFunc(wait, f)
+}
+
+// cancelIfExpired cancels the context unless the timeout has been restarted since the timer
+// fired: data may arrive before its function runs.
+func (g *stallGuard) cancelIfExpired() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.mu.disarmed && !time.Now().Before(g.mu.expires) {
+		g.cancel(errStalled)
+	}
+}
+
+// rearm restarts the timer after a successful probe, unless data has arrived, which
+// restarted it already.
+func (g *stallGuard) rearm(interval time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.mu.received {
+		g.restartLocked(interval)
+	}
+}
+
+func (g *stallGuard) restartLocked(wait time.Duration) {
+	if g.mu.disarmed {
+		return
+	}
+	g.mu.expires = time.Now().Add(wait)
+	g.mu.timer.Reset(wait)
+}
+
+// hasReceived reports whether data of the response has arrived.
+func (g *stallGuard) hasReceived() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.mu.received
+}
+
 // responds reports whether the probe succeeds or data of the response has arrived in the
 // meantime.
 func (g *stallGuard) responds(probe func(context.Context) error) bool {
 	ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
 	defer cancel()
-	return probe(ctx) == nil || g.received.Load()
+	return probe(ctx) == nil || g.hasReceived()
 }
 
 // reset restarts the timeout after data has arrived.
 func (g *stallGuard) reset(wait time.Duration) {
-	g.received.Store(true)
-	g.timer.Reset(wait)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.mu.received = true
+	g.restartLocked(wait)
+}
+
+// disarm stops the timer. The context is no longer cancelled for a stall.
+func (g *stallGuard) disarm() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.mu.timer.Stop()
+	g.mu.disarmed = true
 }
 
 // stop stops the timer and cancels the context.
 func (g *stallGuard) stop() {
-	g.timer.Stop()
+	g.disarm()
 	g.cancel(nil)
 }
 
--- a/internal/e2e/deployment_test.go
+++ b/internal/e2e/deployment_test.go
@@ -20,6 +20,7 @@
 	"github.com/jujubeshed/jujubeshed/internal/standin/memstore"
 	standinplatform "github.com/jujubeshed/jujubeshed/internal/standin/platform"
 	"github.com/jujubeshed/jujubeshed/internal/standin/service"
+	"github.com/jujubeshed/jujubeshed/internal/testaddress"
 )
 
 // deployment is a small installation of the program and its test doubles, as separate processes.
@@ -51,7 +52,7 @@
 
 func newDeployment(t testing.TB, opts deploymentOptions) *deployment {
 	t.Helper()
-	d := &deployment{platform: freeAddress(t)}
+	d := &deployment{platform: testaddress.New()}
 	start(t, "platform", "standin", "platform", "--listen", d.platform, "--faults", toJSON(opts.platform))
 	eventually(t, "platform", func() error {
 		resp, err := http.Get("http://" + d.platform + "/control")
@@ -63,13 +64,13 @@
 	for _, dc := range append(slices.Clone(dataCentres), opts.extraEngines...) {
 		d.startEngine(t, dc, "v1", opts.engine...)
 	}
-	d.desk = freeAddress(t)
+	d.desk = testaddress.New()
 	start(t, "desk", "standin", "service", "--listen", d.desk,
 		"--platform", d.platform, "--data-centre", dataCentres[0], "--host", "desk-0", "--service", "order-desk", "--version", "v1")
 	for range dataCentres {
-		d.nodes = append(d.nodes, freeAddress(t))
-		d.peers = append(d.peers, freeAddress(t))
-		d.ops = append(d.ops, freeAddress(t))
+		d.nodes = append(d.nodes, testaddress.New())
+		d.peers = append(d.peers, testaddress.New())
+		d.ops = append(d.ops, testaddress.New())
 	}
 	for i := range dataCentres {
 		d.startNode(t, i)
@@ -127,7 +128,7 @@
 // startEngine starts an engine on a new host.
 func (d *deployment) startEngine(t testing.TB, dc, version string, flags ...string) *engineProcess {
 	t.Helper()
-	e := &engineProcess{addr: freeAddress(t), host: fmt.Sprintf("gpu-%d", len(d.engines))}
+	e := &engineProcess{addr: testaddress.New(), host: fmt.Sprintf("gpu-%d", len(d.engines))}
 	args := []string{"standin", "engine", "--listen", e.addr, "--platform", d.platform, "--data-centre", dc,
 		"--host", e.host, "--service", "inscription", "--version", version}
 	e.process = start(t, e.host, append(args, flags...)...)
--- a/internal/e2e/overhead_test.go
+++ b/internal/e2e/overhead_test.go
@@ -16,6 +16,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/jujubeshed/jujubeshed/internal/endpoint"
+	"github.com/jujubeshed/jujubeshed/internal/testaddress"
 )
 
 const (
@@ -29,7 +30,7 @@
 //
 //	go test ./internal/e2e -run '^$' -bench Overhead -benchtime 1x
 func BenchmarkOverhead(b *testing.B) {
-	engineAddr := freeAddress(b)
+	engineAddr := testaddress.New()
 	d := newOverheadDeployment(b, engineAddr)
 	direct, through := newLatencies(), newLatencies()
 	for b.Loop() {
@@ -93,7 +94,7 @@
 
 // newOverheadDeployment starts one very fast engine and one node.
 func newOverheadDeployment(b *testing.B, engineAddr string) *deployment {
-	d := &deployment{platform: freeAddress(b)}
+	d := &deployment{platform: testaddress.New()}
 	start(b, "platform", "standin", "platform", "--listen", d.platform)
 	eventually(b, "platform", func() error {
 		resp, err := http.Get("http://" + d.platform + "/control")
@@ -104,7 +105,7 @@
 	})
 	start(b, "engine", "standin", "engine", "--listen", engineAddr, "--platform", d.platform,
 		"--data-centre", dataCentres[0], "--host", "gpu-0", "--service", "inscription", "--version", "v1", "--speed", "100000")
-	d.nodes, d.peers, d.ops = []string{freeAddress(b)}, []string{freeAddress(b)}, []string{freeAddress(b)}
+	d.nodes, d.peers, d.ops = []string{testaddress.New()}, []string{testaddress.New()}, []string{testaddress.New()}
 	d.startNode(b, 0)
 	runCommand(b, 0, "apply", "--platform", d.platform, "../../examples/kallergis")
 	runCommand(b, 0, "apply", "--platform", d.platform, unlimitedDesk(b))
--- a/internal/e2e/processes_test.go
+++ b/internal/e2e/processes_test.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/exec"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -104,19 +103,6 @@
 	<-p.done
 }
 
-const firstPort = 20080
-
-var addressCount atomic.Uint32
-
-// freeAddress returns a loopback address that no other test uses: the test process's ID
-// and a counter determine the IP address.
-func freeAddress(t testing.TB) string {
-	t.Helper()
-	pid := uint32(os.Getpid())
-	n := addressCount.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>8%64, pid%256, 1+n%250, firstPort+n/250)
-}
-
 // runCommand runs a command of the program and returns its standard output. It fails the test
 // if the exit code is not wantCode.
 func runCommand(t testing.TB, wantCode int, args ...string) string {
--- a/internal/e2e/refusal_test.go
+++ b/internal/e2e/refusal_test.go
@@ -11,6 +11,7 @@
 	"github.com/jujubeshed/jujubeshed/api/gen/callers"
 	"github.com/jujubeshed/jujubeshed/internal/entry"
 	"github.com/jujubeshed/jujubeshed/internal/standin/service"
+	"github.com/jujubeshed/jujubeshed/internal/testaddress"
 )
 
 // TestBadInput sends invalid requests: each must get a problem document with the verdict
@@ -83,7 +84,7 @@
 func TestWrongPeerKey(t *testing.T) {
 	t.Parallel()
 	d := newDeployment(t, deploymentOptions{})
-	callersAddr, peersAddr, opsAddr := freeAddress(t), freeAddress(t), freeAddress(t)
+	callersAddr, peersAddr, opsAddr := testaddress.New(), testaddress.New(), testaddress.New()
 	const otherKey = "another-key-of-16-bytes"
 	start(t, "stranger", "node", "--node-id", "stranger", "--data-centre", dataCentres[0],
 		"--callers", callersAddr, "--peers", peersAddr, "--operators", opsAddr,
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -32,9 +32,13 @@
 
 // NewClient returns a client with its own connection pool.
 func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	return NewClientWithDialer((&net.Dialer{Timeout: dialTimeout}).DialContext)
+}
+
+// NewClientWithDialer returns a client that opens its connections with dial.
+func NewClientWithDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
 	return &Client{transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
--- a/internal/gateway/listener_test.go
+++ b/internal/gateway/listener_test.go
@@ -3,22 +3,18 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/testaddress"
 )
 
 // hangingListener returns a started listener with a running request that ends only when its
 // connection is closed.
 func hangingListener(t *testing.T, build func(string, http.Handler, *slog.Logger) *listener) *listener {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := ln.Addr().String()
-	_ = ln.Close()
+	address := testaddress.New()
 	started := make(chan struct{})
 	l := build(address, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		close(started)
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -55,6 +55,7 @@
 		provisioned map[Name]bool
 		resolving   []Name
 		startOrder  []Name // provisioned services, dependencies first
+		started     []Name // services that are running, in the order of their start
 	}
 }
 
@@ -106,11 +107,12 @@
 		if err := r.start(ctx, name); err != nil {
 			return errors.CombineErrors(errors.Wrapf(err, "start service %q", name), r.Stop(ctx))
 		}
+		r.markStarted(name)
 	}
 	return nil
 }
 
-// Drain drains the services in the reverse order of their start. It goes through all
+// Drain drains the started services in the reverse order of their start. It goes through all
 // of them and combines the errors.
 func (r *Registry) Drain(ctx context.Context) error {
 	return r.forEachReverse(func(name Name, s Service) error {
@@ -123,7 +125,7 @@
 	})
 }
 
-// Stop stops the services in the reverse order of their start. It goes through all
+// Stop stops the started services in the reverse order of their start. It goes through all
 // of them and combines the errors.
 func (r *Registry) Stop(ctx context.Context) error {
 	err := r.forEachReverse(func(name Name, s Service) error {
@@ -134,7 +136,7 @@
 	})
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.mu.startOrder = nil
+	r.mu.startOrder, r.mu.started = nil, nil
 	return err
 }
 
@@ -151,6 +153,19 @@
 	return append([]Name(nil), r.mu.startOrder...)
 }
 
+func (r *Registry) markStarted(name Name) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mu.started = append(r.mu.started, name)
+}
+
+// startedServices returns the running services, in the order of their start.
+func (r *Registry) startedServices() []Name {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Name(nil), r.mu.started...)
+}
+
 func (r *Registry) start(ctx context.Context, name Name) error {
 	s := r.service(name)
 	st, ok := s.(Starter)
@@ -210,7 +225,7 @@
 }
 
 func (r *Registry) forEachReverse(f func(Name, Service) error) error {
-	names := r.startOrder()
+	names := r.startedServices()
 	var combined error
 	for i := len(names) - 1; i >= 0; i-- {
 		if err := f(names[i], r.service(names[i])); err != nil {
--- a/internal/sharing/notifier_test.go
+++ b/internal/sharing/notifier_test.go
@@ -4,31 +4,25 @@
 	"context"
 	"fmt"
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/quota"
 	"github.com/jujubeshed/jujubeshed/internal/sharing"
+	"github.com/jujubeshed/jujubeshed/internal/testaddress"
 )
 
-// freePort returns a UDP port that is free at 127.0.0.31.
-func freePort(t *testing.T) int {
-	t.Helper()
-	c, err := net.ListenPacket("udp4", "127.0.0.31:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = c.Close() }()
-	return c.LocalAddr().(*net.UDPAddr).Port
-}
-
 // TestUrgentSpendingReachesAllNodes checks that the urgent spending of a node reaches all
 // other nodes, in several datagrams if there are many workspaces, and that invalid
 // datagrams are ignored.
 func TestUrgentSpendingReachesAllNodes(t *testing.T) {
 	const nodes, workspaces = 3, 70
-	port := freePort(t)
+	var ips [nodes]string
+	for i := range ips {
+		ips[i] = testaddress.IP()
+	}
 	type datagram struct {
 		from  quota.NodeIncarnation
 		asOf  time.Time
@@ -40,12 +34,12 @@
 	for i := range nodes {
 		got[i] = make(chan datagram, 100)
 		n := sharing.NewSpendingNotifier(sharing.SpendingNotifierOptions{
-			Self: incarnation(fmt.Sprint("n", i), 1), IP: fmt.Sprintf("127.0.0.%d", 31+i), Port: port,
+			Self: incarnation(fmt.Sprint("n", i), 1), IP: ips[i], Port: testaddress.FirstPort,
 			Peers: func(time.Duration) []sharing.NodeState {
 				var states []sharing.NodeState
 				for j := range nodes {
 					if j != i {
-						states = append(states, sharing.NodeState{Address: fmt.Sprintf("127.0.0.%d:99", 31+j)})
+						states = append(states, sharing.NodeState{Address: ips[j] + ":99"})
 					}
 				}
 				return append(states, sharing.NodeState{Address: "no address"})
@@ -71,7 +65,7 @@
 		}
 		t.Cleanup(func() { _ = n.Stop(context.Background()) })
 	}
-	stray, err := net.Dial("udp4", fmt.Sprintf("127.0.0.32:%d", port))
+	stray, err := net.Dial("udp4", net.JoinHostPort(ips[1], strconv.Itoa(testaddress.FirstPort)))
 	if err != nil {
 		t.Fatal(err)
 	}
