--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -64,7 +64,7 @@
 		debug.SetMemoryLimit(int64(goMemoryFraction * float64(settings.MemoryBytes)))
 	}
 	reg := prometheus.NewRegistry()
-	n, err := gateway.New(settings, platform.New(settings, reg), reg, log)
+	n, err := gateway.New(settings, platform.New(settings, reg, log), reg, log)
 	if err != nil {
 		return err
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -39,7 +39,7 @@
 	standin := platformtest.New()
 	srv := httptest.NewServer(standin.Handler())
 	t.Cleanup(srv.Close)
-	store := platform.NewStore(srv.Listener.Addr().String(), prometheus.NewRegistry())
+	store := platform.NewStore(srv.Listener.Addr().String(), prometheus.NewRegistry(), slog.New(slog.DiscardHandler))
 	return standin, store, directory.NewCurrentConfig(platform.ConfigKey, platform.DecodeConfig, discardLog)
 }
 
@@ -88,7 +88,7 @@
 	if relayedConfig.Version() != 1 {
 		t.Error("the watch at the relay received a change that the fault withholds")
 	}
-	relayWatcher.NotifyVersion(platformapi.Version(seen))
+	relayWatcher.NotifyVersion(platformapi.NewVersion(store.Era(), seen))
 	eventually(t, "version 2 after NotifyVersion", func() bool { return relayedConfig.Version() == 2 })
 }
 
@@ -127,7 +127,7 @@
 func TestEndpointsSurviveStoreOutage(t *testing.T) {
 	standin, store, _ := newStore(t)
 	var listed, missing atomic.Int32
-	registry := directory.NewRegistry(platform.DecodeEndpoint, directory.MissingRetention, func(_ time.Time, l, m []site.Endpoint) {
+	registry := directory.NewRegistry(platform.DecodeEndpoint, directory.MissingRetention, directory.DefaultDoubtTime, func(_ time.Time, l, m []site.Endpoint) {
 		listed.Store(int32(len(l)))
 		missing.Store(int32(len(m)))
 	}, discardLog)
@@ -156,20 +156,20 @@
 
 func TestEndpointsGracePeriod(t *testing.T) {
 	now := time.Unix(1000, 0)
-	s := directory.NewEndpoints(directory.MissingRetention)
-	s.Set(site.Endpoint{ID: "a"})
-	s.Set(site.Endpoint{ID: "b", Leaving: true})
+	s := directory.NewEndpoints(directory.MissingRetention, directory.DefaultDoubtTime)
+	s.Set(now, site.Endpoint{ID: "a"})
+	s.Set(now, site.Endpoint{ID: "b", Leaving: true})
 	s.Remove(now, "a")
 	s.Remove(now, "b")
 	s.Remove(now, "never seen")
 	if m := s.Missing(); len(m) != 1 || m[0].ID != "a" {
 		t.Errorf("missing: %v, want only a: an endpoint that was leaving has no grace period", m)
 	}
-	s.Set(site.Endpoint{ID: "a"})
+	s.Set(now, site.Endpoint{ID: "a"})
 	if len(s.Missing()) != 0 || len(s.Listed()) != 1 {
 		t.Errorf("after a registered again: listed %v, missing %v", s.Listed(), s.Missing())
 	}
-	s.Replace(now, []site.Endpoint{{ID: "c"}})
+	s.Replace(now, 0, []site.Endpoint{{ID: "c"}})
 	if got := s.Listed(); len(got) != 1 || got[0].ID != ident.EndpointID("c") {
 		t.Errorf("after a list of only c: listed %v", got)
 	}
@@ -196,7 +196,7 @@
 	standin, store, _ := newStore(t)
 	sets := make([]atomic.Pointer[[]site.Endpoint], 2)
 	registry := func(i int) *directory.Registry {
-		return directory.NewRegistry(platform.DecodeEndpoint, directory.MissingRetention, func(_ time.Time, l, _ []site.Endpoint) { sets[i].Store(&l) }, discardLog)
+		return directory.NewRegistry(platform.DecodeEndpoint, directory.MissingRetention, directory.DefaultDoubtTime, func(_ time.Time, l, _ []site.Endpoint) { sets[i].Store(&l) }, discardLog)
 	}
 	storeWatcher := directory.NewWatcher(directory.WatcherOptions{Store: store, Relay: store, Prefix: "servers", Listener: registry(0), WatchesStore: func() bool { return true }, Log: discardLog})
 	follower := directory.NewWatcher(directory.WatcherOptions{Store: store, Relay: peerSource{storeWatcher}, Prefix: "servers", Listener: registry(1), WatchesStore: func() bool { return false }, Log: discardLog})
--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -31,11 +31,12 @@
 
 var _ Listener = (*Registry)(nil)
 
-// NewRegistry returns an empty registry. Missing endpoints may serve for the time grace.
-// The function onChange is called after each change.
-func NewRegistry(decode EndpointDecoder, grace time.Duration, onChange func(now time.Time, listed, missing []site.Endpoint), log *slog.Logger) *Registry {
+// NewRegistry returns an empty registry. Missing endpoints may serve for the time grace;
+// endpoints in doubt, see Endpoints, are not used for the time doubtTime. The function
+// onChange is called after each change.
+func NewRegistry(decode EndpointDecoder, grace, doubtTime time.Duration, onChange func(now time.Time, listed, missing []site.Endpoint), log *slog.Logger) *Registry {
 	r := &Registry{decode: decode, log: log, onChange: onChange}
-	r.mu.endpoints = NewEndpoints(grace)
+	r.mu.endpoints = NewEndpoints(grace, doubtTime)
 	r.mu.undecodable = make(map[string]bool)
 	return r
 }
@@ -59,12 +60,14 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	var list []site.Endpoint
+	var era platformapi.Era
 	for _, o := range objects {
+		era = max(era, o.Version.Era())
 		if e, ok := r.decodeOrRemove(o); ok {
 			list = append(list, e)
 		}
 	}
-	r.mu.endpoints.Replace(now, list)
+	r.mu.endpoints.Replace(now, era, list)
 	r.mu.loaded = true
 	r.log.Info("directory: Endpoints listed.", "entries", len(objects), "listed", len(list), "missing", len(r.mu.endpoints.Missing()))
 	r.publish(now)
@@ -82,7 +85,7 @@
 			continue
 		}
 		if e, ok := r.decodeOrRemove(o); ok {
-			r.mu.endpoints.Set(e)
+			r.mu.endpoints.Set(now, e)
 			r.log.Info("directory: Endpoint changed.", "endpoint", e.ID, "service", e.Service, "data_centre", e.DataCentre,
 				"leaving", e.Leaving, "leaves_in_ms", e.LeavesIn.Milliseconds(), "reclaimable", e.Reclaimable, "revision", o.Version)
 		}
@@ -107,6 +110,36 @@
 	return site.Endpoint{}, false
 }
 
+// RecordDepartures records departures of endpoints that another node or the endpoint itself
+// has reported. It returns whether the usable endpoints changed.
+func (r *Registry) RecordDepartures(list []Departure) bool {
+	if len(list) == 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	changed := r.mu.endpoints.RecordDepartures(now, list)
+	if changed {
+		r.publish(now)
+	}
+	return changed
+}
+
+// Departures returns the recent departures that the other nodes don't learn of from the store.
+func (r *Registry) Departures() []Departure {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mu.endpoints.Departures(time.Now())
+}
+
+// AllDepartures returns the recent departures, for a node that starts.
+func (r *Registry) AllDepartures() []Departure {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mu.endpoints.AllDepartures(time.Now())
+}
+
 // Tick drops endpoints that have been missing for longer than the grace period.
 func (r *Registry) Tick(now time.Time) {
 	r.mu.Lock()
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -56,6 +56,9 @@
 	// WatchesStore reports whether this node must watch the store itself, as a relay for
 	// the other nodes.
 	WatchesStore func() bool
+	// Era returns the era of the store that this node knows of. When it rises, the objects
+	// are listed again. Default: always zero.
+	Era func() platformapi.Era
 	// StoreWatchWait is the maximum wait of a watch at the store. Default:
 	// DefaultStoreWatchWait.
 	StoreWatchWait time.Duration
@@ -77,6 +80,7 @@
 		cancelWait    context.CancelFunc  // cancels the watch in progress; nil if there is none
 		waitsAtRelay  bool                // that watch is at a relay
 		queryStore    bool                // whether the next call goes to the store in any case
+		position      platformapi.Version // of the watch in progress
 		watchingStore bool                // this node can serve as a relay: its last call was to the store and succeeded
 		unreachable   bool
 		history       *changeLog
@@ -87,6 +91,9 @@
 // NewWatcher returns a watcher that has not started.
 func NewWatcher(o WatcherOptions) *Watcher {
 	o.StoreWatchWait = cmp.Or(o.StoreWatchWait, DefaultStoreWatchWait)
+	if o.Era == nil {
+		o.Era = func() platformapi.Era { return 0 }
+	}
 	w := &Watcher{opts: o, log: o.Log.With("kind", string(o.Prefix)), done: make(chan struct{})}
 	w.mu.history, w.mu.changed = newChangeLog(), make(chan struct{})
 	return w
@@ -117,19 +124,21 @@
 	}
 }
 
-// Recheck cancels a watch at a relay if this node must now watch the store itself.
+// Recheck cancels a watch at a relay if this node must now watch the store itself, and any
+// watch from a position of an earlier era.
 func (w *Watcher) Recheck() {
 	watchesStore := w.opts.WatchesStore()
+	era := w.opts.Era()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if watchesStore && w.mu.waitsAtRelay && w.mu.cancelWait != nil {
+	if w.mu.cancelWait != nil && (watchesStore && w.mu.waitsAtRelay || w.mu.position.Era() < era) {
 		w.mu.cancelWait()
 	}
 }
 
 // Changes returns the changes after a position, for a node that watches through this one.
 // It waits up to wait for the first change. A position of zero requests all objects. The
-// error is ErrNotWatching if this node does not watch the store.
+// error is ErrNotWatching if this node does not watch the store, or is an era behind.
 func (w *Watcher) Changes(ctx context.Context, after uint64, wait time.Duration) (platformapi.WatchResult, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -141,6 +150,10 @@
 			return platformapi.WatchResult{}, ErrNotWatching
 		}
 		r := platformapi.WatchResult{Position: w.mu.history.position}
+		if platformapi.Version(after).Era() > platformapi.Version(r.Position).Era() {
+			w.mu.Unlock()
+			return platformapi.WatchResult{}, ErrNotWatching // this node has yet to list the restored store
+		}
 		complete := true
 		if after == 0 {
 			r.Changed = w.mu.history.allObjects()
@@ -246,6 +259,10 @@
 // It returns the next position; zero means that the objects must be listed again.
 func (w *Watcher) step(ctx context.Context, position uint64) (uint64, error) {
 	source, fromStore := w.source()
+	if position != 0 && platformapi.Version(position).Era() < w.opts.Era() {
+		w.log.Info("directory: Store was restored; listing again.", "position", position, "era", uint64(w.opts.Era()))
+		position = 0
+	}
 	if position == 0 {
 		snap, err := source.Snapshot(ctx, w.opts.Prefix)
 		if err != nil {
@@ -302,7 +319,7 @@
 		wait = w.opts.StoreWatchWait
 	}
 	w.mu.Lock()
-	w.mu.cancelWait, w.mu.waitsAtRelay = cancel, !fromStore
+	w.mu.cancelWait, w.mu.waitsAtRelay, w.mu.position = cancel, !fromStore, platformapi.Version(position)
 	w.mu.Unlock()
 	r, err := source.Watch(waiting, w.opts.Prefix, position, wait)
 	w.mu.Lock()
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"net/http/httptest"
 	"sync/atomic"
@@ -21,15 +22,16 @@
 
 var discardLog = slog.New(slog.DiscardHandler)
 
-// window is short, so that several windows pass during a test.
-const window = 100 * time.Millisecond
+// window is short, so that several windows pass during a test, but long enough for a window
+// to be reported before its counts are dropped.
+const window = 300 * time.Millisecond
 
 func newStore(t *testing.T) (*platformtest.Store, *platform.Store) {
 	t.Helper()
 	standin := platformtest.New()
 	srv := httptest.NewServer(standin.Handler())
 	t.Cleanup(srv.Close)
-	return standin, platform.NewStore(srv.Listener.Addr().String(), prometheus.NewRegistry())
+	return standin, platform.NewStore(srv.Listener.Addr().String(), prometheus.NewRegistry(), slog.New(slog.DiscardHandler))
 }
 
 func newRecorder(store *platform.Store, usage *duty.UsageTable) *duty.Recorder {
@@ -69,7 +71,7 @@
 	failed  map[int64]bool // windows whose first report got an error
 }
 
-func (c *fakeCloud) ReportUsage(_ context.Context, _ ident.Epoch, r duty.UsageReport) error {
+func (c *fakeCloud) ReportUsage(_ context.Context, _ duty.Permission, r duty.UsageReport) error {
 	c.reports <- r
 	if c.failed != nil && !c.failed[r.Window] {
 		c.failed[r.Window] = true
@@ -78,7 +80,7 @@
 	return nil
 }
 
-func (c *fakeCloud) OrderEndpoints(context.Context, ident.Epoch, duty.EndpointOrder) error {
+func (c *fakeCloud) OrderEndpoints(context.Context, duty.Permission, duty.EndpointOrder) error {
 	return nil
 }
 
@@ -176,12 +178,13 @@
 		}
 	}
 	seen := make(map[int64]string)
-	repeats := 0
+	repeats, repeatsHaveCounts := 0, false
 	for i := 0; repeats < 3; i++ {
 		r := <-c.reports
 		raw, _ := json.Marshal(r.Counts)
 		if before, ok := seen[r.Window]; ok {
 			repeats++
+			repeatsHaveCounts = repeatsHaveCounts || len(r.Counts) > 0
 			if before != string(raw) {
 				t.Errorf("window %d was reported with %s and with %s", r.Window, before, raw)
 			}
@@ -192,6 +195,9 @@
 			second.epoch.Store(2)
 		}
 	}
+	if !repeatsHaveCounts {
+		t.Error("no repeated report has counts")
+	}
 	close(stop)
 	<-done
 	for _, e := range executors {
@@ -229,3 +235,104 @@
 		t.Errorf("a report was finalised: %v", err)
 	}
 }
+
+// TestReportsAfterRestore checks that no window is reported with different counts if the
+// store is restored from a copy that lacks the last finalised reports, and the lease passes
+// to another node, which knows them or not.
+func TestReportsAfterRestore(t *testing.T) {
+	for name, informed := range map[string]bool{"known to the next holder": true, "unknown to the next holder": false} {
+		t.Run(name, func(t *testing.T) {
+			standin, store := newStore(t)
+			m := duty.NewMeter(window)
+			c := &fakeCloud{reports: make(chan duty.UsageReport, 1000)}
+			counts := uint64(1)
+			usage := []*duty.UsageTable{duty.NewUsageTable("n0", 1, m, time.Now), duty.NewUsageTable("n1", 1, m, time.Now)}
+			var leases [2]fakeLease
+			var executors [2]*duty.Executor
+			for i := range executors {
+				executors[i] = duty.NewExecutor(duty.Options{
+					Store: store, Cloud: c, Lease: &leases[i], Meter: m, UsageTable: usage[i], ReportTimeout: time.Minute, ReportUsage: true, Now: time.Now, Log: discardLog,
+					LiveNodes: func() []string { return []string{fmt.Sprint("n", i)} },
+				})
+				if err := executors[i].Start(context.Background()); err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { _ = executors[i].Stop(context.Background()) })
+			}
+			// The nodes know of different requests, so that each report of one of them
+			// differs from a report of the other.
+			count := func() {
+				counts++
+				for i, u := range usage {
+					at := time.Now()
+					u.MergeNode("other", 1, at, duty.Windows{m.WindowAt(at): {"w": counts + uint64(i)*1000}})
+				}
+			}
+			seen := make(map[int64]string)
+			withCounts := 0
+			receive := func(n int) {
+				t.Helper()
+				for end := time.Now().Add(20 * time.Second); n > 0 && time.Now().Before(end); {
+					select {
+					case r := <-c.reports:
+						raw, _ := json.Marshal(r.Counts)
+						if before, ok := seen[r.Window]; ok && before != string(raw) {
+							t.Errorf("window %d was reported with %s and with %s", r.Window, before, raw)
+						}
+						seen[r.Window] = string(raw)
+						n--
+						if len(r.Counts) > 0 {
+							withCounts++
+						}
+					case <-time.After(20 * time.Millisecond):
+						count()
+					}
+				}
+				if n > 0 {
+					t.Fatal("no reports within 20 s")
+				}
+			}
+			leases[0].epoch.Store(1)
+			receive(3)
+			withCounts = 0
+			copied := standin.Copy()
+			receive(5)
+			leases[0].epoch.Store(0)
+			time.Sleep(300 * time.Millisecond) // until a step in progress has ended
+			standin.Restore(copied)
+			if _, err := store.Get(context.Background(), "reports/usage"); err != nil {
+				t.Fatal(err)
+			}
+			if informed {
+				executors[1].RecordReports(executors[0].WrittenReports())
+			}
+			time.Sleep(300 * time.Millisecond) // until the executors know of the restore
+			leases[1].epoch.Store(2)
+			receive(10)
+			if withCounts < 10 { // the others are of the times at which this test waits
+				t.Errorf("%d of 15 reports have counts", withCounts)
+			}
+		})
+	}
+}
+
+// TestRecordIsWrittenAfterRestore checks that a node writes its record again if the store was
+// restored, though its counts have not changed.
+func TestRecordIsWrittenAfterRestore(t *testing.T) {
+	standin, store := newStore(t)
+	ctx := context.Background()
+	m := duty.NewMeter(window)
+	at := time.Now()
+	r := newRecorder(store, duty.NewUsageTable("n", 1, m, time.Now))
+	copied := standin.Copy()
+	m.Count(at, "w")
+	r.Flush(ctx)
+	standin.Restore(copied)
+	if _, err := store.Get(ctx, "nodes/n"); !errors.Is(err, platformapi.ErrNotFound) {
+		t.Fatalf("record after the restore: %v", err)
+	}
+	r.Flush(ctx)
+	if n := recordedRequests(t, store, m.WindowAt(at)); n != 1 {
+		t.Errorf("%d requests are recorded, 1 was counted", n)
+	}
+}
--- a/internal/duty/executor.go
+++ b/internal/duty/executor.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,14 +39,23 @@
 	Reclaimable bool
 }
 
-// Cloud is the platform's API for usage reports and endpoint orders. The fence is the
-// fencing token of the lease, which increases with each holder.
+// Permission is the right to call the platform, which rests on the lease.
+type Permission struct {
+	// Fence is the fencing token of the lease, which increases with each holder.
+	Fence ident.Epoch
+	// Valid reports whether the lease is still held with that token. It is checked again
+	// right before the first byte of a call is sent: the process may have been paused, or
+	// have waited for a connection, since the call was decided on.
+	Valid func() bool
+}
+
+// Cloud is the platform's API for usage reports and endpoint orders.
 type Cloud interface {
 	// ReportUsage sends the report of a window. It is idempotent.
-	ReportUsage(ctx context.Context, fence ident.Epoch, r UsageReport) error
+	ReportUsage(ctx context.Context, p Permission, r UsageReport) error
 	// OrderEndpoints orders endpoints. It returns platformapi.ErrRefused if none are
 	// available.
-	OrderEndpoints(ctx context.Context, fence ident.Epoch, o EndpointOrder) error
+	OrderEndpoints(ctx context.Context, p Permission, o EndpointOrder) error
 }
 
 // LeaseStatus is the state of this node's lease on the duties.
@@ -97,6 +107,15 @@
 	reportsVersion platformapi.Version
 	reportsLoaded  bool
 	sent           map[int64]bool // windows in reports.Pending whose report was accepted
+
+	era      platformapi.Era
+	eraSince time.Time // when this node learned of the era, by Options.Now
+
+	mu struct {
+		sync.Mutex
+		written ReportLog // last log that this node has written
+		known   ReportLog // latest log written by any node, as far as known
+	}
 }
 
 // NewExecutor returns an executor that has not started.
@@ -112,7 +131,42 @@
 // Stop stops the checks.
 func (e *Executor) Stop(ctx context.Context) error { return e.loop.Stop(ctx) }
 
+// WrittenReports returns the last report log that this node has written, for the other
+// nodes: it must not be forgotten when the store is restored from an older copy.
+func (e *Executor) WrittenReports() ReportLog {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.mu.written
+}
+
+// RecordReports records a report log that another node has written.
+func (e *Executor) RecordReports(l ReportLog) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.mu.known = e.mu.known.later(l)
+}
+
+func (e *Executor) recordWritten(l ReportLog) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.mu.written, e.mu.known = l, e.mu.known.later(l)
+}
+
+func (e *Executor) knownReports() ReportLog {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.mu.known
+}
+
+// observeEra records when the era of the store rises.
+func (e *Executor) observeEra() {
+	if era := e.opts.Store.Era(); era > e.era {
+		e.era, e.eraSince = era, e.opts.Now()
+	}
+}
+
 func (e *Executor) step(ctx context.Context) {
+	e.observeEra()
 	epoch, held := e.opts.Lease.Held()
 	if !held || !e.opts.Lease.Settled() {
 		return
@@ -133,6 +187,14 @@
 	}
 }
 
+// permission returns the right to call the platform with the lease of an epoch.
+func (e *Executor) permission(epoch ident.Epoch) Permission {
+	return Permission{Fence: epoch, Valid: func() bool {
+		now, held := e.opts.Lease.Held()
+		return held && now == epoch
+	}}
+}
+
 // maxOrders limits the orders placed in one step, so that the loss of the lease is
 // noticed between steps.
 const maxOrders = 8
@@ -148,7 +210,7 @@
 		if !held || epoch != e.epoch {
 			return
 		}
-		err := e.opts.Cloud.OrderEndpoints(ctx, epoch, o)
+		err := e.opts.Cloud.OrderEndpoints(ctx, e.permission(epoch), o)
 		e.opts.Planner.OrderDone(time.Now(), o, err)
 		e.opts.Log.Info("scale: Order placed.", "service", o.Service, "data_centre", o.DataCentre, "count", o.Count,
 			"reclaimable", o.Reclaimable, "epoch", epoch, "error", err)
@@ -202,17 +264,34 @@
 			return false
 		}
 	}
+	if reports.Era != o.Version.Era() || err != nil {
+		reports = e.recoverReports(reports)
+	}
 	e.reports, e.reportsVersion, e.reportsLoaded = reports, o.Version, true
 	return true
 }
 
+// recoverReports returns the log to continue with if the store was restored since the
+// stored log was written, or has none. A window whose report may have been sent before this
+// node learned of the restore is skipped unless its report is known.
+func (e *Executor) recoverReports(stored ReportLog) ReportLog {
+	if e.era == 0 {
+		return stored
+	}
+	known := e.knownReports()
+	recovered := stored.later(known).withoutUnknown(e.opts.Meter.WindowAt(e.eraSince.Add(-settleTime)))
+	e.opts.Log.Warn("usage: Report log is from before a restore of the store; unknown windows are skipped.",
+		"stored_next", stored.Next, "known_next", known.Next, "next", recovered.Next, "pending", len(recovered.Pending), "era", e.era)
+	return recovered
+}
+
 // send sends a finalised report and reports whether it was accepted.
 func (e *Executor) send(ctx context.Context, r UsageReport) bool {
 	epoch, held := e.opts.Lease.Held()
 	if !held || epoch != e.epoch {
 		return false
 	}
-	err := e.opts.Cloud.ReportUsage(ctx, epoch, r)
+	err := e.opts.Cloud.ReportUsage(ctx, e.permission(epoch), r)
 	e.opts.Log.Info("usage: Report sent.", "window", r.Window, "counts", r.Counts, "epoch", epoch, "error", err)
 	if err != nil {
 		return false
@@ -240,6 +319,7 @@
 		next = next.remove(window)
 	}
 	next = next.add(e.opts.UsageTable.Sum(now, next.Next))
+	next.Era = e.era
 	raw, err := json.Marshal(next)
 	if err != nil {
 		e.opts.Log.Error("usage: Report log cannot be encoded.", "error", err)
@@ -252,6 +332,7 @@
 		return
 	}
 	e.reports, e.reportsVersion = next, version
+	e.recordWritten(next)
 	e.sent = make(map[int64]bool)
 	e.send(ctx, next.Pending[len(next.Pending)-1])
 }
--- a/internal/duty/recorder.go
+++ b/internal/duty/recorder.go
@@ -30,7 +30,7 @@
 
 // Recorder writes this node's usage record to the store.
 type Recorder struct {
-	store     platformapi.Store
+	store     platformapi.Feed
 	key       platformapi.Key
 	address   string
 	usage     *UsageTable
@@ -48,7 +48,7 @@
 
 // NewRecorder returns a recorder that has not started; nodeCount returns the number of
 // live nodes.
-func NewRecorder(store platformapi.Store, address string, table *UsageTable, nodeCount func() int, log *slog.Logger) *Recorder {
+func NewRecorder(store platformapi.Feed, address string, table *UsageTable, nodeCount func() int, log *slog.Logger) *Recorder {
 	r := &Recorder{store: store, key: platformapi.Key(kindNodes + "/" + table.node), address: address, usage: table, nodeCount: nodeCount, log: log}
 	r.loop = kernel.NewLoop(checkInterval, r.flushIfDue)
 	return r
@@ -81,6 +81,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lastAttempt = time.Now()
+	if r.version.Era() < r.store.Era() {
+		r.versionKnown, r.writtenCounts = false, "" // the store was restored: the record may be gone
+	}
 	if !r.versionKnown && !r.load(ctx) {
 		return
 	}
--- a/internal/gateway/bounds.go
+++ b/internal/gateway/bounds.go
@@ -44,6 +44,21 @@
 	return min(directory.MissingRetention, scaled(b.Drain, missingShare))
 }
 
+// heartbeatsUntilRemoval is the number of heartbeats that an endpoint may miss before the
+// store removes its registration; doubtMargin allows for the removal to arrive here.
+const (
+	heartbeatsUntilRemoval = 3
+	doubtMargin            = 900 * time.Millisecond
+)
+
+// doubtTime returns how long an endpoint is in doubt that the restored store lists again.
+func doubtTime(s site.Settings) time.Duration {
+	if s.Heartbeat == 0 {
+		return directory.DefaultDoubtTime
+	}
+	return heartbeatsUntilRemoval*s.Heartbeat + doubtMargin
+}
+
 // unprovedShare returns the fraction of a service's requests that go to an unproved version.
 func unprovedShare(b site.Bounds) float64 {
 	return cmp.Or(usedExposureShare*b.ExposureShare, rollout.Share)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -146,13 +146,18 @@
 	planner         *scaling.Planner
 	holder          *holder.Holder
 	usageTable      *duty.UsageTable
+	executor        *duty.Executor
 	versions        *versions
 	moveWatcher     *directory.Watcher
 	draining        atomic.Bool
+	caughtUp        atomic.Bool
+	startedAt       time.Time
 
 	peersMu     sync.Mutex          // guards the fields below
 	peerVersion platformapi.Version // latest store version received by another node
-	behindSince time.Time           // since when peerVersion is ahead of this node; zero if it isn't
+	// peerConfigVersion is the highest version of the configuration at another node.
+	peerConfigVersion uint64
+	behindSince       time.Time // since when peerVersion is ahead of this node; zero if it isn't
 }
 
 // New returns a node that has not started. Its metrics are registered with reg, which it
@@ -170,7 +175,7 @@
 	n.state = newState(placement.Options{DataCentre: settings.DataCentre, DrainTime: settings.Bounds.Drain}, quota.Options{
 		Self: n.self, InitialFill: initialFill, Overshoot: settings.Bounds.LimitOvershoot, Slack: settings.Bounds.LimitSlack,
 	}, n.currentConfig, n.meter, n.clock)
-	n.endpoints = directory.NewRegistry(p.DecodeEndpoint, missingRetention(settings.Bounds), n.state.setEndpoints, log)
+	n.endpoints = directory.NewRegistry(p.DecodeEndpoint, missingRetention(settings.Bounds), doubtTime(settings), n.state.setEndpoints, log)
 	n.currentConfig.OnChange(n.applyConfig)
 	n.configWatcher = n.newWatcher(kindOf(p.ConfigKey), n.currentConfig, storeWatchWait(settings.Bounds))
 	n.endpointWatcher = n.newWatcher(p.EndpointKind, n.endpoints, storeWatchWait(settings.Bounds))
@@ -206,12 +211,16 @@
 		Levels:     n.state.levels,
 		InitLevels: n.state.initLevels,
 		Changes:    n.changes,
+		Departures: n.endpoints.AllDepartures, OnDepartures: func(list []directory.Departure) { n.endpoints.RecordDepartures(list) },
 	})
 }
 
 // localState returns the node state that this node sends to the others.
 func (n *Node) localState() sharing.NodeState {
-	own := sharing.NodeState{ConfigVersion: n.currentConfig.Version(), Leaving: n.draining.Load(), StoreVersion: n.endpointWatcher.LastVersion(), StoreUnreachable: n.endpointWatcher.SourceUnreachable() || n.configWatcher.SourceUnreachable()}
+	own := sharing.NodeState{
+		StoreEra: n.platform.Store.Era(), Departures: n.endpoints.Departures(), Reports: n.executor.WrittenReports(),
+		ConfigVersion: n.currentConfig.Version(), Leaving: n.draining.Load(), StoreVersion: n.endpointWatcher.LastVersion(), StoreUnreachable: n.endpointWatcher.SourceUnreachable() || n.configWatcher.SourceUnreachable(),
+	}
 	own.Spent, own.Loads, own.PrefixLocations = n.state.localReport()
 	own.Windows = n.usageTable.LocalCounts()
 	n.versions.addLocalState(&own)
@@ -223,12 +232,16 @@
 	n.peersMu.Lock()
 	defer n.peersMu.Unlock()
 	for _, peer := range fresh {
+		n.platform.Store.ObserveEra(peer.StoreEra)
+		n.endpoints.RecordDepartures(peer.Departures)
+		n.executor.RecordReports(peer.Reports)
 		n.state.recordPeerReport(now, peer.Incarnation, peer.AsOf, peer.Spent, peer.PrefixLocations)
 		n.usageTable.MergeNode(string(peer.Incarnation.Node), uint64(peer.Incarnation.Incarnation), peer.AsOf, peer.Windows)
 		if peer.ConfigVersion > n.currentConfig.Version() {
 			n.sharing.FetchConfig(peer.Address)
 		}
 		n.peerVersion = max(n.peerVersion, peer.StoreVersion)
+		n.peerConfigVersion = max(n.peerConfigVersion, peer.ConfigVersion)
 	}
 }
 
@@ -267,12 +280,14 @@
 		Store: n.platform.Store, Name: dutyLease, Owner: lease.Owner{Node: n.self.Node, Incarnation: n.self.Incarnation},
 		Lease:       lease.Options{Term: term, MaxPause: leaseMaxPause, RetryDelay: term / leaseRetryDivisor},
 		Candidate:   func() bool { return n.isAmongFirst(dutyLease, dutyCandidates) },
+		Era:         n.platform.Store.Era,
 		CallTimeout: leaseCallTimeout, Log: n.log, Metrics: holder.NewMetrics(n.metrics),
 	})
 	n.holder = h
 	if n.settings.Autoscale {
 		n.planner = scaling.New(n.state.services, n.state.usage)
 	}
+	n.executor = n.newExecutor()
 	return err
 }
 
@@ -313,7 +328,7 @@
 		})},
 		{serviceRecorder, duty.NewRecorder(n.platform.Store, n.peerAddress(), n.usageTable, func() int { return len(n.liveNodes()) }, n.log)},
 		{serviceLease, &leaseService{holder: n.holder}},
-		{serviceExecutor, n.newExecutor()},
+		{serviceExecutor, n.executor},
 		{serviceReady, newListener(n.settings.ReadyAddress, n.platform.Ready(n.ready), n.log)},
 		{serviceMigration, kernel.NewLoop(serve.MigrationInterval, func(context.Context) { handler.MigrateStreams(time.Now()) })},
 		{serviceCallers, newDrainingListener(n.settings.CallersAddress, callers, n.log)},
@@ -339,7 +354,28 @@
 // ready reports whether the node can serve requests: it has loaded a configuration and the
 // endpoints, and is not draining.
 func (n *Node) ready() bool {
-	return !n.draining.Load() && n.currentConfig.Config() != nil && n.endpoints.Loaded()
+	return !n.draining.Load() && n.caughtUp.Load() && n.currentConfig.Config() != nil && n.endpoints.Loaded()
+}
+
+// catchUpTime is how long a node that starts waits for what the other nodes know, if none
+// responds.
+const catchUpTime = time.Second
+
+// catchUp ends the start of a node, in which it serves no requests: a store that was just
+// restored from a copy may give it an older configuration, and endpoints that have left
+// since. The node first learns from another one what is newer.
+func (n *Node) catchUp(now time.Time) {
+	if n.caughtUp.Load() {
+		return
+	}
+	n.peersMu.Lock()
+	current := n.sharing.Exchanged() && n.currentConfig.Version() >= n.peerConfigVersion
+	n.peersMu.Unlock()
+	if current || now.Sub(n.startedAt) > catchUpTime {
+		n.caughtUp.Store(true)
+		n.state.serve()
+		n.log.Info("gateway: Serving.", "config", n.currentConfig.Version(), "from_peers", current, "took_ms", now.Sub(n.startedAt).Milliseconds())
+	}
 }
 
 func (n *Node) tick(context.Context) {
@@ -347,6 +383,7 @@
 	n.clock.Correct()
 	n.endpoints.Tick(now)
 	n.updatePeers()
+	n.catchUp(now)
 	n.catchUpWithPeers(now)
 	n.configWatcher.Recheck()
 	n.endpointWatcher.Recheck()
@@ -374,6 +411,7 @@
 func (n *Node) Start(ctx context.Context) error {
 	n.log.Info("gateway: Start.", "node", n.settings.Node, "data_centre", n.settings.DataCentre, "life", n.self.Incarnation,
 		"callers", n.settings.CallersAddress, "peers", n.peerAddress(), "store", n.settings.StoreAddress)
+	n.startedAt = time.Now()
 	return n.registry.Start(ctx)
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -58,12 +58,13 @@
 	name := string(kind)
 	watchesStore := func() bool { return n.isAmongFirst(name, storeWatcherCount) }
 	return directory.NewWatcher(directory.WatcherOptions{
-		Store: n.platform.Store, Relay: &relay{n, name}, Prefix: kind, Listener: l, WatchesStore: watchesStore, StoreWatchWait: wait, Log: n.log,
+		Store: n.platform.Store, Relay: &relay{n, name}, Prefix: kind, Listener: l, WatchesStore: watchesStore, Era: n.platform.Store.Era, StoreWatchWait: wait, Log: n.log,
 	})
 }
 
 // changes returns the changes of one kind of object to a node that watches through this one.
 func (n *Node) changes(ctx context.Context, kind platformapi.Key, after uint64, wait time.Duration) (platformapi.WatchResult, error) {
+	n.platform.Store.ObserveEra(platformapi.Version(after).Era())
 	switch kind {
 	case n.platform.EndpointKind:
 		return n.endpointWatcher.Changes(ctx, after, wait)
@@ -95,7 +96,7 @@
 func (r *relay) Snapshot(ctx context.Context, prefix platformapi.Key) (platformapi.Snapshot, error) {
 	for _, address := range r.node.relayNodes(r.ranking) {
 		c, err := r.node.sharing.ChangesFrom(ctx, address, prefix, 0, 0)
-		if err == nil && c.Position > 0 {
+		if err == nil && c.Position > 0 && platformapi.Version(c.Position).Era() >= r.node.platform.Store.Era() {
 			return platformapi.Snapshot{Objects: c.Changed, Position: c.Position}, nil
 		}
 		r.node.log.Debug("directory: Peer did not return a snapshot.", "kind", string(prefix), "peer", address, "error", err)
@@ -107,6 +108,9 @@
 func (r *relay) Watch(ctx context.Context, prefix platformapi.Key, after uint64, wait time.Duration) (platformapi.WatchResult, error) {
 	for _, address := range r.node.relayNodes(r.ranking) {
 		c, err := r.node.sharing.ChangesFrom(ctx, address, prefix, after, wait)
+		if err == nil {
+			r.node.platform.Store.ObserveEra(platformapi.Version(c.Position).Era())
+		}
 		if err == nil || ctx.Err() != nil {
 			return c, err
 		}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/directory"
@@ -30,6 +31,7 @@
 	currentConfig *directory.CurrentConfig
 	meter         *duty.Meter
 	clock         *walltime.Host
+	serving       atomic.Bool
 
 	mu struct {
 		sync.Mutex
@@ -52,8 +54,16 @@
 	return s
 }
 
-// Config implements serve.NodeServices.
-func (s *state) Config() *site.Config { return s.currentConfig.Config() }
+// Config implements serve.NodeServices. It returns nil until serve is called.
+func (s *state) Config() *site.Config {
+	if !s.serving.Load() {
+		return nil
+	}
+	return s.currentConfig.Config()
+}
+
+// serve makes the configuration available to requests.
+func (s *state) serve() { s.serving.Store(true) }
 
 // Charge implements serve.NodeServices.
 func (s *state) Charge(w ident.Workspace, cost float64) (time.Duration, bool) {
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -35,10 +35,16 @@
 		sync.Mutex
 		gate  *rollout.Gate
 		rng   *rand.Rand
-		moves map[platformapi.Key]site.VersionMove
+		moves map[platformapi.Key]listedMove
 	}
 }
 
+// listedMove is an order in the store.
+type listedMove struct {
+	site.VersionMove
+	version platformapi.Version
+}
+
 var (
 	_ serve.Versions     = (*versions)(nil)
 	_ directory.Listener = (*versions)(nil)
@@ -48,7 +54,7 @@
 	v := &versions{platform: p, lease: lease, log: log}
 	v.mu.gate = rollout.NewGate(share)
 	v.mu.rng = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	v.mu.moves = make(map[platformapi.Key]site.VersionMove)
+	v.mu.moves = make(map[platformapi.Key]listedMove)
 	v.loop = kernel.NewLoop(evaluateInterval, v.step)
 	return v
 }
@@ -99,11 +105,11 @@
 			continue
 		}
 		v.log.Info("rollout: Order received.", "service", m.Service, "target", m.Target, "within", m.Within, "state", string(m.State), "revision", o.Version)
-		v.mu.moves[o.Key] = m
+		v.mu.moves[o.Key] = listedMove{m, o.Version}
 	}
 	list := make([]site.VersionMove, 0, len(v.mu.moves))
 	for _, m := range v.mu.moves {
-		list = append(list, m)
+		list = append(list, m.VersionMove)
 	}
 	v.mu.gate.SetMoves(time.Now(), list)
 }
@@ -113,7 +119,7 @@
 func (v *versions) addLocalState(own *sharing.NodeState) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	own.Evidence, own.BadVersions = v.mu.gate.LocalEvidence(), v.mu.gate.BadVersions()
+	own.Evidence, own.BadVersions, own.CompletedVersions = v.mu.gate.LocalEvidence(), v.mu.gate.BadVersions(), v.mu.gate.CompletedVersions()
 }
 
 // recordPeerStates applies the evidence and the bad versions of all other nodes.
@@ -124,6 +130,7 @@
 	for _, peer := range states {
 		sum.Add(peer.Evidence)
 		v.mu.gate.MarkBadVersions(peer.BadVersions)
+		v.mu.gate.MarkCompletedVersions(peer.CompletedVersions)
 	}
 	v.mu.gate.SetPeers(sum)
 }
@@ -155,7 +162,11 @@
 		return
 	}
 	key := v.platform.MoveKind + "/" + platformapi.Key(o.Service)
-	err = v.platform.Store.PutStatus(ctx, key, status)
+	v.mu.Lock()
+	version := v.mu.moves[key].version
+	v.mu.Unlock()
+	// The condition keeps a holder that was paused from replacing a later state.
+	err = v.platform.Store.PutStatus(ctx, key, status, version)
 	v.log.Info("rollout: State reported.", "service", o.Service, "target", o.Target, "state", string(o.State), "reason", o.Reason,
 		"target_count", o.TargetCount, "base_count", o.BaseCount, "error", err)
 	if err != nil {
--- a/internal/lease/holder/holder.go
+++ b/internal/lease/holder/holder.go
@@ -29,6 +29,9 @@
 	CallTimeout time.Duration
 	// Clock reads the monotonic and the wall clock. Default: the clocks of the process.
 	Clock func() lease.Instant
+	// Era returns the era of the store that this node knows of. Default: always zero, for
+	// a store that is never restored from a copy.
+	Era func() platformapi.Era
 	// Metrics is optional.
 	Metrics *Metrics
 	// Log is optional.
@@ -82,6 +85,9 @@
 	if opts.Candidate == nil {
 		opts.Candidate = func() bool { return true }
 	}
+	if opts.Era == nil {
+		opts.Era = func() platformapi.Era { return 0 }
+	}
 	if opts.Log == nil {
 		opts.Log = slog.New(slog.DiscardHandler)
 	}
@@ -106,14 +112,22 @@
 func (h *Holder) Held() (ident.Epoch, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.mu.lease.Held(h.opts.Clock())
+	return h.mu.lease.Held(h.observeEra())
+}
+
+// observeEra passes the era of the store to the lease and returns the time. The caller
+// holds the lock.
+func (h *Holder) observeEra() lease.Instant {
+	now := h.opts.Clock()
+	h.mu.lease.HandleEra(now, h.opts.Era())
+	return now
 }
 
 // Settled reports whether orders may be sent to endpoints that ignore the fencing token.
 func (h *Holder) Settled() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.mu.lease.Settled(h.opts.Clock())
+	return h.mu.lease.Settled(h.observeEra())
 }
 
 // Release releases the lease, so that the next holder need not wait for the term. Run
@@ -169,7 +183,7 @@
 func (h *Holder) next() (lease.Action, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	action := h.mu.lease.Next(h.opts.Clock())
+	action := h.mu.lease.Next(h.observeEra())
 	return action, h.mu.lease.Released()
 }
 
@@ -180,7 +194,7 @@
 	object, err := h.opts.Store.Get(ctx, lease.Key(h.opts.Name))
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.mu.lease.HandleRead(h.opts.Clock(), object, err)
+	h.mu.lease.HandleRead(h.observeEra(), object, err)
 }
 
 func (h *Holder) put(ctx context.Context, a lease.PutAction) {
@@ -190,7 +204,7 @@
 	version, err := h.opts.Store.Put(ctx, lease.Key(h.opts.Name), a.Value, a.Expect)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.mu.lease.HandleWrite(h.opts.Clock(), version, err)
+	h.mu.lease.HandleWrite(h.observeEra(), version, err)
 }
 
 func (h *Holder) wait(ctx context.Context, d time.Duration) {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -33,6 +33,10 @@
 	Released bool `json:"released,omitempty"`
 	// Unsettled is set with Released if actions of former holders may still arrive.
 	Unsettled bool `json:"unsettled,omitempty"`
+	// Era is the era of the store in which the record was written; zero for a store
+	// without eras. A record of an earlier era comes from the copy that the store was
+	// restored from: later holders may have existed.
+	Era platformapi.Era `json:"era,omitempty"`
 }
 
 // Instant is a simultaneous reading of the two clocks of a node.
@@ -143,6 +147,10 @@
 	retryAt   Instant
 	backoff   bool
 
+	era      platformapi.Era
+	eraSince Instant // when this node learned of the era
+	lastHeld Instant // when Held last returned true; zero for never
+
 	renewedAt    Instant // start of the last successful write as owner
 	settledAt    Instant
 	acquired     bool // the lease was acquired and has not lapsed since
@@ -170,9 +178,29 @@
 	if !l.acquired || l.releasing || l.lapsed(now) {
 		return 0, false
 	}
+	l.lastHeld = now
 	return l.record.Epoch, true
 }
 
+// HandleEra processes the era of the store that this node knows of; call it before each
+// other method. When the era rises, the stored record may be lost or replaced by an earlier
+// one: the lease is no longer held, and a write in progress may not be taken for applied.
+func (l *Lease) HandleEra(now Instant, era platformapi.Era) {
+	if era <= l.era {
+		return
+	}
+	unread := l.era == 0 && l.firstSeen == (Instant{}) && !l.acquired
+	l.era, l.eraSince = era, now
+	if unread {
+		return
+	}
+	l.acquired, l.pending = false, nil
+	l.state, l.backoff = needsRead, false
+}
+
+// isOfEra reports whether the record was written in the current era of the store.
+func (l *Lease) isOfEra(r Record) bool { return r.Era == l.era }
+
 // Settled reports whether the lease is held and actions of former holders can no longer
 // arrive, so that orders may be sent to endpoints that ignore the fencing token.
 func (l *Lease) Settled(now Instant) bool {
@@ -223,16 +251,30 @@
 	}
 }
 
-// observe takes over a released or absent record, or one that has been unchanged for Term,
-// after StandbyDelay; until then it waits.
-func (l *Lease) observe(now Instant) Action {
-	takeoverAt := l.firstSeen.Monotonic + l.opts.Term + l.opts.StandbyDelay
-	if l.record.Released || l.version == 0 {
-		takeoverAt = l.firstSeen.Monotonic + l.opts.StandbyDelay
+// takeoverAt returns when the observed record may be taken over, without StandbyDelay: at
+// once if it is released or absent, else after it has been unchanged for Term. If the store
+// was restored since the record was written, there may be a holder of which no record is
+// left; it stops within Term. A node that held the lease before another one waits for Term
+// as well, so that the holders do not alternate faster than that.
+func (l *Lease) takeoverAt() time.Duration {
+	at := l.firstSeen.Monotonic
+	if !l.record.Released && l.version != 0 {
+		at += l.opts.Term
 	}
-	left := takeoverAt - now.Monotonic
+	if l.era > 0 && !l.isOfEra(l.record) {
+		at = max(at, l.eraSince.Monotonic+l.opts.Term, l.firstSeen.Monotonic+l.opts.Term)
+	}
+	if l.lastHeld != (Instant{}) {
+		at = max(at, l.lastHeld.Monotonic+l.opts.Term)
+	}
+	return at
+}
+
+// observe takes over the record after takeoverAt and StandbyDelay; until then it waits.
+func (l *Lease) observe(now Instant) Action {
+	left := l.takeoverAt() + l.opts.StandbyDelay - now.Monotonic
 	if left <= 0 {
-		return l.write(now, Record{Owner: l.self, Epoch: l.record.Epoch + 1})
+		return l.write(now, Record{Owner: l.self, Epoch: l.nextEpoch()})
 	}
 	l.state = needsRead
 	wait := min(left, l.opts.ObserveInterval)
@@ -250,7 +292,7 @@
 		next.Released = true
 		next.Unsettled = !l.releasedIdle || now.Monotonic < l.settledAt.Monotonic
 	case !l.acquired:
-		next.Epoch++
+		next.Epoch = l.nextEpoch()
 	default:
 		if left := l.opts.RenewInterval - (now.Monotonic - l.renewedAt.Monotonic); left > 0 {
 			return WaitAction{left}
@@ -259,7 +301,19 @@
 	return l.write(now, next)
 }
 
+// nextEpoch returns the epoch of a new holder. It is above all earlier ones also if the
+// record of the last holder is lost: it contains the era, and the revision that is replaced,
+// so that two holders of one era never have the same.
+func (l *Lease) nextEpoch() ident.Epoch {
+	next := l.record.Epoch + 1
+	if l.era > 0 {
+		next = max(next, ident.Epoch(platformapi.NewVersion(l.era, l.version.Revision()+1)))
+	}
+	return next
+}
+
 func (l *Lease) write(now Instant, r Record) Action {
+	r.Era = l.era
 	value, err := json.Marshal(r)
 	if err != nil {
 		panic(errors.Wrap(err, "encode lease")) // all fields of the record can be encoded
@@ -289,7 +343,7 @@
 	p := l.pending
 	l.pending = nil
 	takeover := p.record.Epoch != l.record.Epoch
-	noLateActions := l.version == 0 || l.record.Released && !l.record.Unsettled
+	noLateActions := (l.version == 0 && l.era == 0 || l.record.Released && !l.record.Unsettled) && l.isOfEra(l.record)
 	l.state, l.record, l.version = holding, p.record, version
 	l.renewedAt = p.started
 	if p.record.Released {
@@ -334,7 +388,7 @@
 		invariant.Check(r.Epoch != epoch || r.Owner == l.self, invariant.OneHolderPerEpoch,
 			"epoch %d is held by %v, but its record is owned by %v", epoch, l.self, r.Owner)
 	}
-	if r.Owner == l.self && !r.Released {
+	if r.Owner == l.self && !r.Released && l.isOfEra(r) {
 		l.handleOwnRecord(r, version)
 		return
 	}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -23,8 +24,12 @@
 	LostCalls bool // requests and responses of writes are lost
 	Outages   bool // the store is unavailable for up to 40 s
 	Releases  bool // nodes release the lease and become candidates again
+	Restores  bool // the store is restored from a copy up to maxCopyAge old
 }
 
+// maxCopyAge is the age of the oldest copy that the store is restored from.
+const maxCopyAge = 15 * time.Second
+
 const (
 	step          = 100 * time.Millisecond
 	runTime       = 10 * time.Minute
@@ -50,6 +55,7 @@
 // call is a store call in flight.
 type call struct {
 	effectAt, responseAt time.Duration
+	sentIn, answeredIn   platformapi.Era // known to the node, and of the store
 	put                  *PutAction
 	read                 bool
 	done                 bool
@@ -66,6 +72,7 @@
 	sleepUntil   time.Duration
 	call         *call
 	incarnation  ident.Incarnation
+	era          platformapi.Era // that the node knows of
 }
 
 // simulation runs the candidates for one lease on a store with latency.
@@ -75,16 +82,28 @@
 	now         time.Duration
 	nodes       []*node
 	object      platformapi.Object
+	era         platformapi.Era      // of the store; zero without Restores
+	copies      []platformapi.Object // the object at each step of the last maxCopyAge
 	outageUntil time.Duration
 	engines     []*engine
 	orders      []order
 	owners      map[ident.Epoch]Owner
-	held        int // steps in which a node held the lease
+	acts        []act // of the last term, in which the holders may not alternate
+	held        int   // steps in which a node held the lease
+}
+
+// act is an action of a holder of the lease.
+type act struct {
+	at   time.Duration
+	node *node
 }
 
 func newSimulation(seed uint64, f faults) *simulation {
 	s := &simulation{rng: rand.New(rand.NewPCG(seed, 9)), f: f, owners: map[ident.Epoch]Owner{}}
 	s.engines = []*engine{{checksFence: true}, {}}
+	if f.Restores {
+		s.era = 1
+	}
 	for i := range 4 {
 		n := &node{clockRate: 1, wall: time.Unix(1e9, 0)}
 		if f.Drift {
@@ -112,6 +131,10 @@
 func (s *simulation) run() {
 	for s.now < runTime {
 		s.now += step
+		s.copies = append(s.copies, s.object)
+		if n := len(s.copies) - int(maxCopyAge/step); n > 0 {
+			s.copies = s.copies[n:]
+		}
 		s.executeCalls()
 		if s.now < runTime-faultFreeTime {
 			s.injectFaults()
@@ -148,11 +171,29 @@
 	if s.f.Outages && s.chance(60*time.Second) {
 		s.outageUntil = s.now + duration
 	}
+	if s.f.Restores && s.chance(60*time.Second) {
+		s.restore()
+	}
+	if s.f.Restores && s.chance(2*time.Second) {
+		n.hearEra(s.era) // from another node
+	}
 	if s.f.Releases && s.chance(20*time.Second) {
 		n.lease.Release(!slices.ContainsFunc(s.orders, func(o order) bool { return o.node == n }))
 	}
 }
 
+// restore restores the store from a copy, after an outage. Revisions are given out again.
+func (s *simulation) restore() {
+	s.era++
+	s.object = s.copies[s.rng.IntN(len(s.copies))]
+	s.outageUntil = s.now + time.Duration(s.rng.Int64N(int64(5*time.Second)))
+}
+
+func (n *node) hearEra(era platformapi.Era) {
+	n.era = max(n.era, era)
+	n.lease.HandleEra(n.instant(), n.era)
+}
+
 // runNode passes a finished store call to one node and performs its next action.
 func (s *simulation) runNode(i int, n *node) {
 	if c := n.call; c != nil {
@@ -160,6 +201,10 @@
 			return
 		}
 		n.call = nil
+		n.hearEra(c.answeredIn)
+		if !c.read && c.sentIn > 0 && n.era > c.sentIn {
+			c.err = platformapi.ErrUnknown // as the client of the store does
+		}
 		if c.read {
 			n.lease.HandleRead(n.instant(), c.object, c.err)
 		} else {
@@ -168,6 +213,7 @@
 	}
 	if epoch, ok := n.lease.Held(n.instant()); ok && s.chance(time.Second) {
 		s.sendOrders(n, epoch)
+		s.checkAlternation(n)
 	}
 	if n.lease.Released() {
 		n.start(i)
@@ -176,7 +222,7 @@
 		return
 	}
 	delay := func() time.Duration { return time.Duration(s.rng.Int64N(int64(400 * time.Millisecond))) }
-	c := &call{effectAt: s.now + delay()}
+	c := &call{effectAt: s.now + delay(), sentIn: n.era}
 	c.responseAt = c.effectAt + delay()
 	switch a := n.lease.Next(n.instant()).(type) {
 	case ReadAction:
@@ -233,14 +279,17 @@
 		if c == nil || c.done || s.now < c.effectAt {
 			continue
 		}
-		c.done = true
+		c.done, c.answeredIn = true, s.era
 		switch {
 		case s.now < s.outageUntil:
 			c.err = platformapi.ErrUnavailable
+		case !c.read && c.put.Expect != 0 && c.put.Expect.Era() < c.sentIn:
+			c.err = platformapi.ErrConflict // the client of the store doesn't send it
 		case c.read && s.object.Version == 0:
 			c.err = platformapi.ErrNotFound
 		case c.read:
 			c.object = s.object
+			c.object.Version = platformapi.NewVersion(s.era, s.object.Version.Revision())
 		default:
 			s.put(c)
 		}
@@ -253,17 +302,30 @@
 		c.err = platformapi.ErrUnknown // the write has no effect
 		return
 	}
-	if s.object.Version != c.put.Expect {
+	// The store compares revisions only.
+	if s.object.Version.Revision() != c.put.Expect.Revision() {
 		c.err = platformapi.ErrConflict
 		return
 	}
-	s.object = platformapi.Object{Version: s.object.Version + 1, Value: c.put.Value}
+	s.object = platformapi.Object{Version: platformapi.NewVersion(s.era, s.object.Version.Revision()+1), Value: c.put.Value}
 	c.object.Version = s.object.Version
 	if lost {
 		c.err = platformapi.ErrUnknown
 	}
 }
 
+// checkAlternation asserts that the holders do not act in the order A, B, A within a term.
+// It does not apply where a node releases the lease and is a candidate again at once.
+func (s *simulation) checkAlternation(n *node) {
+	term := Options{}.WithDefaults().Term
+	s.acts = slices.DeleteFunc(s.acts, func(a act) bool { return s.now-a.at >= term })
+	if i := slices.IndexFunc(s.acts, func(a act) bool { return a.node == n }); i >= 0 && !s.f.Releases {
+		other := slices.ContainsFunc(s.acts[i:], func(a act) bool { return a.node != n })
+		invariant.Check(!other, invariant.OneHolderPerEpoch, "two holders alternate within a term at %v", s.now)
+	}
+	s.acts = append(s.acts, act{s.now, n})
+}
+
 // check asserts that at most one node holds the lease, and that each epoch has one owner.
 func (s *simulation) check() {
 	var holder *node
@@ -301,7 +363,10 @@
 		{"clock jump", faults{Jumps: true, Drift: true}, 1, 0.9},
 		{"store outage", faults{Outages: true}, 2, 0.3},
 		{"releases", faults{Releases: true}, 2, 0.8},
-		{"all faults", faults{true, true, true, true, true, true, true}, 2, 0.2},
+		{"restored store", faults{Restores: true}, 4, 0.5},
+		{"restored store, releases", faults{Restores: true, Releases: true}, 4, 0.3},
+		{"restored store, paused holder", faults{Restores: true, Pauses: true, LostCalls: true}, 4, 0.2},
+		{"all faults", faults{true, true, true, true, true, true, true, true}, 2, 0.15},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			total, epochs := 0.0, 0
@@ -371,3 +436,101 @@
 		}
 	}
 }
+
+// TestFormerHolderWaits checks that a node that has held the lease does not take it over from
+// a holder that releases it at once, before a term has passed since its own last action.
+func TestFormerHolderWaits(t *testing.T) {
+	o := Options{}.WithDefaults()
+	l := New(Owner{"a", 1}, o)
+	at := func(d time.Duration) Instant { return Instant{Monotonic: d, Wall: time.Unix(1e9, 0).Add(d)} }
+	record := func(owner ident.NodeID, epoch ident.Epoch, released bool) platformapi.Object {
+		raw, err := json.Marshal(Record{Owner: Owner{owner, 1}, Epoch: epoch, Released: released})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return platformapi.Object{Version: platformapi.Version(epoch) * 10, Value: raw}
+	}
+	now := time.Second
+	l.HandleRead(at(now), platformapi.Object{}, platformapi.ErrNotFound)
+	if _, ok := l.Next(at(now)).(PutAction); !ok {
+		t.Fatal("an absent record is not taken over")
+	}
+	l.HandleWrite(at(now), 10, nil)
+	lastAction := now + o.HoldTime/2
+	if _, held := l.Held(at(lastAction)); !held {
+		t.Fatal("the lease is not held after its acquisition")
+	}
+	now = lastAction + time.Second // another node holds the lease meanwhile, and releases it
+	l.Next(at(now))
+	l.HandleRead(at(now), record("b", 2, true), nil)
+	for ; now < lastAction+o.Term; now += 100 * time.Millisecond {
+		switch a := l.Next(at(now)).(type) {
+		case PutAction:
+			t.Fatalf("the lease is taken over %s after the node's own last action", now-lastAction)
+		case ReadAction:
+			l.HandleRead(at(now), record("b", 2, true), nil)
+		case WaitAction:
+			if a.Delay <= 0 {
+				t.Fatalf("waits for %s", a.Delay)
+			}
+		}
+	}
+	for range 3 {
+		now += o.ObserveInterval
+		if _, ok := l.Next(at(now)).(PutAction); ok {
+			return
+		}
+		l.HandleRead(at(now), record("b", 2, true), nil)
+	}
+	t.Error("the released lease is never taken over")
+}
+
+// TestRecordOfEarlierEra checks that a node does not take the lease over before a term since
+// it learned of the era if the record is of an earlier era, released or absent: there may be a
+// holder whose record is lost.
+func TestRecordOfEarlierEra(t *testing.T) {
+	o := Options{}.WithDefaults()
+	at := func(d time.Duration) Instant { return Instant{Monotonic: d, Wall: time.Unix(1e9, 0).Add(d)} }
+	for name, r := range map[string]*Record{
+		"absent":                   nil,
+		"released":                 {Owner: Owner{"b", 1}, Epoch: 7, Released: true, Era: 1},
+		"own, held":                {Owner: Owner{"a", 1}, Epoch: 7, Era: 1},
+		"written without eras":     {Owner: Owner{"b", 1}, Epoch: 7, Released: true},
+		"prepared in earlier eras": {Owner: Owner{"b", 1}, Epoch: 7, Renewals: 3, Released: true, Unsettled: true, Era: 2},
+	} {
+		const era = 3
+		l := New(Owner{"a", 1}, o)
+		now := time.Second
+		start := now
+		l.HandleEra(at(now), era)
+		var taken *PutAction
+		for ; taken == nil && now < start+2*o.Term; now += 50 * time.Millisecond {
+			switch a := l.Next(at(now)).(type) {
+			case ReadAction:
+				object, err := platformapi.Object{}, error(platformapi.ErrNotFound)
+				if r != nil {
+					raw, encodeErr := json.Marshal(r)
+					if encodeErr != nil {
+						t.Fatal(encodeErr)
+					}
+					object, err = platformapi.Object{Version: platformapi.NewVersion(era, 40), Value: raw}, nil
+				}
+				l.HandleRead(at(now), object, err)
+			case PutAction:
+				taken = &a
+			}
+		}
+		if taken == nil || now-start < o.Term {
+			t.Errorf("%s: taken over after %s, want a term of %s", name, now-start, o.Term)
+			continue
+		}
+		l.HandleWrite(at(now), platformapi.NewVersion(era, 41), nil)
+		epoch, held := l.Held(at(now))
+		if !held || epoch <= 7 || platformapi.Version(epoch).Era() != era {
+			t.Errorf("%s: held %v with epoch %d", name, held, epoch)
+		}
+		if l.Settled(at(now)) {
+			t.Errorf("%s: settled at once, though actions of a former holder may arrive", name)
+		}
+	}
+}
--- a/internal/platformapi/platform.go
+++ b/internal/platformapi/platform.go
@@ -14,9 +14,6 @@
 // Key names an object in the store, for example "config/accepted".
 type Key string
 
-// Version is the store's version of one object. Zero means that the object does not exist.
-type Version uint64
-
 // Object is one stored value.
 type Object struct {
 	Key     Key
@@ -55,15 +52,16 @@
 	List(ctx context.Context, prefix Key) ([]Object, error)
 	// Watch waits until an object under prefix has changed since the store-wide
 	// position after, or until wait has elapsed. It returns the changed objects
-	// (deleted ones with Version zero) and the new position. Several changes of an
-	// object may be combined: only its latest value is guaranteed to be returned.
+	// (deleted ones with Version zero) and the new position. A position is a Version of
+	// the whole store. Several changes of an object may be combined: only its latest
+	// value is guaranteed to be returned.
 	Watch(ctx context.Context, prefix Key, after uint64, wait time.Duration) (WatchResult, error)
 }
 
 // Snapshot is the state of all objects under a prefix.
 type Snapshot struct {
 	Objects []Object
-	// Position is the store-wide position to watch from.
+	// Position is the store-wide position to watch from, which is a Version of the store.
 	Position uint64
 }
 
@@ -71,10 +69,12 @@
 // that stores a status with each object.
 type Feed interface {
 	Store
+	Restorable
 	// Snapshot returns the objects under prefix and the position to watch from.
 	Snapshot(ctx context.Context, prefix Key) (Snapshot, error)
-	// PutStatus replaces an object's status.
-	PutStatus(ctx context.Context, key Key, status []byte) error
+	// PutStatus replaces an object's status if the object's version is expect, or returns
+	// ErrConflict.
+	PutStatus(ctx context.Context, key Key, status []byte, expect Version) error
 }
 
 // WatchResult is the result of a Watch call.
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -37,40 +38,68 @@
 type Gate struct {
 	share float64
 	moves map[ident.Service]*move
-	local Evidence
-	peers Evidence
+	// dropped contains the moves whose order has disappeared recently.
+	dropped map[ident.Service]*move
+	local   Evidence
+	peers   Evidence
 }
 
 type move struct {
 	site.VersionMove
 	startedAt time.Time
 	bad       bool
+	done      bool      // completed, also if the store lists an earlier state
+	droppedAt time.Time // when the order disappeared; zero while it is listed
 }
 
+// droppedRetention is how long the verdict on a target is kept after its order disappeared.
+// If the store is restored from a copy, the operator writes the order again.
+const droppedRetention = 30 * time.Second
+
 // NewGate returns a gate without moves. An unproved version gets the fraction share of a
 // service's requests.
 func NewGate(share float64) *Gate {
-	return &Gate{share: share, moves: make(map[ident.Service]*move), local: make(Evidence), peers: make(Evidence)}
+	return &Gate{share: share, moves: make(map[ident.Service]*move), dropped: make(map[ident.Service]*move), local: make(Evidence), peers: make(Evidence)}
 }
 
-// SetMoves sets the requested moves. A move with the same target as before continues.
+// SetMoves sets the requested moves. A move with the same target as before continues, and
+// an outcome once known stays, whatever earlier state the store lists.
 func (g *Gate) SetMoves(now time.Time, list []site.VersionMove) {
 	next := make(map[ident.Service]*move, len(list))
 	for _, m := range list {
-		known := g.moves[m.Service]
-		if known == nil || known.Target != m.Target {
+		known := g.known(m)
+		if known == nil {
 			known = &move{startedAt: now}
 		}
-		known.VersionMove = m
+		known.VersionMove, known.droppedAt = m, time.Time{}
 		if m.StateTarget != m.Target {
 			known.State = site.MoveNotStarted // the reported state belongs to an earlier move
 		}
+		known.done = known.done || known.State == site.MoveDone
 		known.bad = known.bad || known.State == site.MoveRolledBack
 		next[m.Service] = known
+		delete(g.dropped, m.Service)
+	}
+	for service, m := range g.moves {
+		if next[service] == nil {
+			m.droppedAt = now
+			g.dropped[service] = m
+		}
 	}
+	maps.DeleteFunc(g.dropped, func(_ ident.Service, m *move) bool { return now.Sub(m.droppedAt) > droppedRetention })
 	g.moves = next
 }
 
+// known returns the move with the service and target of m, or nil.
+func (g *Gate) known(m site.VersionMove) *move {
+	for _, known := range []*move{g.moves[m.Service], g.dropped[m.Service]} {
+		if known != nil && known.Target == m.Target {
+			return known
+		}
+	}
+	return nil
+}
+
 // ChooseVersion returns the only version that a request may be sent to, or the version
 // that it must not be sent to. Either is empty if there is no such restriction.
 func (g *Gate) ChooseVersion(rng *rand.Rand, s ident.Service) (only, avoid ident.Version) {
@@ -80,7 +109,7 @@
 		return "", ""
 	case m.bad:
 		return "", m.Target
-	case m.State == site.MoveDone:
+	case m.done:
 		return m.Target, ""
 	case rng.Float64() < g.share:
 		return m.Target, ""
@@ -133,18 +162,39 @@
 // moves that are done.
 func (g *Gate) MarkBadVersions(list []Arm) {
 	for _, a := range list {
-		if m := g.moves[a.Service]; m != nil && m.Target == a.Version && m.State != site.MoveDone {
+		if m := g.moves[a.Service]; m != nil && m.Target == a.Version && !m.done {
 			m.bad = true
 		}
 	}
 }
 
+// CompletedVersions returns the targets of completed moves, as arms without a route.
+func (g *Gate) CompletedVersions() []Arm {
+	var out []Arm
+	for _, m := range g.moves {
+		if m.done {
+			out = append(out, Arm{Service: m.Service, Version: m.Target})
+		}
+	}
+	return out
+}
+
+// MarkCompletedVersions marks the targets to which another node knows that the move was
+// completed, except those found bad.
+func (g *Gate) MarkCompletedVersions(list []Arm) {
+	for _, a := range list {
+		if m := g.moves[a.Service]; m != nil && m.Target == a.Version && !m.bad {
+			m.done = true
+		}
+	}
+}
+
 // Evaluate compares the versions of all running moves and returns an outcome for each
 // target that was newly found bad.
 func (g *Gate) Evaluate() []Outcome {
 	var out []Outcome
 	for _, m := range g.moves {
-		if m.bad || m.State == site.MoveDone {
+		if m.bad || m.done {
 			continue
 		}
 		if target, base, found := g.findRegression(m); found {
@@ -205,6 +255,8 @@
 		switch {
 		case m.bad:
 			out = append(out, g.outcome(m, site.MoveRolledBack, "worse than the other versions", target, base))
+		case m.done:
+			out = append(out, g.outcome(m, site.MoveDone, "completed before the store was restored", target, base))
 		case elapsed < time.Duration(decisionFraction*float64(m.Within)):
 			if m.State == site.MoveNotStarted {
 				out = append(out, g.outcome(m, site.MoveRunning, "begun", target, base))
@@ -228,5 +280,7 @@
 func (g *Gate) MarkReported(o Outcome) {
 	if m := g.moves[o.Service]; m != nil && m.Target == o.Target {
 		m.State, m.StateTarget = o.State, o.Target
+		m.done = m.done || o.State == site.MoveDone
+		m.bad = m.bad || o.State == site.MoveRolledBack
 	}
 }
--- a/internal/rollout/gate_test.go
+++ b/internal/rollout/gate_test.go
@@ -169,3 +169,42 @@
 		t.Errorf("encoded as %s, error %v; want %s", raw, err, want)
 	}
 }
+
+// TestOutcomeSurvivesRestore checks that an outcome is reported again, and not another one,
+// if the store is restored from a copy with an earlier state of the move, or without the move.
+func TestOutcomeSurvivesRestore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	order := site.VersionMove{Service: "s", Target: "v2", Within: moveTime}
+	running := order
+	running.State, running.StateTarget = site.MoveRunning, "v2"
+	for name, c := range map[string]struct {
+		outcome site.MoveState
+		copied  [][]site.VersionMove // lists received after the restore
+	}{
+		"done":                      {site.MoveDone, [][]site.VersionMove{{running}}},
+		"rolled back":               {site.MoveRolledBack, [][]site.VersionMove{{running}}},
+		"done, order lost":          {site.MoveDone, [][]site.VersionMove{nil, {order}}},
+		"rolled back, order lost":   {site.MoveRolledBack, [][]site.VersionMove{nil, {order}}},
+		"rolled back, status empty": {site.MoveRolledBack, [][]site.VersionMove{{order}}},
+	} {
+		g, restarted := NewGate(Share), NewGate(Share)
+		g.SetMoves(now, []site.VersionMove{running})
+		g.MarkReported(Outcome{Service: "s", Target: "v2", State: c.outcome})
+		for _, list := range c.copied {
+			g.SetMoves(now, list)
+			restarted.SetMoves(now, list)
+		}
+		restarted.MarkBadVersions(g.BadVersions())
+		restarted.MarkCompletedVersions(g.CompletedVersions())
+		for who, gate := range map[string]*Gate{"node": g, "restarted node": restarted} {
+			pending := gate.PendingOutcomes(now.Add(moveTime))
+			if len(pending) != 1 || pending[0].State != c.outcome {
+				t.Errorf("%s: %s reports %+v", name, who, pending)
+			}
+			only, avoid := gate.ChooseVersion(rand.New(rand.NewPCG(1, 1)), "s")
+			if c.outcome == site.MoveDone && only != "v2" || c.outcome == site.MoveRolledBack && avoid != "v2" {
+				t.Errorf("%s: %s sends requests only to %q and not to %q", name, who, only, avoid)
+			}
+		}
+	}
+}
--- a/internal/sharing/convert.go
+++ b/internal/sharing/convert.go
@@ -4,6 +4,8 @@
 	"time"
 
 	sharingv1 "github.com/jujubeshed/jujubeshed/api/gen/sharing/v1"
+	"github.com/jujubeshed/jujubeshed/internal/directory"
+	"github.com/jujubeshed/jujubeshed/internal/duty"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/placement"
 	"github.com/jujubeshed/jujubeshed/internal/platformapi"
@@ -23,7 +25,7 @@
 	msg := &sharingv1.Row{
 		Node: string(s.Incarnation.Node), Life: uint64(s.Incarnation.Incarnation), Beat: s.Heartbeat, Address: s.Address,
 		ConfigVersion: s.ConfigVersion, Leaving: s.Leaving, Seen: uint64(s.StoreVersion), StoreLost: s.StoreUnreachable,
-		AsOf:  s.AsOf.UnixMilli(),
+		AsOf: s.AsOf.UnixMilli(), StoreEra: uint64(s.StoreEra),
 		Spent: make(map[string]float64, len(s.Spent)),
 		Loads: make(map[string]*sharingv1.Load, len(s.Loads)),
 	}
@@ -37,11 +39,7 @@
 		msg.Loads[string(id)] = &sharingv1.Load{Running: int32(l.Running), Prefill: int32(l.PrefillTokens), Context: int32(l.ContextTokens)}
 	}
 	for number, counts := range s.Windows {
-		window := &sharingv1.Window{Number: number, Counts: make(map[string]uint64, len(counts))}
-		for name, n := range counts {
-			window.Counts[string(name)] = n
-		}
-		msg.Windows = append(msg.Windows, window)
+		msg.Windows = append(msg.Windows, encodeWindow(number, counts))
 	}
 	for _, a := range s.BadVersions {
 		msg.Bad = append(msg.Bad, encodeArm(a, rollout.Count{}))
@@ -49,9 +47,48 @@
 	for a, c := range s.Evidence {
 		msg.Evidence = append(msg.Evidence, encodeArm(a, c))
 	}
+	for _, a := range s.CompletedVersions {
+		msg.Done = append(msg.Done, encodeArm(a, rollout.Count{}))
+	}
+	msg.Departures = encodeDepartures(s.Departures)
+	if s.Reports.Next != 0 {
+		msg.Reports = encodeReports(s.Reports)
+	}
 	return msg
 }
 
+func encodeReports(l duty.ReportLog) *sharingv1.ReportLog {
+	msg := &sharingv1.ReportLog{Next: l.Next, Era: uint64(l.Era)}
+	for _, r := range l.Pending {
+		msg.Pending = append(msg.Pending, encodeWindow(r.Window, r.Counts))
+	}
+	return msg
+}
+
+func decodeReports(msg *sharingv1.ReportLog) duty.ReportLog {
+	l := duty.ReportLog{Next: msg.Next, Era: platformapi.Era(msg.Era)}
+	for _, window := range msg.Pending {
+		l.Pending = append(l.Pending, duty.UsageReport{Window: window.Number, Counts: decodeCounts(window)})
+	}
+	return l
+}
+
+func encodeWindow(number int64, counts duty.Counts) *sharingv1.Window {
+	window := &sharingv1.Window{Number: number, Counts: make(map[string]uint64, len(counts))}
+	for name, n := range counts {
+		window.Counts[string(name)] = n
+	}
+	return window
+}
+
+func decodeCounts(window *sharingv1.Window) duty.Counts {
+	counts := make(duty.Counts, len(window.Counts))
+	for name, n := range window.Counts {
+		counts[ident.Workspace(name)] = n
+	}
+	return counts
+}
+
 func encodeArm(a rollout.Arm, c rollout.Count) *sharingv1.Arm {
 	return &sharingv1.Arm{
 		Service: string(a.Service), Version: string(a.Version), Route: string(a.Route),
@@ -76,7 +113,7 @@
 	s := NodeState{
 		Incarnation: quota.NodeIncarnation{Node: ident.NodeID(msg.Node), Incarnation: ident.Incarnation(msg.Life)},
 		Heartbeat:   msg.Beat, Address: msg.Address, ConfigVersion: msg.ConfigVersion, Leaving: msg.Leaving,
-		StoreVersion: platformapi.Version(msg.Seen), StoreUnreachable: msg.StoreLost, AsOf: time.UnixMilli(msg.AsOf),
+		StoreEra: platformapi.Era(msg.StoreEra), StoreVersion: platformapi.Version(msg.Seen), StoreUnreachable: msg.StoreLost, AsOf: time.UnixMilli(msg.AsOf),
 		Spent:   make(quota.Spending, len(msg.Spent)),
 		Loads:   make(map[ident.EndpointID]placement.Load, len(msg.Loads)),
 		Windows: make(map[int64]map[ident.Workspace]uint64, len(msg.Windows)),
@@ -93,11 +130,15 @@
 		s.Loads[ident.EndpointID(id)] = placement.Load{Running: int(l.Running), PrefillTokens: int(l.Prefill), ContextTokens: int(l.Context)}
 	}
 	for _, window := range msg.Windows {
-		counts := make(map[ident.Workspace]uint64, len(window.Counts))
-		for name, n := range window.Counts {
-			counts[ident.Workspace(name)] = n
-		}
-		s.Windows[window.Number] = counts
+		s.Windows[window.Number] = decodeCounts(window)
+	}
+	s.Departures = decodeDepartures(msg.Departures)
+	if msg.Reports != nil {
+		s.Reports = decodeReports(msg.Reports)
+	}
+	for _, arm := range msg.Done {
+		a, _ := decodeArm(arm)
+		s.CompletedVersions = append(s.CompletedVersions, a)
 	}
 	for _, arm := range msg.Bad {
 		a, _ := decodeArm(arm)
@@ -125,3 +166,21 @@
 	}
 	return out
 }
+
+func encodeDepartures(list []directory.Departure) []*sharingv1.Departure {
+	var out []*sharingv1.Departure
+	for _, d := range list {
+		out = append(out, &sharingv1.Departure{Endpoint: string(d.Endpoint), Started: d.Started.UnixMilli(), Leaving: d.Leaving, Era: uint64(d.Era)})
+	}
+	return out
+}
+
+func decodeDepartures(list []*sharingv1.Departure) []directory.Departure {
+	var out []directory.Departure
+	for _, d := range list {
+		out = append(out, directory.Departure{
+			Endpoint: ident.EndpointID(d.Endpoint), Started: time.UnixMilli(d.Started), Leaving: d.Leaving, Era: platformapi.Era(d.Era),
+		})
+	}
+	return out
+}
--- a/internal/sharing/service.go
+++ b/internal/sharing/service.go
@@ -15,6 +15,7 @@
 
 	sharingv1 "github.com/jujubeshed/jujubeshed/api/gen/sharing/v1"
 	"github.com/jujubeshed/jujubeshed/api/gen/sharing/v1/sharingv1connect"
+	"github.com/jujubeshed/jujubeshed/internal/directory"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/keepalive"
 	"github.com/jujubeshed/jujubeshed/internal/kernel"
@@ -68,6 +69,10 @@
 	// the levels of another node, once after the start.
 	Levels     func() map[ident.Workspace]float64
 	InitLevels func(levels map[ident.Workspace]float64)
+	// Departures returns the departures of endpoints for a node that starts. OnDepartures is
+	// called with those of another node when this one starts.
+	Departures   func() []directory.Departure
+	OnDepartures func([]directory.Departure)
 	// Changes returns changes of the store's objects, or an error if this node doesn't
 	// watch the store.
 	Changes func(ctx context.Context, kind platformapi.Key, after uint64, wait time.Duration) (platformapi.WatchResult, error)
@@ -92,6 +97,7 @@
 		seeds     []string
 		fetching  bool
 		joined    bool // the levels of another node were received
+		exchanged bool // another node has answered an exchange
 	}
 }
 
@@ -155,6 +161,13 @@
 	return min(max(s.opts.Interval, s.opts.Interval*n/nodesPerInterval), maxInterval)
 }
 
+// Exchanged reports whether this node has received the states that another node knows.
+func (s *Service) Exchanged() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mu.exchanged
+}
+
 // AddSeeds adds addresses of nodes, for example from the store, to the seeds.
 func (s *Service) AddSeeds(addresses []string) {
 	s.mu.Lock()
@@ -184,7 +197,7 @@
 	state.Incarnation, state.Heartbeat, state.Address, state.AsOf = s.opts.Self, s.mu.heartbeat, s.opts.Address, asOf
 	s.mu.states.Merge(now, []NodeState{state})
 	s.mu.states.Expire(now)
-	req := &sharingv1.ExchangeRequest{Own: encodeState(&state), Joining: !s.mu.joined}
+	req := &sharingv1.ExchangeRequest{Own: encodeState(&state), Joining: !s.mu.joined, Starting: !s.mu.exchanged}
 	for key, heartbeat := range s.mu.states.Digest() {
 		req.Keys, req.Beats = append(req.Keys, key), append(req.Beats, heartbeat)
 	}
@@ -200,7 +213,8 @@
 }
 
 // targets returns the addresses for a round: up to fanout known nodes, and a seed every
-// seedRoundInterval rounds or while no other node is known.
+// seedRoundInterval rounds. While no other node is known, it returns all seeds, as some may
+// be stale.
 func (s *Service) targets() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -209,9 +223,12 @@
 		known = append(known, state.Address)
 	}
 	rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
-	out := known[:min(len(known), fanout)]
 	s.rounds++
-	if n := len(s.mu.seeds); n > 0 && (len(known) == 0 || s.rounds%seedRoundInterval == 0) {
+	if len(known) == 0 {
+		return slices.Clone(s.mu.seeds)
+	}
+	out := known[:min(len(known), fanout)]
+	if n := len(s.mu.seeds); n > 0 && s.rounds%seedRoundInterval == 0 {
 		seed := s.mu.seeds[rand.IntN(n)]
 		if !slices.Contains(out, seed) {
 			out = append(out, seed)
@@ -236,6 +253,10 @@
 	}
 	s.merge(decodeStates(resp.Msg.Rows))
 	s.initLevels(resp.Msg.Levels)
+	s.opts.OnDepartures(decodeDepartures(resp.Msg.Departures))
+	s.mu.Lock()
+	s.mu.exchanged = true
+	s.mu.Unlock()
 }
 
 // initLevels passes the levels of another node to InitLevels, once.
@@ -314,6 +335,9 @@
 	states := s.mu.states.MissingFrom(digest)
 	s.mu.Unlock()
 	out := &sharingv1.ExchangeResponse{Rows: encodeStates(states)}
+	if in.Starting {
+		out.Departures = encodeDepartures(s.opts.Departures())
+	}
 	if in.Joining {
 		out.Levels = make(map[string]float64)
 		for name, n := range s.opts.Levels() {
--- a/internal/sharing/sharing_test.go
+++ b/internal/sharing/sharing_test.go
@@ -4,9 +4,9 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,10 +14,14 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/jujubeshed/jujubeshed/internal/directory"
+	"github.com/jujubeshed/jujubeshed/internal/duty"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/platformapi"
 	"github.com/jujubeshed/jujubeshed/internal/quota"
+	"github.com/jujubeshed/jujubeshed/internal/rollout"
 	"github.com/jujubeshed/jujubeshed/internal/sharing"
+	"github.com/jujubeshed/jujubeshed/internal/testaddress"
 )
 
 func incarnation(node string, n uint64) quota.NodeIncarnation {
@@ -66,17 +70,46 @@
 	services []*sharing.Service
 	received []atomic.Int64 // states of other nodes
 	levels   []atomic.Int64 // sums of the levels passed to InitLevels
-	times    []atomic.Int64 // calls of OnTime with the expected time
+	// departures are the numbers of departures passed to OnDepartures
+	departures []atomic.Int64
+	times      []atomic.Int64 // calls of OnTime with the expected time
 }
 
 // clockOffset is by how much the nodes' clocks are fast.
 const clockOffset = time.Hour
 
+// testState contains values in fields of a node state that need no node.
+var testState = sharing.NodeState{
+	StoreEra:          3,
+	Departures:        []directory.Departure{{Endpoint: "e", Started: time.UnixMilli(123), Leaving: true, Era: 2}},
+	Reports:           duty.ReportLog{Next: 9, Era: 3, Pending: []duty.UsageReport{{Window: 8, Counts: duty.Counts{"w": 4}}}},
+	CompletedVersions: []rollout.Arm{{Service: "s", Version: "v2"}},
+}
+
+// TestStateArrives checks that the fields of a node state arrive unchanged, and that a node
+// that starts gets the departures.
+func TestStateArrives(t *testing.T) {
+	f := newNodes(t, 2)
+	for end := time.Now().Add(10 * time.Second); len(f.services[1].Peers(time.Minute)) == 0 || !f.services[1].Exchanged(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no state of the other node within 10 s")
+		}
+	}
+	got := f.services[1].Peers(time.Minute)[0]
+	if got.StoreEra != testState.StoreEra || !reflect.DeepEqual(got.Departures, testState.Departures) || !reflect.DeepEqual(got.Reports, testState.Reports) ||
+		!reflect.DeepEqual(got.CompletedVersions, testState.CompletedVersions) {
+		t.Errorf("state %+v, want %+v", got, testState)
+	}
+	if f.departures[1].Load() == 0 {
+		t.Error("the node that starts got no departures")
+	}
+}
+
 // newNodes starts n services. Each but the first one has the address of the first one as
 // its only seed.
 func newNodes(t *testing.T, n int) *nodes {
 	t.Helper()
-	f := &nodes{received: make([]atomic.Int64, n), levels: make([]atomic.Int64, n), times: make([]atomic.Int64, n)}
+	f := &nodes{received: make([]atomic.Int64, n), levels: make([]atomic.Int64, n), departures: make([]atomic.Int64, n), times: make([]atomic.Int64, n)}
 	var first string
 	for i := range n {
 		srv := httptest.NewUnstartedServer(nil)
@@ -85,7 +118,9 @@
 			Self: incarnation(fmt.Sprint("n", i), 1), Address: address, Seeds: []string{first}, Interval: 10 * time.Millisecond,
 			Log: slog.New(slog.DiscardHandler), Metrics: prometheus.NewRegistry(),
 			LocalState: func() sharing.NodeState {
-				return sharing.NodeState{Spent: quota.Spending{"w": float64(i)}, Windows: map[int64]map[ident.Workspace]uint64{7: {"w": uint64(i)}}}
+				s := testState
+				s.Spent, s.Windows = quota.Spending{"w": float64(i)}, map[int64]map[ident.Workspace]uint64{7: {"w": uint64(i)}}
+				return s
 			},
 			Now: func() time.Time { return time.Now().Add(clockOffset) },
 			OnTime: func(node ident.NodeID, nodeTime time.Time) {
@@ -100,8 +135,10 @@
 					t.Errorf("configuration is %q", raw)
 				}
 			},
-			Levels:     func() map[ident.Workspace]float64 { return map[ident.Workspace]float64{"w": 5} },
-			InitLevels: func(levels map[ident.Workspace]float64) { f.levels[i].Add(int64(levels["w"])) },
+			Levels:       func() map[ident.Workspace]float64 { return map[ident.Workspace]float64{"w": 5} },
+			InitLevels:   func(levels map[ident.Workspace]float64) { f.levels[i].Add(int64(levels["w"])) },
+			Departures:   func() []directory.Departure { return testState.Departures },
+			OnDepartures: func(list []directory.Departure) { f.departures[i].Add(int64(len(list))) },
 			Changes: func(_ context.Context, kind platformapi.Key, after uint64, _ time.Duration) (platformapi.WatchResult, error) {
 				if kind != "servers" {
 					return platformapi.WatchResult{}, errors.New("kind is not watched")
@@ -180,11 +217,6 @@
 // error for a kind that it doesn't watch.
 func TestChangesFromPeer(t *testing.T) {
 	f := newNodes(t, 2)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = ln.Close()
 	ctx := context.Background()
 	for f.services[1].Peers(time.Minute) == nil {
 		time.Sleep(time.Millisecond)
@@ -197,7 +229,7 @@
 	if _, err := f.services[1].ChangesFrom(ctx, address, "config", 8, time.Second); err == nil {
 		t.Error("no error from a node that does not watch the kind")
 	}
-	if _, err := f.services[1].ChangesFrom(ctx, ln.Addr().String(), "servers", 8, time.Second); err == nil {
+	if _, err := f.services[1].ChangesFrom(ctx, testaddress.New(), "servers", 8, time.Second); err == nil {
 		t.Error("no error from an address without a listener")
 	}
 }
--- a/internal/sharing/state.go
+++ b/internal/sharing/state.go
@@ -6,6 +6,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/jujubeshed/jujubeshed/internal/directory"
+	"github.com/jujubeshed/jujubeshed/internal/duty"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/placement"
 	"github.com/jujubeshed/jujubeshed/internal/platformapi"
@@ -47,6 +49,14 @@
 	// Windows contains the number of requests started in the latest usage windows, by window
 	// number and workspace.
 	Windows map[int64]map[ident.Workspace]uint64
+	// StoreEra is the highest era of the store that the node knows of.
+	StoreEra platformapi.Era
+	// Departures are endpoints that leave or have left.
+	Departures []directory.Departure
+	// Reports is the last log of usage reports that the node has written to the store.
+	Reports duty.ReportLog
+	// CompletedVersions are the versions to which the node knows that a move was completed.
+	CompletedVersions []rollout.Arm
 }
 
 // digestKey returns the key of the node's incarnation in a digest.
--- a/internal/site/settings.go
+++ b/internal/site/settings.go
@@ -30,6 +30,9 @@
 	// Usage and Autoscale report whether the platform expects usage reports and scaling
 	// orders.
 	Usage, Autoscale bool
+	// Heartbeat is the interval at which endpoints renew their registrations; zero if
+	// unknown.
+	Heartbeat time.Duration
 	// MemoryBytes is the memory limit above which the process is killed; zero if unknown.
 	MemoryBytes int64
 	Bounds      Bounds
