Heed what endpoints state, bound all bytes, and send nothing too late

- Server-Leaving in any response marks that incarnation as leaving, here and at the other nodes; 503 with Retry-After keeps everything from the endpoint until then, and a service of which none is left refuses at once, with returns spread over as long (herd after a shed).
Neither header was read before.
Malformed, negative, huge and repeated values are tested.
- Heads, bodies, events, refusals, stray responses and responses to calls have bounds, and all bodies of a process together a quarter of its memory limit.
- Right before the first byte the node checks again that the endpoint accepts requests, and that the caller's time, including time that the host was suspended, is not over.
- A response without Attempt-Id on a reused connection may be a late copy: it is no longer taken for the response, nor for proof that a request has not run.
Connections of KV calls, whose responses have no ID, are not used again.
- The watchdog no longer cuts the last attempt that a request may make: a sound stream with pauses above three gaps was aborted.
Comments restart no watchdog; an event without a number is an error.

Tests: platform TestStatementsOfEndpoints, TestNothingIsSentAfterCheck, TestBytesWithoutEnd, TestCallWithoutEnd, TestStoreWithoutEnd, TestMemoryForBodies, TestLateCopyOnReusedConnection, TestLateCopyOfCall, TestCommentsAreNoProgress, TestTrickleIsNoProgress, FuzzResponse; placement TestBackoffIsRespected, TestLeavingEndpointGetsNoNewRequest, TestHerdAfterShed; serve TestLastAttemptIsNotCutForSlowness, TestReturnTimeReachesCaller. Each fails with its part taken out (scratch copy), but for TestLateCopyOfCall, TestTrickleIsNoProgress and the fuzz target, for which that was not tried.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -176,6 +176,7 @@
 		Self: n.self, InitialFill: initialFill, Overshoot: settings.Bounds.LimitOvershoot, Slack: settings.Bounds.LimitSlack,
 	}, n.currentConfig, n.meter, n.clock)
 	n.endpoints = directory.NewRegistry(p.DecodeEndpoint, missingRetention(settings.Bounds), doubtTime(settings), n.state.setEndpoints, log)
+	p.Transport.SetSignals(newSignals(n.state, n.endpoints, reg, log))
 	n.currentConfig.OnChange(n.applyConfig)
 	n.configWatcher = n.newWatcher(kindOf(p.ConfigKey), n.currentConfig, storeWatchWait(settings.Bounds))
 	n.endpointWatcher = n.newWatcher(p.EndpointKind, n.endpoints, storeWatchWait(settings.Bounds))
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -122,6 +122,27 @@
 	return s.mu.table.Leaving(id)
 }
 
+// BackingOff implements serve.Placement.
+func (s *state) BackingOff(id ident.EndpointID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mu.table.BackingOff(time.Now(), id)
+}
+
+// backOff records that an endpoint wants no calls for d.
+func (s *state) backOff(e site.Endpoint, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.table.BackOff(time.Now(), e, d)
+}
+
+// maySend returns an error if nothing, or no new request, may be sent to an endpoint now.
+func (s *state) maySend(e site.Endpoint, newRequest bool) *verdict.Error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mu.table.MaySend(time.Now(), e, newRequest)
+}
+
 // TerminationTime implements serve.Placement.
 func (s *state) TerminationTime(id ident.EndpointID) (time.Time, bool) {
 	s.mu.Lock()
--- a/internal/placement/fetch.go
+++ b/internal/placement/fetch.go
@@ -112,7 +112,7 @@
 	}
 	var out []cacheHit
 	for _, m := range s.members {
-		if !m.missingSince.IsZero() || m.health.ejected(now) {
+		if !m.missingSince.IsZero() || m.health.ejected(now) || m.health.backingOff(now) {
 			continue
 		}
 		if n := min(t.cachedTokens(now, m, r.Prompt), shared); n >= minFetchTokens {
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -23,11 +23,24 @@
 	updated           time.Time
 	ejectedUntil      time.Time
 	fullUntil         time.Time // refused a request as full; avoided until then
+	// backoffUntil is the time until which the endpoint has asked for no calls at all, and
+	// backoffTime how long it asked for.
+	backoffUntil time.Time
+	backoffTime  time.Duration
 }
 
 func (h *health) ejected(now time.Time) bool { return now.Before(h.ejectedUntil) }
 func (h *health) full(now time.Time) bool    { return now.Before(h.fullUntil) }
 
+func (h *health) backingOff(now time.Time) bool { return now.Before(h.backoffUntil) }
+
+// backOff records that the endpoint wants no calls for d. An earlier, longer time stays.
+func (h *health) backOff(now time.Time, d time.Duration) {
+	if until := now.Add(d); until.After(h.backoffUntil) {
+		h.backoffUntil, h.backoffTime = until, d
+	}
+}
+
 // recentFaultRate returns the fault rate, or 0 after faultRateRetention without outcomes.
 func (h *health) recentFaultRate(now time.Time) float64 {
 	if now.Sub(h.updated) > faultRateRetention {
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -27,6 +27,9 @@
 	// endpoint starts within several seconds, a list that could not be read is available
 	// again within one or two.
 	noEndpointRetryAfter = 700 * time.Millisecond
+	// minReturnSpread is the shortest time over which the callers of a service whose
+	// endpoints want no calls are told to return.
+	minReturnSpread = 500 * time.Millisecond
 	// maxFullSearchNodes is the number of nodes up to which each compares all endpoints.
 	// Nodes learn of each other's choices with a delay of some hundred milliseconds; the
 	// more nodes choose the same best endpoint in that time, the more it is overloaded.
@@ -61,8 +64,7 @@
 	s := t.service(r.Service)
 	candidates := t.candidates(now, s, r)
 	if len(candidates) == 0 {
-		return Choice{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable,
-			"service %q has no usable endpoint among %d", r.Service, len(s.members)).After(noEndpointRetryAfter)
+		return Choice{}, t.noCandidate(now, rng, s, r)
 	}
 	long := s.isLong(r)
 	preferred, otherPenalty := t.preferredCandidates(s, candidates, r.Prompt, long)
@@ -87,6 +89,41 @@
 	return best, nil
 }
 
+// noCandidate returns the error where no endpoint may be chosen. If endpoints have asked for
+// no calls for some time, the caller is to return when the first of them accepts calls again.
+//
+// Pattern: herd after a shed. All callers that were refused meanwhile would return at that
+// moment, from all nodes, and be shed again. Their return is spread over as long as the
+// endpoint asked for, so that at most the callers of twice that time arrive in it.
+func (t *Table) noCandidate(now time.Time, rng *rand.Rand, s *service, r Request) *verdict.Error {
+	var first *member
+	for _, m := range s.members {
+		if m.health.backingOff(now) && t.fits(m, r) && (first == nil || m.health.backoffUntil.Before(first.health.backoffUntil)) {
+			first = m
+		}
+	}
+	if first == nil {
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable,
+			"service %q has no usable endpoint among %d", r.Service, len(s.members)).After(noEndpointRetryAfter)
+	}
+	wait := first.health.backoffUntil.Sub(now)
+	spread := max(first.health.backoffTime, minReturnSpread)
+	return verdict.New(verdict.NotRun, verdict.CodeUnavailable,
+		"all usable endpoints of service %q have asked for no calls, the first one for another %s", r.Service, wait).After(wait + time.Duration(rng.Int64N(int64(spread))))
+}
+
+// fits reports whether an endpoint may be chosen for a request by what is asked for.
+func (t *Table) fits(m *member, r Request) bool {
+	switch {
+	case m.Leaving || slices.Contains(r.Exclude, m.ID):
+		return false
+	case r.Version != "" && m.Version != r.Version:
+		return false
+	default:
+		return r.AvoidVersion == "" || m.Version != r.AvoidVersion
+	}
+}
+
 // sample returns the endpoints to compare. Up to maxFullSearchNodes nodes these are all;
 // otherwise a random sample, the home endpoint of the prefix, and some endpoints that have
 // the prefix or an open connection.
@@ -122,14 +159,12 @@
 }
 
 // candidates returns the endpoints that may be chosen: the first non-empty of the healthy,
-// the ejected or full, and the missing ones.
+// the ejected or full, and the missing ones. Endpoints that want no calls are left out.
 func (t *Table) candidates(now time.Time, s *service, r Request) []*member {
 	var healthy, unhealthy, missing []*member
 	for _, m := range s.members {
 		switch {
-		case m.Leaving || slices.Contains(r.Exclude, m.ID):
-		case r.Version != "" && m.Version != r.Version:
-		case r.AvoidVersion != "" && m.Version == r.AvoidVersion:
+		case !t.fits(m, r) || m.health.backingOff(now):
 		case !m.missingSince.IsZero():
 			if !r.Imported {
 				missing = append(missing, m)
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -5,6 +5,7 @@
 
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/site"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
 )
 
 // Table contains the known endpoints and their estimated load. It is not safe for
@@ -227,6 +228,34 @@
 	return m == nil || m.Leaving || !m.missingSince.IsZero()
 }
 
+// BackOff records that an incarnation of an endpoint wants no calls for d.
+func (t *Table) BackOff(now time.Time, e site.Endpoint, d time.Duration) {
+	if m := t.members[e.ID]; m != nil && m.SameIncarnation(e) {
+		m.health.backOff(now, d)
+	}
+}
+
+// BackingOff reports whether an endpoint wants no calls at present.
+func (t *Table) BackingOff(now time.Time, id ident.EndpointID) bool {
+	m := t.members[id]
+	return m != nil && m.health.backingOff(now)
+}
+
+// MaySend returns an error if nothing may be sent to an incarnation of an endpoint now, or no
+// new request. An endpoint that is no longer known has left.
+func (t *Table) MaySend(now time.Time, e site.Endpoint, newRequest bool) *verdict.Error {
+	m := t.members[e.ID]
+	known := m != nil && m.SameIncarnation(e)
+	switch {
+	case known && m.health.backingOff(now):
+		return verdict.New(verdict.NotRun, verdict.CodeNotSent, "endpoint %q wants no calls for %s", e.ID, m.health.backoffUntil.Sub(now))
+	case newRequest && (!known || m.Leaving):
+		return verdict.New(verdict.NotRun, verdict.CodeNotSent, "endpoint %q is leaving or has left", e.ID)
+	default:
+		return nil
+	}
+}
+
 // TerminationTime returns when a leaving or missing endpoint terminates, or false for any
 // other endpoint.
 func (t *Table) TerminationTime(id ident.EndpointID) (time.Time, bool) {
--- a/internal/serve/attempts.go
+++ b/internal/serve/attempts.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 
 	"github.com/jujubeshed/jujubeshed/internal/attempt/runner"
@@ -37,6 +38,19 @@
 	l.entries = append(l.entries, attemptEntry{id: id, choice: c})
 }
 
+// count returns the number of attempts that may have been sent, without migrations.
+func (l *attemptLog) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, e := range l.entries {
+		if !strings.HasSuffix(string(e.id), migrationSuffix) && (e.err == nil || verdict.Of(e.err) != verdict.NotRun) {
+			n++
+		}
+	}
+	return n
+}
+
 // choice returns the endpoint chosen for an attempt, or the zero value for an unknown one.
 func (l *attemptLog) choice(id ident.AttemptID) placement.Choice {
 	l.mu.Lock()
@@ -112,6 +126,8 @@
 // outcome returns how an attempt counts for its endpoint's health.
 func (c *call) outcome(r runner.Report) placement.Outcome {
 	switch {
+	case r.Err == nil && r.Status == http.StatusServiceUnavailable && c.h.placement.BackingOff(r.Choice.Endpoint):
+		return placement.OutcomeFull
 	case r.Err == nil && r.Status >= http.StatusInternalServerError:
 		return placement.OutcomeFault
 	case r.Err == nil && !r.Cancelled:
@@ -123,6 +139,8 @@
 	switch {
 	case e.Verdict != verdict.NotRun:
 		return placement.OutcomeFault
+	case e.Code == verdict.CodeNotSent:
+		return placement.OutcomeNeutral
 	case e.Code == verdict.CodeUnavailable:
 		return placement.OutcomeFull
 	default:
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -61,6 +61,9 @@
 	Finished(id ident.AttemptID, o placement.Outcome)
 	// Leaving reports whether an endpoint is leaving, missing or unknown.
 	Leaving(id ident.EndpointID) bool
+	// BackingOff reports whether an endpoint has turned a request away and wants no calls
+	// at present.
+	BackingOff(id ident.EndpointID) bool
 	// TerminationTime returns when a leaving or missing endpoint terminates, or false for any
 	// other endpoint.
 	TerminationTime(id ident.EndpointID) (time.Time, bool)
--- a/internal/serve/handler_test.go
+++ b/internal/serve/handler_test.go
@@ -6,7 +6,9 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -101,6 +103,8 @@
 func (node *fakeNode) FirstEvent(ident.AttemptID)                   {}
 func (node *fakeNode) SetReportedLoad(ident.EndpointID, serve.Load) {}
 func (node *fakeNode) Leaving(ident.EndpointID) bool                { return false }
+func (node *fakeNode) BackingOff(ident.EndpointID) bool             { return false }
+func (node *fakeNode) SetSignals(serve.EndpointSignals)             {}
 func (node *fakeNode) TerminationTime(id ident.EndpointID) (time.Time, bool) {
 	node.mu.Lock()
 	defer node.mu.Unlock()
@@ -378,6 +382,7 @@
 type sendFunc func(ctx context.Context, a serve.Attempt) (*serve.Answer, error)
 
 func (f sendFunc) Send(ctx context.Context, a serve.Attempt) (*serve.Answer, error) { return f(ctx, a) }
+func (f sendFunc) SetSignals(serve.EndpointSignals)                                 {}
 func (f sendFunc) Migrate(context.Context, serve.Migration) (*serve.KVCopy, error) {
 	return nil, errors.New("unexpected migration")
 }
@@ -436,3 +441,83 @@
 		t.Errorf("refused with %v", out.refused)
 	}
 }
+
+// slowEvents returns events with a pause before each, until ctx ends.
+type slowEvents struct {
+	ctx   context.Context
+	queue []serve.Event
+	pause time.Duration
+}
+
+func (s *slowEvents) Next() (serve.Event, error) {
+	if len(s.queue) == 0 {
+		return serve.Event{}, io.EOF
+	}
+	select {
+	case <-time.After(s.pause):
+	case <-s.ctx.Done():
+		return serve.Event{}, s.ctx.Err()
+	}
+	next := s.queue[0]
+	s.queue = s.queue[1:]
+	return next, nil
+}
+func (s *slowEvents) Close() {}
+
+// TestLastAttemptIsNotCutForSlowness: both engines pause between events for longer than the
+// stall timeout. The first stream may be given up for the second, which has to go on to its
+// end, as no other attempt may follow.
+func TestLastAttemptIsNotCutForSlowness(t *testing.T) {
+	const stallTimeout = 1500 * time.Millisecond // of a route that states no gap
+	var sends atomic.Int32
+	node, _ := newFakeNode(nil)
+	transport := sendFunc(func(ctx context.Context, a serve.Attempt) (*serve.Answer, error) {
+		sends.Add(1)
+		out := streamResponse("s", nil, nil)
+		out.Events = &slowEvents{ctx: ctx, queue: numberedEvents(a.After+1, 2), pause: stallTimeout + 300*time.Millisecond}
+		return out, nil
+	})
+	h := serve.NewHandler(serve.Dependencies{
+		NodeServices: node, Placement: node, Versions: node, Transport: transport, Log: slog.New(slog.DiscardHandler),
+		Metrics: serve.NewMetrics(prometheus.NewRegistry()),
+	})
+	r, out := request("/chat/1"), &caller{}
+	r.MaxWait = 20 * time.Second
+	node.config = routeTimeout(testConfig, 20*time.Second)
+	h.Serve(context.Background(), r, out)
+	if out.aborted || out.refused != nil || out.events != "ab" || sends.Load() != 2 {
+		t.Errorf("events %q after %d attempts, aborted %v, refused %v", out.events, sends.Load(), out.aborted, out.refused)
+	}
+}
+
+// routeTimeout returns a copy of a configuration with another timeout of all routes.
+func routeTimeout(c *site.Config, timeout time.Duration) *site.Config {
+	out := *c
+	out.Routes = slices.Clone(c.Routes)
+	for i := range out.Routes {
+		out.Routes[i].Timeout = timeout
+	}
+	out.Index()
+	return &out
+}
+
+// TestReturnTimeReachesCaller: where all endpoints have asked for no calls, the caller is
+// refused at once, as not run, with the time after which the first accepts calls.
+func TestReturnTimeReachesCaller(t *testing.T) {
+	node, h := newFakeNode(func(int, serve.Attempt) (*serve.Answer, error) { return response(200, "ok"), nil })
+	for _, id := range []ident.EndpointID{"d1", "d2"} {
+		node.table.BackOff(time.Now(), site.Endpoint{ID: id, Service: "desk"}, 2*time.Second)
+	}
+	out := &caller{}
+	start := time.Now()
+	h.Serve(context.Background(), request("/order/1"), out)
+	if out.refused == nil || out.refused.Verdict != verdict.NotRun || out.refused.RetryAfter < 1900*time.Millisecond || len(node.sent) > 0 {
+		t.Errorf("refused with %+v after %d attempts", out.refused, len(node.sent))
+	}
+	if took := time.Since(start); took > time.Second {
+		t.Errorf("the refusal took %s", took)
+	}
+	if node.charged != 0 {
+		t.Errorf("%.0f tokens are charged for a request that did not run", node.charged)
+	}
+}
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -96,6 +96,9 @@
 	if s.answer.Events != nil {
 		s.answer.Events.Close()
 	}
+	if s.answer.Release != nil {
+		s.answer.Release()
+	}
 	s.finishMigration()
 	return nil
 }
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -23,8 +23,10 @@
 	// Header contains the header fields to forward to the endpoint.
 	Header http.Header
 	Body   []byte
-	// Arrived is when the request's header was read.
-	Arrived time.Time
+	// Arrived is when the request's header was read, and ArrivedSinceBoot the time since
+	// the host's boot at that moment, which includes the time that a host is suspended.
+	Arrived          time.Time
+	ArrivedSinceBoot time.Duration
 	// MaxWait is how long the caller waits for the response, from Arrived; zero if not
 	// stated.
 	MaxWait time.Duration
@@ -101,8 +103,10 @@
 	Head Head
 	// Load is the load that the endpoint reported with the response.
 	Load Load
-	// Body is the complete body of a response that is not a stream.
-	Body []byte
+	// Body is the complete body of a response that is not a stream. Its memory counts
+	// towards a limit until Release is called.
+	Body    []byte
+	Release func()
 	// Events is nil if the response is not a stream.
 	Events Events
 }
@@ -129,6 +133,29 @@
 	Close()
 }
 
+// TimeLeft returns the time until the attempt's deadline, including any time that the host
+// was suspended since the request arrived.
+func (a *Attempt) TimeLeft(sinceBoot time.Duration) time.Duration {
+	left := time.Until(a.Deadline)
+	if a.Request.ArrivedSinceBoot > 0 {
+		left = min(left, a.Deadline.Sub(a.Request.Arrived)-(sinceBoot-a.Request.ArrivedSinceBoot))
+	}
+	return left
+}
+
+// EndpointSignals records what endpoints state in their responses, and decides what may still
+// be sent to them.
+type EndpointSignals interface {
+	// Leaving is called when an endpoint states that it is leaving.
+	Leaving(e site.Endpoint)
+	// BackOff is called when an endpoint turns a request away and wants no calls for d.
+	BackOff(e site.Endpoint, d time.Duration)
+	// MaySend returns an error with verdict NotRun if nothing may be sent to an endpoint
+	// now. A leaving endpoint still accepts what continues one of its requests, but no new
+	// ones. It is checked right before the first byte is sent.
+	MaySend(e site.Endpoint, newRequest bool) *verdict.Error
+}
+
 // Transport sends attempts to endpoints. Its errors are of type *verdict.Error, with
 // verdict NotRun only if nothing was sent or the endpoint stated that it has not run the
 // request.
@@ -138,4 +165,7 @@
 	// copy together with an error, the request was stopped and has to resume at its own
 	// engine.
 	Migrate(ctx context.Context, m Migration) (*KVCopy, error)
+	// SetSignals sets where the statements of endpoints are recorded. It must be called
+	// before the first Send.
+	SetSignals(s EndpointSignals)
 }
--- a/internal/serve/watchdog.go
+++ b/internal/serve/watchdog.go
@@ -27,7 +27,8 @@
 )
 
 // watchdog cancels an attempt whose endpoint sends no event in time, if another endpoint
-// can resume the stream. Other requests have no watchdog, as they must not run twice. The
+// can resume the stream. Other requests have no watchdog, as they must not run twice; nor has
+// the last attempt that a request may make, since a slow stream is better than none. The
 // methods of a nil watchdog do nothing.
 type watchdog struct {
 	cancel       context.CancelFunc
@@ -39,7 +40,7 @@
 // startWatchdog returns the context of an attempt and the watchdog that cancels it; the
 // watchdog is nil for requests that can't be resumed.
 func (c *call) startWatchdog(ctx context.Context, id ident.AttemptID) (context.Context, *watchdog) {
-	if c.route.Kind != site.KindStream || !c.route.Resumable {
+	if c.route.Kind != site.KindStream || !c.route.Resumable || c.attempts.count() >= max(c.route.MaxAttempts, 1) {
 		return ctx, nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/site/config.go
+++ b/internal/site/config.go
@@ -169,6 +169,15 @@
 	}
 }
 
+// LongestTimeout returns the longest timeout of the routes, or fallback if none states one.
+func (c *Config) LongestTimeout(fallback time.Duration) time.Duration {
+	longest := time.Duration(0)
+	for i := range c.Routes {
+		longest = max(longest, c.Routes[i].Timeout)
+	}
+	return cmp.Or(longest, fallback)
+}
+
 // Match returns the route of a host with the longest prefix of path, or nil.
 func (c *Config) Match(host, path string) *Route {
 	for _, r := range c.byHost[host] {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -68,6 +68,9 @@
 	CodeStopping     Code = "stopping"
 	CodeStore        Code = "store-unavailable"
 	CodeUnconfirmed  Code = "unconfirmed"
+	// CodeNotSent is that of an attempt that was not sent, for a reason that is no evidence
+	// about the health of its endpoint.
+	CodeNotSent Code = "not-sent"
 )
 
 // Error is a failure with its verdict.
--- a/internal/walltime/host.go
+++ b/internal/walltime/host.go
@@ -38,6 +38,16 @@
 	return Reading{Wall: time.Now().Round(0), SinceBoot: time.Duration(ts.Nano())}
 }
 
+// SinceBoot returns the time since the host's boot, including the time that it was suspended.
+// If that cannot be read, it returns the time since the start of the process.
+func SinceBoot() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return time.Since(processStart)
+	}
+	return time.Duration(ts.Nano())
+}
+
 // processStart is the origin of the monotonic clock's readings.
 var processStart = time.Now()
 
