--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -218,65 +218,6 @@
 	})
 }
 
-// localState returns the node state that this node sends to the others.
-func (n *Node) localState() sharing.NodeState {
-	own := sharing.NodeState{
-		StoreEra: n.platform.Store.Era(), Departures: n.endpoints.Departures(), Reports: n.executor.WrittenReports(),
-		ConfigVersion: n.currentConfig.Version(), Leaving: n.draining.Load(), StoreVersion: n.endpointWatcher.LastVersion(), StoreUnreachable: n.endpointWatcher.SourceUnreachable() || n.configWatcher.SourceUnreachable(),
-	}
-	own.Spent, own.Loads, own.PrefixLocations = n.state.localReport()
-	own.Windows = n.usageTable.LocalCounts()
-	n.versions.addLocalState(&own)
-	return own
-}
-
-// mergePeerStates applies node states newly received from other nodes.
-func (n *Node) mergePeerStates(now time.Time, fresh []sharing.NodeState) {
-	n.peersMu.Lock()
-	defer n.peersMu.Unlock()
-	for _, peer := range fresh {
-		n.platform.Store.ObserveEra(peer.StoreEra)
-		n.endpoints.RecordDepartures(peer.Departures)
-		n.executor.RecordReports(peer.Reports)
-		n.state.recordPeerReport(now, peer.Incarnation, peer.AsOf, peer.Spent, peer.PrefixLocations)
-		n.usageTable.MergeNode(string(peer.Incarnation.Node), uint64(peer.Incarnation.Incarnation), peer.AsOf, peer.Windows)
-		if peer.ConfigVersion > n.currentConfig.Version() {
-			n.sharing.FetchConfig(peer.Address)
-		}
-		n.peerVersion = max(n.peerVersion, peer.StoreVersion)
-		n.peerConfigVersion = max(n.peerConfigVersion, peer.ConfigVersion)
-	}
-}
-
-// updatePeers applies the latest loads and version evidence of all other nodes.
-func (n *Node) updatePeers() {
-	loads := make(map[ident.EndpointID]placement.Load)
-	states := n.sharing.Peers(maxPeerLoadAge)
-	n.versions.recordPeerStates(n.sharing.Peers(sharing.StateRetention))
-	for _, peer := range states {
-		for id, l := range peer.Loads {
-			sum := loads[id]
-			loads[id] = placement.Load{Running: sum.Running + l.Running, PrefillTokens: sum.PrefillTokens + l.PrefillTokens, ContextTokens: sum.ContextTokens + l.ContextTokens}
-		}
-	}
-	n.state.setPeerLoads(loads, len(states)+1)
-}
-
-// liveTimeout is the age of a node state up to which its node counts as live.
-const liveTimeout = 3 * time.Second
-
-// LivePeers returns the number of other live nodes.
-func (n *Node) LivePeers() int { return len(n.sharing.Peers(liveTimeout)) }
-
-// liveNodes returns the IDs of the live nodes, this one included.
-func (n *Node) liveNodes() []string {
-	out := []string{string(n.self.Node)}
-	for _, peer := range n.sharing.Peers(liveTimeout) {
-		out = append(out, string(peer.Incarnation.Node))
-	}
-	return out
-}
-
 func (n *Node) buildDuties() error {
 	term := max(n.settings.Bounds.Lease, time.Second)
 	h, err := holder.New(holder.Options{
@@ -360,27 +301,6 @@
 	return !n.draining.Load() && n.caughtUp.Load() && n.currentConfig.Config() != nil && n.endpoints.Loaded()
 }
 
-// catchUpTime is how long a node that starts waits for what the other nodes know, if none
-// responds. Where all nodes start at once, each responds to the others within that time.
-const catchUpTime = 300 * time.Millisecond
-
-// catchUp ends the start of a node, in which it serves no requests: a store that was just
-// restored from a copy may give it an older configuration, and endpoints that have left
-// since. The node first learns from another one what is newer.
-func (n *Node) catchUp(now time.Time) {
-	if n.caughtUp.Load() {
-		return
-	}
-	n.peersMu.Lock()
-	current := n.sharing.Exchanged() && n.currentConfig.Version() >= n.peerConfigVersion
-	n.peersMu.Unlock()
-	if current || now.Sub(n.startedAt) > catchUpTime {
-		n.caughtUp.Store(true)
-		n.state.serve()
-		n.log.Info("gateway: Serving.", "config", n.currentConfig.Version(), "from_peers", current, "took_ms", now.Sub(n.startedAt).Milliseconds())
-	}
-}
-
 func (n *Node) tick(context.Context) {
 	now := time.Now()
 	n.clock.Correct()
--- a/internal/placement/member.go
+++ b/internal/placement/member.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,6 +16,7 @@
 	engine          *site.Engine // nil for an endpoint that is not an engine
 	missingSince    time.Time    // when it was first no longer listed; zero while listed
 	terminationTime time.Time    // of a leaving or missing endpoint; zero otherwise
+	timeReported    bool         // the endpoint has reported its terminationTime itself
 	inflight        map[ident.AttemptID]*attempt
 	backlog         backlog
 	contextTokens   int // tokens of this node's requests in the KV cache
@@ -59,13 +59,16 @@
 }
 
 // setTerminationTime sets when a leaving or missing endpoint terminates: after the time
-// that it reported, or else drainTime after it was first seen as leaving or missing.
+// that it reported, or else drainTime after it was first seen as leaving or missing. The
+// report may come later than the first sign that it leaves.
 func (m *member) setTerminationTime(now time.Time, drainTime time.Duration) {
 	switch {
 	case !m.Leaving && m.missingSince.IsZero():
 		m.terminationTime = time.Time{}
+	case m.LeavesIn > 0 && !m.timeReported:
+		m.terminationTime, m.timeReported = now.Add(m.LeavesIn), true
 	case m.terminationTime.IsZero():
-		m.terminationTime = now.Add(cmp.Or(m.LeavesIn, drainTime))
+		m.terminationTime = now.Add(drainTime)
 	}
 }
 
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -27,8 +27,8 @@
 	// endpoint starts within several seconds, a list that could not be read is available
 	// again within one or two.
 	noEndpointRetryAfter = 700 * time.Millisecond
-	// minReturnSpread is the shortest time over which the callers of a service whose
-	// endpoints want no calls are told to return.
+	// minReturnSpread is the shortest time over which the return of refused callers is
+	// spread where the endpoints of a service want no calls.
 	minReturnSpread = 500 * time.Millisecond
 	// maxFullSearchNodes is the number of nodes up to which each compares all endpoints.
 	// Nodes learn of each other's choices with a delay of some hundred milliseconds; the
--- a/internal/sharing/service.go
+++ b/internal/sharing/service.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
@@ -39,10 +38,6 @@
 	fanout = 2
 	// exchangeTimeout is well above a round trip and below the silence timeout of a node.
 	exchangeTimeout = 400 * time.Millisecond
-	// startInterval is the interval between rounds until the first response of another node,
-	// for which a node that starts waits, for at most startRounds rounds.
-	startInterval = 25 * time.Millisecond
-	startRounds   = 40
 	// seedRoundInterval is the number of rounds between two exchanges with a seed. They
 	// reconnect a deployment after a network partition.
 	seedRoundInterval = 10
@@ -169,25 +164,6 @@
 	return min(max(s.opts.Interval, s.opts.Interval*n/nodesPerInterval), maxInterval)
 }
 
-// pause returns the time until the next round.
-func (s *Service) pause() time.Duration {
-	s.mu.Lock()
-	starting := !s.mu.exchanged && s.rounds < startRounds
-	s.mu.Unlock()
-	if starting {
-		return min(startInterval, s.opts.Interval)
-	}
-	return s.Interval()
-}
-
-// Exchanged reports whether this node has received the states that another node knows, or
-// found at its start that there is none to ask.
-func (s *Service) Exchanged() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.mu.exchanged || s.mu.alone
-}
-
 // AddSeeds adds addresses of nodes, for example from the store, to the seeds.
 func (s *Service) AddSeeds(addresses []string) {
 	s.mu.Lock()
@@ -237,26 +213,6 @@
 	}
 }
 
-func (s *Service) awaitsFirst() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !s.mu.exchanged && !s.mu.alone
-}
-
-// noteFirst waits for the results of a round and records whether this node is alone: no
-// process listens at any of the addresses.
-func (s *Service) noteFirst(n int, results <-chan error) {
-	for range n {
-		if err := <-results; !errors.Is(err, syscall.ECONNREFUSED) {
-			return
-		}
-	}
-	s.mu.Lock()
-	s.mu.alone = true
-	s.mu.Unlock()
-	s.opts.OnExchanged()
-}
-
 // targets returns the addresses for a round: up to fanout known nodes, and a seed every
 // seedRoundInterval rounds. While no other node is known, it returns all seeds, as some may
 // be stale.
