Leave a relay that is no longer heard of

Cause: a machine that watched the store for others was replaced (replace_core, silent, no reset). The nodes whose watches waited there heard nothing until the keepalive gave up 2.5 s later, though the gossip had called it silent after 0.8 s; it stayed a relay for liveTimeout, 3 s. The check against other nodes' versions did not help, as a removal has no version.

Now only nodes heard of within the silence timeout (0.8 s at 8 nodes, 3 s at most) are relays, and each tick ends a watch at one that no longer is. Candidates of the lease keep 3 s.

Ruled out: the new rules (the removal was no restore and no header); the pool and the choice (the nodes had not learned of the removal); an unreachable store (other nodes were notified within 0.1 s). Weighed: shorter watches at relays, which cost every node calls at all times; removals in node states, which would be right too and remain an option.

Test that fails without it: directory TestRelayDisappears.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -222,3 +222,43 @@
 		t.Error("a node that does not watch the store serves as a relay")
 	}
 }
+
+// hangingRelay is a relay whose machine has disappeared: its first watch stays open without a
+// response. Everything else goes to the store.
+type hangingRelay struct {
+	directory.Source
+	hangs atomic.Bool
+}
+
+func (r *hangingRelay) Watch(ctx context.Context, prefix platformapi.Key, after uint64, wait time.Duration) (platformapi.WatchResult, error) {
+	if r.hangs.Load() {
+		<-ctx.Done()
+		return platformapi.WatchResult{}, ctx.Err()
+	}
+	return r.Source.Watch(ctx, prefix, after, wait)
+}
+
+// TestRelayDisappears: a node waits at a relay whose machine disappears, so that its
+// connection stays open without a response. It must turn to another one as soon as the relay
+// is no longer heard of, and notice a removal, which the versions of the other nodes don't show.
+func TestRelayDisappears(t *testing.T) {
+	standin, store, _ := newStore(t)
+	var listed atomic.Int32
+	registry := directory.NewRegistry(platform.DecodeEndpoint, directory.MissingRetention, directory.DefaultDoubtTime, func(_ time.Time, l, _ []site.Endpoint) { listed.Store(int32(len(l))) }, discardLog)
+	relay := &hangingRelay{Source: store}
+	relay.hangs.Store(true)
+	w := directory.NewWatcher(directory.WatcherOptions{
+		Store: store, Relay: relay, RelayLost: func() bool { return !relay.hangs.Load() }, Prefix: "servers", Listener: registry,
+		WatchesStore: func() bool { return false }, Log: discardLog,
+	})
+	standin.Set("servers", "a", readyEntry("10.0.0.1:80"))
+	startWatcher(t, w)
+	eventually(t, "one endpoint", func() bool { return listed.Load() == 1 })
+	standin.Remove("servers", "a")
+	relay.hangs.Store(false) // another relay takes its place
+	eventually(t, "the removal", func() bool {
+		w.Recheck()
+		return listed.Load() == 0
+	})
+	standin.SetFaults(platformtest.Faults{Down: true}) // ends the watch in progress
+}
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -56,6 +56,9 @@
 	// WatchesStore reports whether this node must watch the store itself, as a relay for
 	// the other nodes.
 	WatchesStore func() bool
+	// RelayLost reports whether the relay that this node waits at is no longer heard of. Its
+	// connection may stay open for seconds without a response. Default: never.
+	RelayLost func() bool
 	// Era returns the era of the store that this node knows of. When it rises, the objects
 	// are listed again. Default: always zero.
 	Era func() platformapi.Era
@@ -94,6 +97,9 @@
 	if o.Era == nil {
 		o.Era = func() platformapi.Era { return 0 }
 	}
+	if o.RelayLost == nil {
+		o.RelayLost = func() bool { return false }
+	}
 	w := &Watcher{opts: o, log: o.Log.With("kind", string(o.Prefix)), done: make(chan struct{})}
 	w.mu.history, w.mu.changed = newChangeLog(), make(chan struct{})
 	return w
@@ -124,14 +130,14 @@
 	}
 }
 
-// Recheck cancels a watch at a relay if this node must now watch the store itself, and any
-// watch from a position of an earlier era.
+// Recheck cancels a watch at a relay if this node must now watch the store itself or the
+// relay is lost, and any watch from a position of an earlier era.
 func (w *Watcher) Recheck() {
-	watchesStore := w.opts.WatchesStore()
+	leavesRelay := w.opts.WatchesStore() || w.opts.RelayLost()
 	era := w.opts.Era()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.mu.cancelWait != nil && (watchesStore && w.mu.waitsAtRelay || w.mu.position.Era() < era) {
+	if w.mu.cancelWait != nil && (leavesRelay && w.mu.waitsAtRelay || w.mu.position.Era() < era) {
 		w.mu.cancelWait()
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -223,7 +223,7 @@
 	h, err := holder.New(holder.Options{
 		Store: n.platform.Store, Name: dutyLease, Owner: lease.Owner{Node: n.self.Node, Incarnation: n.self.Incarnation},
 		Lease:       lease.Options{Term: term, MaxPause: leaseMaxPause, RetryDelay: term / leaseRetryDivisor},
-		Candidate:   func() bool { return n.isAmongFirst(dutyLease, dutyCandidates) },
+		Candidate:   func() bool { return n.isAmongFirst(dutyLease, dutyCandidates, liveTimeout) },
 		Era:         n.platform.Store.Era,
 		CallTimeout: leaseCallTimeout, Log: n.log, Metrics: holder.NewMetrics(n.metrics),
 	})
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -5,10 +5,12 @@
 	"context"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/directory"
 	"github.com/jujubeshed/jujubeshed/internal/platformapi"
+	"github.com/jujubeshed/jujubeshed/internal/quota"
 	"github.com/jujubeshed/jujubeshed/internal/rendezvous"
 )
 
@@ -16,17 +18,17 @@
 // the others. There are two, as one may lose its connection.
 const storeWatcherCount = 2
 
-// higherRanked returns the addresses of the live nodes that rank above this one for a name,
-// by rendezvous hashing and highest first. Nodes that are leaving or can't reach the store
-// are left out.
-func (n *Node) higherRanked(name string) []string {
+// higherRanked returns the addresses of the nodes that rank above this one for a name, by
+// rendezvous hashing and highest first, and were heard of at most age ago. Nodes that are
+// leaving or can't reach the store are left out.
+func (n *Node) higherRanked(name string, age time.Duration) []string {
 	own := rendezvous.Weight(name, string(n.self.Node))
 	type ranked struct {
 		address string
 		weight  uint64
 	}
 	var list []ranked
-	for _, peer := range n.sharing.Peers(liveTimeout) {
+	for _, peer := range n.sharing.Peers(age) {
 		if w := rendezvous.Weight(name, string(peer.Incarnation.Node)); !peer.Leaving && !peer.StoreUnreachable && w > own {
 			list = append(list, ranked{peer.Address, w})
 		}
@@ -39,13 +41,23 @@
 	return out
 }
 
-// isAmongFirst reports whether fewer than count nodes rank above this one for a name.
-func (n *Node) isAmongFirst(name string, count int) bool { return len(n.higherRanked(name)) < count }
+// isAmongFirst reports whether fewer than count nodes, heard of at most age ago, rank above
+// this one for a name.
+func (n *Node) isAmongFirst(name string, count int, age time.Duration) bool {
+	return len(n.higherRanked(name, age)) < count
+}
+
+// relayTimeout is the age of a node's state from which the node does not serve as a relay. It
+// is shorter than liveTimeout: a machine that disappears leaves the watches at it without a
+// response, while endpoints that leave must be noticed within two seconds.
+func (n *Node) relayTimeout() time.Duration {
+	return min(max(quota.DefaultSilenceTimeout, silenceIntervals*n.sharing.Interval()), liveTimeout)
+}
 
 // relayNodes returns the addresses of the nodes that watch the store for this one. Half of
 // the nodes get them in reverse order, which spreads the load over them.
 func (n *Node) relayNodes(name string) []string {
-	list := n.higherRanked(name)
+	list := n.higherRanked(name, n.relayTimeout())
 	list = list[:min(len(list), storeWatcherCount)]
 	if rendezvous.Weight("half", string(n.self.Node))%2 == 1 {
 		slices.Reverse(list)
@@ -56,9 +68,11 @@
 // newWatcher returns a watcher of one kind of object; wait is that of a watch on the store.
 func (n *Node) newWatcher(kind platformapi.Key, l directory.Listener, wait time.Duration) *directory.Watcher {
 	name := string(kind)
-	watchesStore := func() bool { return n.isAmongFirst(name, storeWatcherCount) }
+	watchesStore := func() bool { return n.isAmongFirst(name, storeWatcherCount, n.relayTimeout()) }
+	relay := &relay{node: n, ranking: name}
 	return directory.NewWatcher(directory.WatcherOptions{
-		Store: n.platform.Store, Relay: &relay{n, name}, Prefix: kind, Listener: l, WatchesStore: watchesStore, Era: n.platform.Store.Era, StoreWatchWait: wait, Log: n.log,
+		Store: n.platform.Store, Relay: relay, RelayLost: relay.lost, Prefix: kind, Listener: l,
+		WatchesStore: watchesStore, Era: n.platform.Store.Era, StoreWatchWait: wait, Log: n.log,
 	})
 }
 
@@ -87,7 +101,15 @@
 // none of them responds, it reads from the store.
 type relay struct {
 	node    *Node
-	ranking string // name by which the nodes that watch the store are ranked
+	ranking string                 // name by which the nodes that watch the store are ranked
+	waitsAt atomic.Pointer[string] // address of the node at which a watch waits; nil for none
+}
+
+// lost reports whether the node at which a watch waits is no longer one of those that watch
+// the store, as far as this node has heard.
+func (r *relay) lost() bool {
+	address := r.waitsAt.Load()
+	return address != nil && !slices.Contains(r.node.relayNodes(r.ranking), *address)
 }
 
 var _ directory.Source = (*relay)(nil)
@@ -107,7 +129,9 @@
 // Watch implements directory.Source.
 func (r *relay) Watch(ctx context.Context, prefix platformapi.Key, after uint64, wait time.Duration) (platformapi.WatchResult, error) {
 	for _, address := range r.node.relayNodes(r.ranking) {
+		r.waitsAt.Store(&address)
 		c, err := r.node.sharing.ChangesFrom(ctx, address, prefix, after, wait)
+		r.waitsAt.Store(nil)
 		if err == nil {
 			r.node.platform.Store.ObserveEra(platformapi.Version(c.Position).Era())
 		}
