Forget a removal once the endpoint is listed again; look up one relay, not all nodes

Both found by reading. An endpoint whose registration had lapsed and that came back in a list of the same era kept the mark of its removal: a restore within two minutes would have put it in doubt for 4.5 s. Test that fails without it: directory TestReturnedEndpointIsNotDoubted.

The check of the relay in each tick copied and ranked the states of all nodes, 30 times a second in addition; it now looks for one address. At 195 nodes that was some 2 MB/s of copies by reading, not measured.

--- a/internal/directory/departures_test.go
+++ b/internal/directory/departures_test.go
@@ -66,6 +66,21 @@
 	}
 }
 
+// TestReturnedEndpointIsNotDoubted checks that an endpoint whose registration had lapsed, and
+// that was listed again in the same era, is used when the store is restored after that.
+func TestReturnedEndpointIsNotDoubted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := directory.NewEndpoints(directory.MissingRetention, directory.DefaultDoubtTime)
+	list := []site.Endpoint{{ID: "a"}}
+	s.Replace(now, 1, list)
+	s.Remove(now, "a")
+	s.Replace(now, 1, list)
+	s.Replace(now, 2, list)
+	if got := usable(s); !slices.Equal(got, []ident.EndpointID{"a"}) {
+		t.Errorf("usable after the restore: %v", got)
+	}
+}
+
 // TestDeparturesFromPeers checks that a node that starts after a restore learns from another
 // node which of the listed endpoints have left, and that marks of an earlier state of the
 // same era have no effect.
--- a/internal/directory/endpoints.go
+++ b/internal/directory/endpoints.go
@@ -66,18 +66,16 @@
 }
 
 // Set records that an endpoint has registered or changed its registration.
-func (s *Endpoints) Set(now time.Time, e site.Endpoint) {
-	if d, ok := s.departures.find(e); ok && !d.Leaving {
-		delete(s.departures, e.ID)
-	}
-	s.list(now, e, true)
-}
+func (s *Endpoints) Set(now time.Time, e site.Endpoint) { s.list(now, e, true) }
 
 // list adds an endpoint to those registered. It marks the endpoint as leaving if it was
-// leaving before in the same incarnation.
+// leaving before in the same incarnation; an earlier removal no longer counts.
 func (s *Endpoints) list(now time.Time, e site.Endpoint, confirmed bool) {
-	if d, ok := s.departures.find(e); ok && d.Leaving {
-		e.Leaving = true
+	if d, ok := s.departures.find(e); ok {
+		e.Leaving = e.Leaving || d.Leaving
+		if !d.Leaving {
+			delete(s.departures, e.ID)
+		}
 	}
 	if e.Leaving {
 		s.departures.add(now, departureOf(e, true, s.era), true)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -105,11 +105,10 @@
 	waitsAt atomic.Pointer[string] // address of the node at which a watch waits; nil for none
 }
 
-// lost reports whether the node at which a watch waits is no longer one of those that watch
-// the store, as far as this node has heard.
+// lost reports whether the node at which a watch waits is no longer heard of.
 func (r *relay) lost() bool {
 	address := r.waitsAt.Load()
-	return address != nil && !slices.Contains(r.node.relayNodes(r.ranking), *address)
+	return address != nil && !r.node.sharing.HeardOf(*address, r.node.relayTimeout())
 }
 
 var _ directory.Source = (*relay)(nil)
--- a/internal/sharing/service.go
+++ b/internal/sharing/service.go
@@ -182,6 +182,13 @@
 	return s.mu.states.Peers(time.Now(), age)
 }
 
+// HeardOf reports whether the state of the node at an address was updated at most age ago.
+func (s *Service) HeardOf(address string, age time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mu.states.HeardOf(time.Now(), address, age)
+}
+
 // newRequest updates this node's state and returns the request for a round.
 func (s *Service) newRequest() *sharingv1.ExchangeRequest {
 	asOf := s.opts.Now() // read before the state, so that urgent spending sent later never has an earlier time
--- a/internal/sharing/sharing_test.go
+++ b/internal/sharing/sharing_test.go
@@ -47,6 +47,10 @@
 	if got := states.Peers(now, time.Second); len(got) != 1 || got[0].Incarnation != incarnation("a", 3) {
 		t.Errorf("peers are %+v", got)
 	}
+	checkMerge(1, sharing.NodeState{Incarnation: incarnation("b", 1), Heartbeat: 1, Address: "10.0.0.2:1"})
+	if !states.HeardOf(now.Add(time.Second), "10.0.0.2:1", time.Second) || states.HeardOf(now.Add(time.Second+1), "10.0.0.2:1", time.Second) || states.HeardOf(now, "10.0.0.3:1", time.Second) {
+		t.Error("HeardOf is wrong for a node heard of in time, too long ago, or never")
+	}
 	states.Expire(now.Add(sharing.StateRetention + time.Second))
 	if got := states.All(); len(got) != 0 {
 		t.Errorf("states after expiry: %+v", got)
--- a/internal/sharing/state.go
+++ b/internal/sharing/state.go
@@ -148,6 +148,16 @@
 	return out
 }
 
+// HeardOf reports whether the state of the node at an address was updated at most age ago.
+func (t *StateTable) HeardOf(now time.Time, address string, age time.Duration) bool {
+	for _, e := range t.states {
+		if e.state.Address == address && now.Sub(e.updatedAt) <= age {
+			return true
+		}
+	}
+	return false
+}
+
 // Peers returns the states of other nodes that were updated at most age ago.
 func (t *StateTable) Peers(now time.Time, age time.Duration) []NodeState {
 	var out []NodeState
