Log responses that break off before their first event, with the prompt's segments

What callers saw: 502 of verse-tag, broken streams of all kinds, while engines ended one after the other. No decision changes.

--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -26,7 +26,7 @@
 // sharedTokens returns the number of tokens of the shared segments.
 func (p Prompt) sharedTokens() int {
 	sum := 0
-	for _, segment := range p.sharedSegments() {
+	for _, segment := range p.SharedSegments() {
 		sum += segment.Tokens
 	}
 	return sum
@@ -35,8 +35,8 @@
 // Tokens returns the number of tokens of the prompt and the maximum to be generated.
 func (p Prompt) Tokens() int { return p.Input + p.Output }
 
-// sharedSegments returns the segments that other requests may have in common with p.
-func (p Prompt) sharedSegments() []PromptSegment {
+// SharedSegments returns the segments that other requests may have in common with p.
+func (p Prompt) SharedSegments() []PromptSegment {
 	if len(p.Segments) < 2 {
 		return nil
 	}
@@ -45,7 +45,7 @@
 
 // prefixID returns the ID of the last shared segment, which identifies the shared prefix.
 func (p Prompt) prefixID() uint64 {
-	segments := p.sharedSegments()
+	segments := p.SharedSegments()
 	return segments[len(segments)-1].ID
 }
 
--- a/internal/serve/attempts.go
+++ b/internal/serve/attempts.go
@@ -158,6 +158,7 @@
 	answer, err := c.h.transport.Send(ctx, a)
 	if err != nil {
 		defer watchdog.stop()
+		c.attemptFailed(id, choice, false, err)
 		return nil, watchdog.wrapError(err)
 	}
 	if answer.Load.Known {
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -44,6 +44,9 @@
 		return runner.Frame{Chunk: &attempt.Chunk{Echo: echo, Offset: s.nextOffset, Finish: "end"}}, nil
 	}
 	if err != nil {
+		if s.lastReadID == 0 {
+			s.call.attemptFailed(s.attempt, s.call.attempts.choice(s.attempt), true, err)
+		}
 		return runner.Frame{}, s.watchdog.wrapError(err)
 	}
 	s.watchdog.reset()
