Hold back requests with a prompt segment that crashes endpoints

Cause: a query of death. Nodes judged endpoints by what happened to requests, and never a request by what happened to endpoints; nothing about a failed request outlived it, and nothing was shared. Each node sent the next request with the segment to the next healthy engine, and resumable ones to several. Class of fault: retries and failover spread a fault that is in the input.

Checks are made at admission, before each attempt (first, repeat, hedge) and before a run is moved. A held request ends at once with 503 as not run, or 502 if an attempt had been sent.

--- a/internal/attempt/retry.go
+++ b/internal/attempt/retry.go
@@ -17,6 +17,9 @@
 	if len(m.active) > 0 {
 		return nil
 	}
+	if ev.Held {
+		return m.giveUp(verdict.CodeHeld, ev.Cause)
+	}
 	if !ev.NoEndpoint && m.mayRetryRefused(now) && (m.skipsBudget(ev) || m.budget.Take()) {
 		m.excludeRefused(a)
 		return m.dispatch(now, Dispatch{Prefer: m.preferred})
--- a/internal/attempt/runner/attempt.go
+++ b/internal/attempt/runner/attempt.go
@@ -150,6 +150,7 @@
 	ev := attempt.NotDispatched{Attempt: a.call.Dispatch.Attempt, NoEndpoint: noEndpoint, Cause: err}
 	if v := new(verdict.Error); errors.As(err, &v) {
 		ev.RetryAfter = v.RetryAfter
+		ev.Held = v.Code == verdict.CodeHeld
 		ev.NeverSent = v.Verdict == verdict.NotRun && (v.Code == verdict.CodeUpstream || v.Code == verdict.CodeNotSent)
 	}
 	return ev
--- a/internal/attempt/types.go
+++ b/internal/attempt/types.go
@@ -100,7 +100,9 @@
 	NoEndpoint bool
 	// NeverSent is set where no connection was made, so that the attempt put no load on
 	// any endpoint: another attempt costs no retry budget if MaxRefusals is set.
-	NeverSent  bool
+	NeverSent bool
+	// Held is set where no endpoint may get the request, so that it ends at once.
+	Held       bool
 	RetryAfter time.Duration
 	Cause      error
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,8 @@
 	serviceLease     kernel.Name = "duty.lease"
 	serviceExecutor  kernel.Name = "duty.officer"
 	serviceMigration kernel.Name = "serve.mover"
+	serviceHolds     kernel.Name = "directory.quarantine"
+	serviceGuard     kernel.Name = "quarantine"
 	serviceReady     kernel.Name = "listener.ready"
 	serviceCallers   kernel.Name = "listener.callers"
 )
@@ -149,6 +151,8 @@
 	executor        *duty.Executor
 	versions        *versions
 	moveWatcher     *directory.Watcher
+	guard           *promptGuard
+	guardWatcher    *directory.Watcher
 	draining        atomic.Bool
 	caughtUp        atomic.Bool
 	startedAt       time.Time
@@ -186,6 +190,9 @@
 	}
 	n.versions = newVersions(p, unprovedShare(settings.Bounds), n.holder, log)
 	n.moveWatcher = n.newWatcher(p.MoveKind, n.versions, moveWatchWait)
+	writesHolds := func() bool { return n.isAmongFirst(string(quarantineKind), 1, liveTimeout) }
+	n.guard = newPromptGuard(p, n.clock, writesHolds, func() int { return n.LivePeers() + 1 }, reg, log)
+	n.guardWatcher = n.newWatcher(quarantineKind, n.guard, quarantineWatchWait)
 	return n, n.register()
 }
 
@@ -243,7 +250,7 @@
 
 func (n *Node) register() error {
 	handler := serve.NewHandler(serve.Dependencies{
-		NodeServices: n.state, Placement: n.state, Versions: n.versions, Transport: n.platform.Transport, Log: n.log,
+		NodeServices: n.state, Placement: n.state, Versions: n.versions, Transport: n.platform.Transport, Guard: n.guard, Log: n.log,
 		Metrics: serve.NewMetrics(n.metrics), Budget: n.retryBudget,
 	})
 	peers := http.NewServeMux()
@@ -261,6 +268,8 @@
 		{serviceEndpoints, n.endpointWatcher},
 		{serviceMoves, n.moveWatcher},
 		{serviceVersions, n.versions},
+		{serviceHolds, n.guardWatcher},
+		{serviceGuard, n.guard},
 		{serviceTicker, kernel.NewLoop(tickInterval, n.tick)},
 		{serviceFinder, kernel.NewLoop(findInterval, n.findNodes)},
 		{serviceMetrics, newListener(metricsAddress, metrics, n.log)},
@@ -311,6 +320,8 @@
 	n.configWatcher.Recheck()
 	n.endpointWatcher.Recheck()
 	n.moveWatcher.Recheck()
+	n.guardWatcher.Recheck()
+	n.guard.tick(n.sharing.HeardSince())
 	for _, silent := range n.state.tick(now, n.sharing.Interval()) {
 		n.log.Warn("sharing: Node is silent; its share of the limits is reserved for it.", "node", silent.Node, "life", silent.Incarnation)
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -15,6 +15,7 @@
 		ConfigVersion: n.currentConfig.Version(), Leaving: n.draining.Load(), StoreVersion: n.endpointWatcher.LastVersion(), StoreUnreachable: n.endpointWatcher.SourceUnreachable() || n.configWatcher.SourceUnreachable(),
 	}
 	own.Spent, own.Loads, own.PrefixLocations = n.state.localReport()
+	own.Quarantine = n.guard.report()
 	own.Windows = n.usageTable.LocalCounts()
 	n.versions.addLocalState(&own)
 	return own
@@ -28,6 +29,7 @@
 		n.platform.Store.ObserveEra(peer.StoreEra)
 		n.endpoints.RecordDepartures(peer.Departures)
 		n.executor.RecordReports(peer.Reports)
+		n.guard.merge(peer.Quarantine)
 		n.state.recordPeerReport(now, peer.Incarnation, peer.AsOf, peer.Spent, peer.PrefixLocations)
 		n.usageTable.MergeNode(string(peer.Incarnation.Node), uint64(peer.Incarnation.Incarnation), peer.AsOf, peer.Windows)
 		if peer.ConfigVersion > n.currentConfig.Version() {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -86,6 +86,8 @@
 		return n.configWatcher.Changes(ctx, after, wait)
 	case n.platform.MoveKind:
 		return n.moveWatcher.Changes(ctx, after, wait)
+	case quarantineKind:
+		return n.guardWatcher.Changes(ctx, after, wait)
 	default:
 		return platformapi.WatchResult{}, directory.ErrNotWatching
 	}
--- /dev/null
+++ b/internal/quarantine/tracker_test.go
@@ -0,0 +1,175 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+)
+
+var testStart = time.Unix(1_800_000_000, 0)
+
+// clocked is a tracker that started long before the test, with the test's clock.
+type clocked struct {
+	*Tracker
+	t   *testing.T
+	now time.Time
+}
+
+func newClocked(t *testing.T) *clocked {
+	return &clocked{New(testStart.Add(-time.Hour)), t, testStart}
+}
+
+// crash records the crash of an endpoint, at which a request had been sent 200 ms before.
+func (c *clocked) crash(endpoint Incarnation, segments ...Segment) {
+	c.RecordCrash(c.now, Crash{Endpoint: endpoint, Dispatched: c.now.Add(-200 * time.Millisecond), At: c.now, Segments: segments})
+	c.wait(time.Second)
+}
+
+// wait advances the clock; all other nodes have just reported.
+func (c *clocked) wait(d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.now = c.now.Add(100 * time.Millisecond)
+		c.Tick(c.now, c.now)
+	}
+}
+
+func (c *clocked) checkHeld(want bool, segments ...Segment) {
+	c.t.Helper()
+	if s, got := c.Held(c.now, segments); got != want {
+		c.t.Errorf("after %s: held %t (segment %s), want %t", c.now.Sub(testStart), got, s, want)
+	}
+}
+
+// TestThreeCrashesHoldSegment checks that the third crash in turn holds a new segment, and
+// none of those that other requests were answered with.
+func TestThreeCrashesHoldSegment(t *testing.T) {
+	c := newClocked(t)
+	c.RecordAnswer(c.now, c.now.Add(-time.Minute), []Segment{1, 2})
+	c.crash(1, 1, 2, 7)
+	c.crash(2, 1, 2, 7)
+	c.checkHeld(false, 7)
+	c.crash(3, 1, 2, 7)
+	c.checkHeld(true, 7)
+	c.checkHeld(false, 1, 2)
+	c.crash(4, 1, 2, 7)
+	c.crash(5, 1, 2, 7)
+	c.crash(6, 1, 2, 7)
+	c.checkHeld(false, 1, 2)
+	if holds := c.Holds(); len(holds) != 1 || holds[0].Segment != 7 {
+		t.Errorf("holds are %v", holds)
+	}
+}
+
+// TestSegmentThatTurnsFatal checks that a segment with earlier answers is held after the fifth
+// crash without another answer.
+func TestSegmentThatTurnsFatal(t *testing.T) {
+	c := newClocked(t)
+	c.RecordAnswer(c.now, c.now.Add(-time.Minute), []Segment{7})
+	for i := range 4 {
+		c.crash(Incarnation(i), 7)
+	}
+	c.checkHeld(false, 7)
+	c.crash(5, 7)
+	c.checkHeld(true, 7)
+}
+
+// TestAnswerClearsSegment checks that an answer of another node clears a suspected segment, and
+// that crashes before it don't count any more.
+func TestAnswerClearsSegment(t *testing.T) {
+	c := newClocked(t)
+	c.crash(1, 7)
+	c.crash(2, 7)
+	c.RecordCrash(c.now, Crash{Endpoint: 3, Dispatched: c.now.Add(-time.Millisecond), At: c.now, Segments: []Segment{7}})
+	c.checkHeld(true, 7)
+	c.Merge(c.now, Report{Answers: []Answer{{7, c.now.Add(10 * time.Millisecond)}}})
+	c.wait(100 * time.Millisecond)
+	c.checkHeld(false, 7)
+	c.crash(4, 7)
+	c.crash(5, 7)
+	c.wait(5 * time.Second)
+	c.checkHeld(false, 7)
+}
+
+// TestCutOffNodeDoesNotDecide checks that a node that hears nothing from the others holds its
+// requests back, but makes no decision that spreads.
+func TestCutOffNodeDoesNotDecide(t *testing.T) {
+	c := newClocked(t)
+	heard := c.now
+	for i := range 3 {
+		c.RecordCrash(c.now, Crash{Endpoint: Incarnation(i), Dispatched: c.now.Add(-time.Millisecond), At: c.now, Segments: []Segment{7}})
+		c.now = c.now.Add(time.Second)
+	}
+	for range 100 {
+		c.now = c.now.Add(100 * time.Millisecond)
+		c.Tick(c.now, heard)
+	}
+	c.checkHeld(true, 7)
+	if len(c.Holds()) > 0 {
+		t.Error("a node that is cut off has decided for the others")
+	}
+	c.wait(5 * time.Second) // it hears the others again
+	if len(c.Holds()) != 1 {
+		t.Error("no decision after the contact")
+	}
+}
+
+// TestHoldLasts checks that a hold lasts while requests with the segment come, and ends
+// HoldTime after the last one.
+func TestHoldLasts(t *testing.T) {
+	c := newClocked(t)
+	c.AddHold(c.now, Hold{7, c.now.Add(100 * HoldTime)}) // of a node whose clock is wrong
+	for range 20 {
+		c.wait(HoldTime / 4)
+		c.checkHeld(true, 7)
+	}
+	c.wait(HoldTime + time.Second)
+	c.checkHeld(false, 7)
+}
+
+// fill returns a tracker with as many facts as it stores, all of them recent.
+func fill(now time.Time) *Tracker {
+	t := New(now.Add(-time.Hour))
+	for i := range 2 * maxCrashes {
+		var segments []Segment
+		for j := range 2 * maxSegments {
+			segments = append(segments, Segment(i%40*1000+j))
+		}
+		at := now.Add(-time.Duration(i) * 10 * time.Millisecond)
+		t.addCrash(now, Crash{Endpoint: Incarnation(i), Dispatched: at.Add(-time.Second), At: at, Segments: segments}, true)
+		t.RecordAnswer(now, at.Add(-time.Minute), segments)
+		t.AddHold(now, Hold{Segment(1_000_000 + i), now.Add(HoldTime)})
+	}
+	return t
+}
+
+// TestMemoryIsBounded checks that a tracker forgets the oldest facts beyond its bounds.
+func TestMemoryIsBounded(t *testing.T) {
+	tr := fill(testStart)
+	for i := range 3 * maxAnswers {
+		tr.RecordAnswer(testStart, testStart.Add(time.Duration(i)), []Segment{Segment(i)})
+		tr.Merge(testStart, Report{Answers: []Answer{{Segment(i), testStart.Add(time.Duration(i))}}})
+	}
+	if len(tr.crashes) > maxCrashes || len(tr.answers) > maxAnswers || len(tr.peerAnswers) > maxAnswers || len(tr.holds) > maxHolds {
+		t.Errorf("%d crashes, %d and %d answers, %d holds", len(tr.crashes), len(tr.answers), len(tr.peerAnswers), len(tr.holds))
+	}
+	if _, ok := tr.answers[Segment(3*maxAnswers-1)]; !ok {
+		t.Error("the latest answer is forgotten")
+	}
+}
+
+// BenchmarkEvaluate measures an evaluation of a full tracker, which is made at most once per
+// tick and own crash.
+func BenchmarkEvaluate(b *testing.B) {
+	tr := fill(testStart)
+	for b.Loop() {
+		tr.evaluate(testStart)
+	}
+}
+
+// BenchmarkHeld measures the check of a request while segments are held.
+func BenchmarkHeld(b *testing.B) {
+	tr := fill(testStart)
+	segments := []Segment{1, 2, 3}
+	for b.Loop() {
+		tr.Held(testStart, segments)
+	}
+}
--- a/internal/serve/attempts.go
+++ b/internal/serve/attempts.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/attempt/runner"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
@@ -29,6 +30,7 @@
 type attemptEntry struct {
 	id     ident.AttemptID
 	choice placement.Choice
+	sent   time.Time // zero before the attempt is sent
 	err    error
 }
 
@@ -63,6 +65,29 @@
 	return placement.Choice{}
 }
 
+// setSent records that an attempt is being sent.
+func (l *attemptLog) setSent(id ident.AttemptID, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range l.entries {
+		if l.entries[i].id == id {
+			l.entries[i].sent = at
+		}
+	}
+}
+
+// sent returns when an attempt was sent.
+func (l *attemptLog) sent(id ident.AttemptID) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.entries {
+		if e.id == id {
+			return e.sent
+		}
+	}
+	return time.Time{}
+}
+
 func (l *attemptLog) setError(id ident.AttemptID, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -93,6 +118,9 @@
 
 // Pick implements runner.Picker.
 func (c *call) Pick(_ context.Context, p runner.PickRequest) (runner.Choice, error) {
+	if err := c.h.guard.Check(c.req.Prompt); err != nil {
+		return runner.Choice{}, err
+	}
 	only, avoid := c.h.versions.ChooseVersion(c.service)
 	query := placement.Request{
 		Service: c.service, Prompt: c.req.Prompt, Exclude: p.Exclude, Version: only, AvoidVersion: avoid, Deadline: c.deadline,
@@ -155,10 +183,11 @@
 	a := c.newAttempt(choice.Endpoint)
 	a.FetchFrom = choice.FetchFrom
 	ctx, watchdog := c.startWatchdog(ctx, id)
+	c.attempts.setSent(id, time.Now())
 	answer, err := c.h.transport.Send(ctx, a)
 	if err != nil {
 		defer watchdog.stop()
-		c.attemptFailed(id, choice, false, err)
+		c.brokenOff(id, choice, false, err)
 		return nil, watchdog.wrapError(err)
 	}
 	if answer.Load.Known {
--- a/internal/serve/brokenoff.go
+++ b/internal/serve/brokenoff.go
@@ -14,14 +14,22 @@
 // response was complete.
 var ErrBrokenOff = errors.New("endpoint ended the connection before the response was complete")
 
-// attemptFailed logs the failure of an attempt without an event if its endpoint broke off the
-// connection. The segments show what the requests have in common under which endpoints end.
-func (c *call) attemptFailed(id ident.AttemptID, choice placement.Choice, head bool, err error) {
+// minAnswerEvents is the number of events from which an endpoint has done more than begin to
+// answer. A stream that ends earlier has done so, too.
+const minAnswerEvents = 2
+
+// brokenOff records that an endpoint ended the connection of an attempt before it had done
+// more than begin to answer. The segments in the log show what the requests have in common
+// under which endpoints crash.
+func (c *call) brokenOff(id ident.AttemptID, choice placement.Choice, head bool, err error) {
 	if !errors.Is(err, ErrBrokenOff) {
 		return
 	}
-	c.h.log.Info("request: Response broke off before its first event.", "request", c.req.ID, "attempt", id, "route", c.route.Name,
+	c.h.log.Info("request: Response broke off at its start.", "request", c.req.ID, "attempt", id, "route", c.route.Name,
 		"endpoint", choice.Endpoint.ID, "head", head, "segments", formatSegments(c.req.Prompt.SharedSegments()))
+	if !c.h.placement.Leaving(choice.Endpoint.ID) { // a leaving endpoint ends by itself
+		c.h.guard.BrokenOff(choice.Endpoint, c.req.Prompt, c.attempts.sent(id))
+	}
 }
 
 // formatSegments returns the IDs of prompt segments in hexadecimal, separated by commas.
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -79,12 +79,32 @@
 	Record(s ident.Service, v ident.Version, o placement.Outcome, route ident.RouteName, latency time.Duration)
 }
 
+// PromptGuard holds back requests with prompt segments that crash endpoints.
+type PromptGuard interface {
+	// Check returns an error with verdict NotRun if requests with the prompt are held back.
+	Check(p placement.Prompt) *verdict.Error
+	// Answered records that an endpoint began to answer a request with the prompt at a time
+	// and went on with the answer.
+	Answered(p placement.Prompt, began time.Time)
+	// BrokenOff records that an endpoint ended the connection of a request, sent at a time,
+	// when it had at most begun to answer.
+	BrokenOff(e site.Endpoint, p placement.Prompt, sent time.Time)
+}
+
+// noGuard holds back no requests.
+type noGuard struct{}
+
+func (noGuard) Check(placement.Prompt) *verdict.Error                { return nil }
+func (noGuard) Answered(placement.Prompt, time.Time)                 {}
+func (noGuard) BrokenOff(site.Endpoint, placement.Prompt, time.Time) {}
+
 // Handler serves requests.
 type Handler struct {
 	node          NodeServices
 	placement     Placement
 	versions      Versions
 	transport     Transport
+	guard         PromptGuard
 	log           *slog.Logger
 	metrics       *Metrics
 	budgets       *budgets
@@ -97,8 +117,10 @@
 	Placement    Placement
 	Versions     Versions
 	Transport    Transport
-	Log          *slog.Logger
-	Metrics      *Metrics
+	// Guard is nil if no requests are held back.
+	Guard   PromptGuard
+	Log     *slog.Logger
+	Metrics *Metrics
 	// Budget returns the limit of this node's retries for each service, which changes
 	// with the number of nodes. If nil, the defaults apply.
 	Budget func() attempt.BudgetOptions
@@ -109,8 +131,12 @@
 	if deps.Budget == nil {
 		deps.Budget = func() attempt.BudgetOptions { return attempt.BudgetOptions{} }
 	}
+	if deps.Guard == nil {
+		deps.Guard = noGuard{}
+	}
 	return &Handler{
-		node: deps.NodeServices, placement: deps.Placement, versions: deps.Versions, transport: deps.Transport, log: deps.Log, metrics: deps.Metrics,
+		guard: deps.Guard,
+		node:  deps.NodeServices, placement: deps.Placement, versions: deps.Versions, transport: deps.Transport, log: deps.Log, metrics: deps.Metrics,
 		budgets:       &budgets{opts: deps.Budget, byService: make(map[ident.Service]*attempt.Budget)},
 		activeStreams: newActiveStreams(),
 	}
@@ -191,6 +217,9 @@
 	if maxWait := c.req.MaxWait; maxWait > 0 && c.req.Arrived.Add(maxWait).Before(c.deadline) {
 		c.deadline = c.req.Arrived.Add(maxWait)
 	}
+	if err := c.h.guard.Check(c.req.Prompt); err != nil {
+		return err
+	}
 	c.service = chooseService(c.route.Shares)
 	return c.charge()
 }
--- a/internal/serve/handler_test.go
+++ b/internal/serve/handler_test.go
@@ -105,6 +105,7 @@
 func (node *fakeNode) SetReportedLoad(ident.EndpointID, serve.Load) {}
 func (node *fakeNode) Leaving(ident.EndpointID) bool                { return false }
 func (node *fakeNode) BackingOff(ident.EndpointID) bool             { return false }
+func (node *fakeNode) Refuses(context.Context, site.Endpoint) bool  { return false }
 func (node *fakeNode) SetSignals(serve.EndpointSignals)             {}
 func (node *fakeNode) TerminationTime(id ident.EndpointID) (time.Time, bool) {
 	node.mu.Lock()
@@ -383,6 +384,7 @@
 type sendFunc func(ctx context.Context, a serve.Attempt) (*serve.Answer, error)
 
 func (f sendFunc) Send(ctx context.Context, a serve.Attempt) (*serve.Answer, error) { return f(ctx, a) }
+func (f sendFunc) Refuses(context.Context, site.Endpoint) bool                      { return false }
 func (f sendFunc) SetSignals(serve.EndpointSignals)                                 {}
 func (f sendFunc) Migrate(context.Context, serve.Migration) (*serve.KVCopy, error) {
 	return nil, errors.New("unexpected migration")
--- a/internal/serve/migration.go
+++ b/internal/serve/migration.go
@@ -66,6 +66,9 @@
 // to be called every MigrationInterval.
 func (h *Handler) MigrateStreams(now time.Time) {
 	for _, s := range h.activeStreams.list() {
+		if h.guard.Check(s.call.req.Prompt) != nil {
+			continue
+		}
 		engine := s.call.config.Services[s.call.service].Engine
 		if engine == nil || !engine.SupportsMigration || s.migrationState.Load() != nil {
 			continue
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -20,8 +22,10 @@
 	attempt        ident.AttemptID
 	endpoint       site.Endpoint // at which the stream started
 	answer         *Answer
-	nextOffset     int  // offset of the next event
-	lastReadID     int  // ID of the last event read; zero before the first
+	nextOffset     int // offset of the next event
+	lastReadID     int // ID of the last event read; zero before the first
+	eventsRead     int // by this attempt
+	firstEventAt   time.Time
 	ended          bool // the end of the stream was read
 	watchdog       *watchdog
 	migrationState atomic.Pointer[migrationState] // nil before a migration has started
@@ -31,6 +35,9 @@
 func (s *answerStream) Recv() (runner.Frame, error) {
 	echo := attempt.Echo{Request: s.call.req.ID, Attempt: s.attempt}
 	if s.answer.Events == nil {
+		if s.answer.Head.Status < http.StatusMultipleChoices {
+			s.call.h.guard.Answered(s.call.req.Prompt, s.call.attempts.sent(s.attempt))
+		}
 		r := &attempt.Response{Attempt: s.attempt, Echo: echo, Status: s.answer.Head.Status}
 		return runner.Frame{Response: r, Body: s.answer}, nil
 	}
@@ -40,12 +47,15 @@
 	ev, err := s.nextEvent()
 	if errors.Is(err, io.EOF) {
 		s.ended = true
+		if 0 < s.eventsRead && s.eventsRead < minAnswerEvents {
+			s.call.h.guard.Answered(s.call.req.Prompt, s.firstEventAt)
+		}
 		s.call.delivery.recordHead(s.answer.Head)
 		return runner.Frame{Chunk: &attempt.Chunk{Echo: echo, Offset: s.nextOffset, Finish: "end"}}, nil
 	}
 	if err != nil {
-		if s.lastReadID == 0 {
-			s.call.attemptFailed(s.attempt, s.call.attempts.choice(s.attempt), true, err)
+		if s.eventsRead < minAnswerEvents {
+			s.call.brokenOff(s.attempt, s.call.attempts.choice(s.attempt), true, err)
 		}
 		return runner.Frame{}, s.watchdog.wrapError(err)
 	}
@@ -58,12 +68,24 @@
 		s.call.h.placement.FirstEvent(s.attempt)
 	}
 	s.lastReadID = ev.ID
+	s.countEvent()
 	s.call.delivery.recordEvent(s.answer.Head, s.nextOffset, ev.ID)
 	chunk := &attempt.Chunk{Echo: echo, Offset: s.nextOffset, Tokens: []string{ev.Raw}}
 	s.nextOffset++
 	return runner.Frame{Chunk: chunk}, nil
 }
 
+// countEvent counts an event, and records an answer when there are enough of them.
+func (s *answerStream) countEvent() {
+	s.eventsRead++
+	switch s.eventsRead {
+	case 1:
+		s.firstEventAt = time.Now()
+	case minAnswerEvents:
+		s.call.h.guard.Answered(s.call.req.Prompt, s.firstEventAt)
+	}
+}
+
 // nextEvent reads the next event. If the stream was stopped for its migration, it resumes
 // the stream first.
 func (s *answerStream) nextEvent() (Event, error) {
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -165,6 +165,9 @@
 	// copy together with an error, the request was stopped and has to resume at its own
 	// engine.
 	Migrate(ctx context.Context, m Migration) (*KVCopy, error)
+	// Refuses reports whether the host of an endpoint refuses connections, as it does where
+	// the endpoint's process has ended.
+	Refuses(ctx context.Context, e site.Endpoint) bool
 	// SetSignals sets where the statements of endpoints are recorded. It must be called
 	// before the first Send.
 	SetSignals(s EndpointSignals)
--- a/internal/sharing/convert.go
+++ b/internal/sharing/convert.go
@@ -51,6 +51,7 @@
 		msg.Done = append(msg.Done, encodeArm(a, rollout.Count{}))
 	}
 	msg.Departures = encodeDepartures(s.Departures)
+	encodeQuarantine(msg, s.Quarantine)
 	if s.Reports.Next != 0 {
 		msg.Reports = encodeReports(s.Reports)
 	}
@@ -133,6 +134,7 @@
 		s.Windows[window.Number] = decodeCounts(window)
 	}
 	s.Departures = decodeDepartures(msg.Departures)
+	s.Quarantine = decodeQuarantine(msg)
 	if msg.Reports != nil {
 		s.Reports = decodeReports(msg.Reports)
 	}
--- a/internal/sharing/service.go
+++ b/internal/sharing/service.go
@@ -189,6 +189,14 @@
 	return s.mu.states.HeardOf(time.Now(), address, age)
 }
 
+// HeardSince returns the time since which all other known nodes that are not leaving have
+// sent a state; the present time if there are none.
+func (s *Service) HeardSince() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mu.states.HeardSince(time.Now())
+}
+
 // newRequest updates this node's state and returns the request for a round.
 func (s *Service) newRequest() *sharingv1.ExchangeRequest {
 	asOf := s.opts.Now() // read before the state, so that urgent spending sent later never has an earlier time
--- a/internal/sharing/sharing_test.go
+++ b/internal/sharing/sharing_test.go
@@ -18,6 +18,7 @@
 	"github.com/jujubeshed/jujubeshed/internal/duty"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/platformapi"
+	"github.com/jujubeshed/jujubeshed/internal/quarantine"
 	"github.com/jujubeshed/jujubeshed/internal/quota"
 	"github.com/jujubeshed/jujubeshed/internal/rollout"
 	"github.com/jujubeshed/jujubeshed/internal/sharing"
@@ -88,6 +89,11 @@
 	Departures:        []directory.Departure{{Endpoint: "e", Started: time.UnixMilli(123), Leaving: true, Era: 2}},
 	Reports:           duty.ReportLog{Next: 9, Era: 3, Pending: []duty.UsageReport{{Window: 8, Counts: duty.Counts{"w": 4}}}},
 	CompletedVersions: []rollout.Arm{{Service: "s", Version: "v2"}},
+	Quarantine: quarantine.Report{
+		Crashes: []quarantine.Crash{{Endpoint: 1 << 63, Dispatched: time.UnixMilli(1200), At: time.UnixMilli(1234), Segments: []quarantine.Segment{5, 1 << 63}}},
+		Answers: []quarantine.Answer{{Segment: 5, Began: time.UnixMilli(1000)}},
+		Holds:   []quarantine.Hold{{Segment: 1 << 63, Until: time.UnixMilli(99000)}},
+	},
 }
 
 // TestStateArrives checks that the fields of a node state arrive unchanged, and that a node
@@ -101,7 +107,7 @@
 	}
 	got := f.services[1].Peers(time.Minute)[0]
 	if got.StoreEra != testState.StoreEra || !reflect.DeepEqual(got.Departures, testState.Departures) || !reflect.DeepEqual(got.Reports, testState.Reports) ||
-		!reflect.DeepEqual(got.CompletedVersions, testState.CompletedVersions) {
+		!reflect.DeepEqual(got.CompletedVersions, testState.CompletedVersions) || !reflect.DeepEqual(got.Quarantine, testState.Quarantine) {
 		t.Errorf("state %+v, want %+v", got, testState)
 	}
 	if f.departures[1].Load() == 0 {
--- a/internal/sharing/state.go
+++ b/internal/sharing/state.go
@@ -11,6 +11,7 @@
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/placement"
 	"github.com/jujubeshed/jujubeshed/internal/platformapi"
+	"github.com/jujubeshed/jujubeshed/internal/quarantine"
 	"github.com/jujubeshed/jujubeshed/internal/quota"
 	"github.com/jujubeshed/jujubeshed/internal/rollout"
 )
@@ -57,6 +58,8 @@
 	Reports duty.ReportLog
 	// CompletedVersions are the versions to which the node knows that a move was completed.
 	CompletedVersions []rollout.Arm
+	// Quarantine is what the node knows of prompt segments that crash endpoints.
+	Quarantine quarantine.Report
 }
 
 // digestKey returns the key of the node's incarnation in a digest.
@@ -158,6 +161,18 @@
 	return false
 }
 
+// HeardSince returns the time since which all other nodes that are not leaving have sent a
+// state; now if there are none.
+func (t *StateTable) HeardSince(now time.Time) time.Time {
+	since := now
+	for _, e := range t.states {
+		if e.state.Incarnation != t.self && !e.state.Leaving && e.updatedAt.Before(since) {
+			since = e.updatedAt
+		}
+	}
+	return since
+}
+
 // Peers returns the states of other nodes that were updated at most age ago.
 func (t *StateTable) Peers(now time.Time, age time.Duration) []NodeState {
 	var out []NodeState
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -71,6 +71,9 @@
 	// CodeNotSent is that of an attempt that was not sent, for a reason that is no evidence
 	// about the health of its endpoint.
 	CodeNotSent Code = "not-sent"
+	// CodeHeld is that of a request that is held back because requests like it crash
+	// endpoints.
+	CodeHeld Code = "held"
 )
 
 // Error is a failure with its verdict.
