Don't take the end of a connection for the end of a stopped or empty stream

Callers would have got a stream that is cut short as a complete one.

Cause: the transport reported the end of such a stream's connection as the end of the stream. A request that this node has stopped to move it to another engine ends the same way after its last event, and so does one whose engine crashes before its first. The two ends are told apart now (serve.ErrUnmarkedEnd): a stream that was stopped is resumed from its KV copy, one without an event is broken off.

--- a/internal/serve/attempts.go
+++ b/internal/serve/attempts.go
@@ -193,7 +193,7 @@
 	if answer.Load.Known {
 		c.h.placement.SetReportedLoad(a.Endpoint.ID, answer.Load)
 	}
-	s := &answerStream{call: c, ctx: ctx, attempt: id, endpoint: choice.Endpoint, answer: answer, nextOffset: in.Dispatch.ResumeOffset, watchdog: watchdog}
+	s := &answerStream{call: c, ctx: ctx, attempt: id, endpoint: choice.Endpoint, answer: answer, resumed: a.After > 0, nextOffset: in.Dispatch.ResumeOffset, watchdog: watchdog}
 	if answer.Events == nil {
 		c.countStarted()
 	} else {
--- a/internal/serve/brokenoff.go
+++ b/internal/serve/brokenoff.go
@@ -14,6 +14,11 @@
 // response was complete.
 var ErrBrokenOff = errors.New("endpoint ended the connection before the response was complete")
 
+// ErrUnmarkedEnd is returned after the last event of a stream that has neither a length nor
+// chunks: the endpoint has ended the connection, as it does at the end of the stream, but also
+// when it has stopped the request.
+var ErrUnmarkedEnd = errors.New("stream ended with its connection")
+
 // minAnswerEvents is the number of events from which an endpoint has done more than begin to
 // answer. A stream that ends earlier has done so, too.
 const minAnswerEvents = 2
--- a/internal/serve/guard_test.go
+++ b/internal/serve/guard_test.go
@@ -99,13 +99,16 @@
 		answered int
 		broken   int
 	}{
-		"one event":    {"/draft/1", func() *serve.Answer { return streamResponse("s", numberedEvents(1, 1), io.EOF) }, 1, 0},
-		"three events": {"/draft/1", func() *serve.Answer { return streamResponse("s", numberedEvents(1, 3), io.EOF) }, 1, 0},
-		"later break":  {"/draft/1", func() *serve.Answer { return streamResponse("s", numberedEvents(1, 2), brokenOff) }, 1, 0},
-		"early break":  {"/draft/1", func() *serve.Answer { return streamResponse("s", numberedEvents(1, 1), brokenOff) }, 0, 1},
-		"other error":  {"/draft/1", func() *serve.Answer { return streamResponse("s", nil, errors.New("x")) }, 0, 0},
-		"plain":        {"/order/1", func() *serve.Answer { return response(200, "ok") }, 1, 0},
-		"failure":      {"/order/1", func() *serve.Answer { return response(500, "no") }, 0, 0},
+		"one event":              {"/draft/1", func() *serve.Answer { return streamResponse("s", numberedEvents(1, 1), io.EOF) }, 1, 0},
+		"three events":           {"/draft/1", func() *serve.Answer { return streamResponse("s", numberedEvents(1, 3), io.EOF) }, 1, 0},
+		"later break":            {"/draft/1", func() *serve.Answer { return streamResponse("s", numberedEvents(1, 2), brokenOff) }, 1, 0},
+		"early break":            {"/draft/1", func() *serve.Answer { return streamResponse("s", numberedEvents(1, 1), brokenOff) }, 0, 1},
+		"unmarked end":           {"/draft/1", func() *serve.Answer { return streamResponse("s", numberedEvents(1, 3), serve.ErrUnmarkedEnd) }, 1, 0},
+		"unmarked end, no event": {"/draft/1", func() *serve.Answer { return streamResponse("s", nil, serve.ErrUnmarkedEnd) }, 0, 1},
+		"marked end, no event":   {"/draft/1", func() *serve.Answer { return streamResponse("s", nil, io.EOF) }, 0, 0},
+		"other error":            {"/draft/1", func() *serve.Answer { return streamResponse("s", nil, errors.New("x")) }, 0, 0},
+		"plain":                  {"/order/1", func() *serve.Answer { return response(200, "ok") }, 1, 0},
+		"failure":                {"/order/1", func() *serve.Answer { return response(500, "no") }, 0, 0},
 	} {
 		g := &fakeGuard{holdAfter: 100}
 		serveGuarded(g, c.path, func(int, serve.Attempt) (*serve.Answer, error) { return c.respond(), nil })
--- a/internal/serve/migration_test.go
+++ b/internal/serve/migration_test.go
@@ -1,6 +1,7 @@
 package serve_test
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"log/slog"
@@ -21,6 +22,7 @@
 type migratingTransport struct {
 	stopErr   error // returned by migrations with Stop; nil for success
 	copyOnErr bool  // a KV copy is returned together with stopErr
+	end       error // with which the stream of a stopped request ends; nil for io.ErrUnexpectedEOF
 
 	mu         sync.Mutex
 	sent       []serve.Attempt
@@ -37,7 +39,7 @@
 	m.sent = append(m.sent, a)
 	if a.Import == nil {
 		answer := streamResponse("first", nil, nil)
-		answer.Events = &stoppableEvents{events{queue: numberedEvents(1, 2)}, ctx, m.stopped}
+		answer.Events = &stoppableEvents{events{queue: numberedEvents(1, 2), err: m.end}, ctx, m.stopped}
 		return answer, nil
 	}
 	return streamResponse("second", numberedEvents(a.After+1, 4), io.EOF), nil
@@ -74,7 +76,7 @@
 	}
 	select {
 	case <-s.stopped:
-		return serve.Event{}, io.ErrUnexpectedEOF
+		return serve.Event{}, cmp.Or(s.err, io.ErrUnexpectedEOF)
 	case <-s.ctx.Done():
 		return serve.Event{}, s.ctx.Err()
 	}
@@ -90,9 +92,10 @@
 		events     string
 		sameEngine bool // the stream is resumed at its own engine
 	}{
-		"migrated": {transport: &migratingTransport{}, events: "abcd"},
-		"no room":  {transport: &migratingTransport{stopErr: refusal(verdict.NotRun), copyOnErr: true}, events: "abcd", sameEngine: true},
-		"failed":   {transport: &migratingTransport{stopErr: refusal(verdict.MayHaveRun)}, events: "ab"},
+		"migrated":       {transport: &migratingTransport{}, events: "abcd"},
+		"no room":        {transport: &migratingTransport{stopErr: refusal(verdict.NotRun), copyOnErr: true}, events: "abcd", sameEngine: true},
+		"end not marked": {transport: &migratingTransport{end: serve.ErrUnmarkedEnd}, events: "abcd"},
+		"failed":         {transport: &migratingTransport{stopErr: refusal(verdict.MayHaveRun)}, events: "ab"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			node, _ := newFakeNode(nil)
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -26,6 +26,7 @@
 	lastReadID     int // ID of the last event read; zero before the first
 	eventsRead     int // by this attempt
 	firstEventAt   time.Time
+	resumed        bool // the stream continues after an event that the caller has
 	ended          bool // the end of the stream was read
 	watchdog       *watchdog
 	migrationState atomic.Pointer[migrationState] // nil before a migration has started
@@ -93,13 +94,24 @@
 	if err == nil || errors.Is(err, io.EOF) {
 		return ev, err
 	}
-	answer := s.resumeMigrated()
-	if answer == nil {
-		return Event{}, err
+	if answer := s.resumeMigrated(); answer != nil {
+		s.answer.Events.Close()
+		s.answer, s.resumed = answer, true
+		ev, err = s.answer.Events.Next()
+	}
+	if errors.Is(err, ErrUnmarkedEnd) {
+		return Event{}, s.unmarkedEnd()
+	}
+	return ev, err
+}
+
+// unmarkedEnd returns the error for a stream that ended with its connection: io.EOF if it is
+// complete. One that had no event, and was not resumed after its last one, broke off.
+func (s *answerStream) unmarkedEnd() error {
+	if s.eventsRead == 0 && !s.resumed {
+		return errors.Mark(errors.Wrap(io.ErrUnexpectedEOF, "stream without an event"), ErrBrokenOff)
 	}
-	s.answer.Events.Close()
-	s.answer = answer
-	return s.answer.Events.Next()
+	return io.EOF
 }
 
 // checkSequence returns an error if ev is not the next event of the stream.
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -127,7 +127,8 @@
 }
 
 // Events reads the events of a stream. Next returns io.EOF after the last event of a
-// complete stream and io.ErrUnexpectedEOF if the stream broke off.
+// complete stream, ErrUnmarkedEnd if only the end of the connection may mark its end, and
+// io.ErrUnexpectedEOF if the stream broke off.
 type Events interface {
 	Next() (Event, error)
 	Close()
