--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -151,6 +151,9 @@
 	Leaving(e site.Endpoint)
 	// BackOff is called when an endpoint turns a request away and wants no calls for d.
 	BackOff(e site.Endpoint, d time.Duration)
+	// Limit is called when an endpoint names the number of requests per second that it takes
+	// from all nodes together.
+	Limit(e site.Endpoint, perSecond float64)
 	// MaySend returns an error with verdict NotRun if nothing may be sent to an endpoint
 	// now. A leaving endpoint still accepts what continues one of its requests, but no new
 	// ones. It is checked right before the first byte is sent.
