Keep the limits that endpoints name, by all nodes together

Cause: Server-Limit was read nowhere, and nothing in the choice of an endpoint knew a bound on requests that holds for all nodes together. Class of fault: a statement of an endpoint that one node receives and all have to heed.

A limit is divided among floor(limit) + 1 nodes that rendezvous hashing of the endpoint chooses; each has a bucket of one request that starts empty, and the others send none. Observations travel with the node states; the latest counts, and a response lifts a limit only if its request was sent after the last one that named it. First attempts, repeats, hedges and moves spend from the bucket when they are placed; calls and requests that continue a run at its own engine are deducted afterwards. If all endpoints are at their limits, callers are refused at once with the time to come back.

--- /dev/null
+++ b/internal/endpointlimit/limits.go
@@ -0,0 +1,232 @@
+// Package endpointlimit divides the limits that endpoints name among the nodes.
+//
+// An endpoint in need names the number of requests per second that it takes from all nodes
+// together. A node knows only its own requests, and asking the others before each one would
+// cost more than the request. Each limit is therefore divided among a few nodes, its senders,
+// so many that one request of each at the same moment is still within the limit of about a
+// second. Rendezvous hashing of the endpoint and the live nodes chooses them, so that all
+// nodes agree without a message, and the senders of different endpoints differ. A sender
+// spends its share from a token bucket that holds one request; all other nodes send none.
+//
+// Limits is a deterministic state machine. Its inputs are the observations of this node and of
+// the others: the limit that a response named, or that a response named none. Of several
+// observations of an endpoint the latest counts. A response names no limit only if its request
+// was sent after the latest response that named one: an older response may arrive late.
+//
+// Invariant: a node that has become a sender, or has just learned of a limit, starts with an
+// empty bucket. What the senders of before and of now send while the nodes disagree on them
+// stays within twice the limit.
+package endpointlimit
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jujubeshed/jujubeshed/internal/rendezvous"
+	"github.com/jujubeshed/jujubeshed/internal/site"
+)
+
+const (
+	// minPerSecond is the smallest rate at which an endpoint is used. Its responses show when
+	// the limit is lifted.
+	minPerSecond = 0.1
+	// bucketSize is the number of requests that a sender can have saved up.
+	bucketSize = 1
+	// otherNodeWait is how long a request waits that only other nodes could send.
+	otherNodeWait = 700 * time.Millisecond
+	// reportedAge is how long a node reports an observation. The senders of an endpoint have
+	// a new one with each request.
+	reportedAge = 30 * time.Second
+	// maxEntries bounds the endpoints with a limit that a node knows of.
+	maxEntries = 1024
+	// fleetObservations is the number of observations that all nodes together report at
+	// once, and the other two limit the number of each node.
+	fleetObservations       = 512
+	maxReportedObservations = 32
+	minReportedObservations = 3
+)
+
+// Observation is what a response stated about the limit of one incarnation of an endpoint.
+type Observation struct {
+	Endpoint site.IncarnationHash
+	// Limited reports whether the response named a limit, and PerSecond which one.
+	Limited   bool
+	PerSecond float64
+	// At is the time of day at which a response with a limit was received, or the request
+	// of a response without one was sent.
+	At time.Time
+}
+
+// Limits are the limits that a node knows of. It is not safe for concurrent use.
+type Limits struct {
+	self    uint64   // hash of this node
+	nodes   []uint64 // hashes of the live nodes, including this one, in order
+	entries map[site.IncarnationHash]*entry
+}
+
+// entry is the limit of an endpoint and this node's share.
+type entry struct {
+	Observation
+	own      bool    // this node has made the observation
+	senders  int     // number of nodes that may send to the endpoint
+	isSender bool    // this node is one of them
+	bucket   float64 // requests that this node may send now; negative after one that could not wait
+	updated  time.Time
+}
+
+// New returns the limits of a node that knows none.
+func New(self string) *Limits {
+	l := &Limits{self: xxhash.Sum64String(self), entries: make(map[site.IncarnationHash]*entry)}
+	l.SetNodes([]string{self})
+	return l
+}
+
+// SetNodes sets the live nodes, including this one.
+func (l *Limits) SetNodes(nodes []string) {
+	hashes := make([]uint64, 0, len(nodes))
+	for _, n := range nodes {
+		hashes = append(hashes, xxhash.Sum64String(n))
+	}
+	slices.Sort(hashes)
+	if slices.Equal(hashes, l.nodes) {
+		return
+	}
+	l.nodes = hashes
+	for _, e := range l.entries {
+		l.rank(e)
+	}
+}
+
+// senderCount returns the number of nodes among which a limit is divided.
+func senderCount(perSecond float64, nodes int) int {
+	return max(int(min(math.Floor(perSecond)+1, float64(nodes))), 1)
+}
+
+// rank computes whether this node is a sender for an endpoint.
+func (l *Limits) rank(e *entry) {
+	e.senders = senderCount(e.PerSecond, len(l.nodes))
+	own, above := rendezvous.Mix(l.self^uint64(e.Endpoint)), 0
+	for _, n := range l.nodes {
+		if rendezvous.Mix(n^uint64(e.Endpoint)) > own {
+			above++
+		}
+	}
+	wasSender := e.isSender
+	e.isSender = above < e.senders
+	if !wasSender {
+		e.bucket = 0
+	}
+}
+
+// Observe records an observation of this node. It reports whether it changes the limit.
+func (l *Limits) Observe(now time.Time, o Observation) bool { return l.record(now, o, true) }
+
+// Merge records the observations of another node.
+func (l *Limits) Merge(now time.Time, list []Observation) {
+	for _, o := range list {
+		l.record(now, o, false)
+	}
+}
+
+// record records an observation and reports whether it changes the limit.
+func (l *Limits) record(now time.Time, o Observation, own bool) bool {
+	o.PerSecond = max(o.PerSecond, minPerSecond)
+	e := l.entries[o.Endpoint]
+	switch {
+	case e == nil && own && !o.Limited:
+		return false // most endpoints never name a limit
+	case e == nil:
+		e = &entry{}
+		l.entries[o.Endpoint] = e
+		l.evict()
+	case o.At.Before(e.At), o.At.Equal(e.At) && !o.Limited:
+		return false
+	case !e.Limited && !o.Limited:
+		return false // the first one is reported, by the node that made it
+	}
+	changed := o.Limited != e.Limited || o.PerSecond != e.PerSecond
+	if !e.Limited {
+		e.isSender, e.updated = false, now // starts with an empty bucket
+	}
+	e.refill(now)
+	e.Observation, e.own = o, own
+	l.rank(e)
+	return changed
+}
+
+// evict removes the oldest entries beyond maxEntries, those without a limit first.
+func (l *Limits) evict() {
+	if len(l.entries) <= maxEntries {
+		return
+	}
+	all := slices.SortedFunc(maps.Values(l.entries), func(a, b *entry) int {
+		if a.Limited != b.Limited {
+			return map[bool]int{false: -1, true: 1}[a.Limited]
+		}
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Endpoint, b.Endpoint))
+	})
+	for _, e := range all[:len(all)-maxEntries] {
+		delete(l.entries, e.Endpoint)
+	}
+}
+
+// refill adds to the bucket what this node may send since the last call.
+func (e *entry) refill(now time.Time) {
+	if e.isSender {
+		e.bucket = min(e.bucket+e.share()*max(now.Sub(e.updated).Seconds(), 0), bucketSize)
+	}
+	e.updated = now
+}
+
+// share is this node's share of the limit in requests per second, if it is a sender.
+func (e *entry) share() float64 { return e.PerSecond / float64(e.senders) }
+
+// Wait returns how long this node must wait before it may send a request to an endpoint; zero
+// if it may send one now.
+func (l *Limits) Wait(now time.Time, endpoint site.IncarnationHash) time.Duration {
+	if len(l.entries) == 0 {
+		return 0
+	}
+	e := l.entries[endpoint]
+	switch {
+	case e == nil || !e.Limited:
+		return 0
+	case !e.isSender:
+		return otherNodeWait
+	}
+	e.refill(now)
+	if e.bucket >= 1 {
+		return 0
+	}
+	return time.Duration((1 - e.bucket) / e.share() * float64(time.Second))
+}
+
+// Spend records that this node sends a request to an endpoint. A request that can't wait, since
+// it continues one, is deducted from the share of the following time.
+func (l *Limits) Spend(now time.Time, endpoint site.IncarnationHash) {
+	if e := l.entries[endpoint]; e != nil && e.Limited {
+		e.refill(now)
+		e.bucket--
+	}
+}
+
+// Report returns the recent observations of this node that are the latest that it knows of, the
+// most recent first. Their number is bounded by the number of nodes.
+func (l *Limits) Report(wallTime time.Time) []Observation {
+	if len(l.entries) == 0 {
+		return nil
+	}
+	var out []Observation
+	for _, e := range l.entries {
+		if e.own && wallTime.Sub(e.At) <= reportedAge {
+			out = append(out, e.Observation)
+		}
+	}
+	slices.SortFunc(out, func(a, b Observation) int { return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Endpoint, b.Endpoint)) })
+	return out[:min(len(out), max(min(fleetObservations/len(l.nodes), maxReportedObservations), minReportedObservations))]
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -176,7 +176,7 @@
 	n.meter = duty.NewMeter(max(settings.Bounds.UsageWindow, time.Second))
 	n.usageTable = duty.NewUsageTable(string(n.self.Node), uint64(n.self.Incarnation), n.meter, n.clock.Now)
 	n.currentConfig = directory.NewCurrentConfig(p.ConfigKey, p.DecodeConfig, log)
-	n.state = newState(placement.Options{DataCentre: settings.DataCentre, DrainTime: settings.Bounds.Drain}, quota.Options{
+	n.state = newState(placement.Options{Node: settings.Node, DataCentre: settings.DataCentre, DrainTime: settings.Bounds.Drain}, quota.Options{
 		Self: n.self, InitialFill: initialFill, Overshoot: settings.Bounds.LimitOvershoot, Slack: settings.Bounds.LimitSlack,
 	}, n.currentConfig, n.meter, n.clock)
 	n.endpoints = directory.NewRegistry(p.DecodeEndpoint, missingRetention(settings.Bounds), doubtTime(settings), n.state.setEndpoints, log)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -16,6 +16,7 @@
 	}
 	own.Spent, own.Loads, own.PrefixLocations = n.state.localReport()
 	own.Quarantine = n.guard.report()
+	own.Limits = n.state.limitReport()
 	own.Windows = n.usageTable.LocalCounts()
 	n.versions.addLocalState(&own)
 	return own
@@ -30,6 +31,7 @@
 		n.endpoints.RecordDepartures(peer.Departures)
 		n.executor.RecordReports(peer.Reports)
 		n.guard.merge(peer.Quarantine)
+		n.state.mergeLimits(peer.Limits)
 		n.state.recordPeerReport(now, peer.Incarnation, peer.AsOf, peer.Spent, peer.PrefixLocations)
 		n.usageTable.MergeNode(string(peer.Incarnation.Node), uint64(peer.Incarnation.Incarnation), peer.AsOf, peer.Windows)
 		if peer.ConfigVersion > n.currentConfig.Version() {
@@ -51,7 +53,7 @@
 			loads[id] = placement.Load{Running: sum.Running + l.Running, PrefillTokens: sum.PrefillTokens + l.PrefillTokens, ContextTokens: sum.ContextTokens + l.ContextTokens}
 		}
 	}
-	n.state.setPeerLoads(loads, len(states)+1)
+	n.state.setPeerLoads(loads, len(states)+1, n.liveNodes())
 }
 
 // liveTimeout is the age of a node state up to which its node counts as live.
--- a/internal/gateway/promptguard.go
+++ b/internal/gateway/promptguard.go
@@ -136,7 +136,7 @@
 // BrokenOff implements serve.PromptGuard. In the background, it checks whether the endpoint's
 // process has ended: faulty endpoints break off responses, too.
 func (g *promptGuard) BrokenOff(e site.Endpoint, p placement.Prompt, sent time.Time) {
-	c := quarantine.Crash{Endpoint: quarantine.IncarnationOf(e), Dispatched: g.wallTime(sent), At: g.clock.Now(), Segments: segmentsOf(p)}
+	c := quarantine.Crash{Endpoint: e.Hash(), Dispatched: g.wallTime(sent), At: g.clock.Now(), Segments: segmentsOf(p)}
 	if len(c.Segments) == 0 {
 		return
 	}
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -2,13 +2,11 @@
 
 import (
 	"log/slog"
-	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/jujubeshed/jujubeshed/internal/directory"
-	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/serve"
 	"github.com/jujubeshed/jujubeshed/internal/site"
 	"github.com/jujubeshed/jujubeshed/internal/verdict"
@@ -26,9 +24,6 @@
 	leaving   prometheus.Counter
 	backoffs  prometheus.Counter
 	limits    prometheus.Counter
-
-	mu    sync.Mutex
-	named map[ident.EndpointID]float64 // limits that endpoints have named
 }
 
 var _ serve.EndpointSignals = (*signals)(nil)
@@ -39,7 +34,6 @@
 		leaving:  prometheus.NewCounter(prometheus.CounterOpts{Name: "endpoint_leaving_stated_total", Help: "Endpoints that stated in a response that they are leaving."}),
 		backoffs: prometheus.NewCounter(prometheus.CounterOpts{Name: "endpoint_backoffs_total", Help: "Responses in which an endpoint asked for no calls for some time."}),
 	}
-	out.named = make(map[ident.EndpointID]float64)
 	out.limits = prometheus.NewCounter(prometheus.CounterOpts{Name: "endpoint_limits_named_total", Help: "Responses in which an endpoint named a limit of requests per second."})
 	reg.MustRegister(out.leaving, out.backoffs, out.limits)
 	return out
@@ -67,18 +61,19 @@
 	s.log.Info("directory: Endpoint wants no calls.", "endpoint", e.ID, "service", e.Service, "for_ms", d.Milliseconds(), "until", time.Now().Add(d).UTC())
 }
 
-// Limit implements serve.EndpointSignals.
-func (s *signals) Limit(e site.Endpoint, perSecond float64) {
-	s.limits.Inc()
-	s.mu.Lock()
-	named, ok := s.named[e.ID]
-	s.named[e.ID] = perSecond
-	s.mu.Unlock()
-	if !ok || named != perSecond {
-		s.log.Info("directory: Endpoint names a limit.", "endpoint", e.ID, "service", e.Service, "per_second", perSecond)
+// Limit implements serve.EndpointSignals. The limit is passed on to the other nodes.
+func (s *signals) Limit(e site.Endpoint, l serve.EndpointLimit) {
+	if l.Named {
+		s.limits.Inc()
+	}
+	if s.state.observeLimit(e, l) {
+		s.log.Info("directory: Endpoint names a limit, or none any more.", "endpoint", e.ID, "service", e.Service, "named", l.Named, "per_second", l.PerSecond)
 	}
 }
 
+// SentUnplaced implements serve.EndpointSignals.
+func (s *signals) SentUnplaced(e site.Endpoint) { s.state.sentUnplaced(e) }
+
 // MaySend implements serve.EndpointSignals.
 func (s *signals) MaySend(e site.Endpoint, newRequest bool) *verdict.Error {
 	return s.state.maySend(e, newRequest)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -8,6 +8,7 @@
 
 	"github.com/jujubeshed/jujubeshed/internal/directory"
 	"github.com/jujubeshed/jujubeshed/internal/duty"
+	"github.com/jujubeshed/jujubeshed/internal/endpointlimit"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/placement"
 	"github.com/jujubeshed/jujubeshed/internal/quota"
@@ -136,6 +137,25 @@
 	s.mu.table.BackOff(time.Now(), e, d)
 }
 
+// observeLimit records what a response states about its endpoint's limit. It reports whether
+// that is new.
+func (s *state) observeLimit(e site.Endpoint, l serve.EndpointLimit) bool {
+	at := s.clock.Now()
+	if !l.Named {
+		at = at.Add(-time.Since(l.Sent))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mu.table.Limits().Observe(time.Now(), endpointlimit.Observation{Endpoint: e.Hash(), Limited: l.Named, PerSecond: l.PerSecond, At: at})
+}
+
+// sentUnplaced counts a call or request towards its endpoint's limit.
+func (s *state) sentUnplaced(e site.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.table.Limits().Spend(time.Now(), e.Hash())
+}
+
 // maySend returns an error if nothing, or no new request, may be sent to an endpoint now.
 func (s *state) maySend(e site.Endpoint, newRequest bool) *verdict.Error {
 	s.mu.Lock()
@@ -180,6 +200,14 @@
 	s.mu.ledger.SetWorkspaces(time.Now(), cfg.Workspaces)
 }
 
+// limitReport returns what this node has observed of the limits of endpoints, as sent to the
+// other nodes.
+func (s *state) limitReport() []endpointlimit.Observation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mu.table.Limits().Report(s.clock.Now())
+}
+
 // localReport returns this node's spending, its load on the endpoints and the endpoints to
 // which it recently sent prefixes, as sent to the other nodes.
 func (s *state) localReport() (quota.Spending, map[ident.EndpointID]placement.Load, []placement.PrefixLocation) {
@@ -231,11 +259,23 @@
 	s.mu.ledger.RecordUrgentSpending(time.Now(), from, asOf, spent)
 }
 
-// setPeerLoads sets the load of all other nodes, and the number of all nodes.
-func (s *state) setPeerLoads(loads map[ident.EndpointID]placement.Load, nodes int) {
+// mergeLimits records what another node has observed of the limits of endpoints.
+func (s *state) mergeLimits(list []endpointlimit.Observation) {
+	if len(list) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.table.Limits().Merge(time.Now(), list)
+}
+
+// setPeerLoads sets the load of all other nodes, the number of all nodes that report theirs,
+// and the live nodes.
+func (s *state) setPeerLoads(loads map[ident.EndpointID]placement.Load, nodes int, live []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.mu.table.SetNodes(nodes)
+	s.mu.table.Limits().SetNodes(live)
 	s.mu.table.SetPeers(loads)
 }
 
--- a/internal/placement/member.go
+++ b/internal/placement/member.go
@@ -13,6 +13,7 @@
 type member struct {
 	site.Endpoint
 	hash            uint64
+	incarnation     site.IncarnationHash
 	engine          *site.Engine // nil for an endpoint that is not an engine
 	missingSince    time.Time    // when it was first no longer listed; zero while listed
 	terminationTime time.Time    // of a leaving or missing endpoint; zero otherwise
@@ -50,7 +51,7 @@
 const reportedLoadMaxAge = 400 * time.Millisecond
 
 func newMember(e site.Endpoint, engine *site.Engine) *member {
-	m := &member{Endpoint: e, hash: xxhash.Sum64String(string(e.ID)), engine: engine, inflight: make(map[ident.AttemptID]*attempt), peerPrefixes: make(map[uint64]time.Time)}
+	m := &member{Endpoint: e, incarnation: e.Hash(), hash: xxhash.Sum64String(string(e.ID)), engine: engine, inflight: make(map[ident.AttemptID]*attempt), peerPrefixes: make(map[uint64]time.Time)}
 	m.cache.segments = make(map[uint64]cachedSegment)
 	if engine != nil {
 		m.cache.maxTokens = engine.CacheTokens
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -89,27 +89,36 @@
 	return best, nil
 }
 
-// noCandidate returns the error where no endpoint may be chosen. If endpoints have asked for
-// no calls for some time, the caller is to return when the first of them accepts calls again.
+// wait returns how long an endpoint wants no calls from this node, for a time that it has asked
+// for or by its limit.
+func (t *Table) wait(now time.Time, m *member) time.Duration {
+	return max(m.health.backoffUntil.Sub(now), t.limits.Wait(now, m.incarnation), 0)
+}
+
+// noCandidate returns the error where no endpoint may be chosen. If endpoints want no calls
+// for some time, the caller is to return when the first of them accepts calls again.
 //
 // Pattern: herd after a shed. All callers that were refused meanwhile would return at that
 // moment, from all nodes, and be shed again. Their return is spread over as long as the
 // endpoint asked for, so that at most the callers of twice that time arrive in it.
 func (t *Table) noCandidate(now time.Time, rng *rand.Rand, s *service, r Request) *verdict.Error {
 	var first *member
+	var shortest time.Duration
 	for _, m := range s.members {
-		if m.health.backingOff(now) && t.fits(m, r) && (first == nil || m.health.backoffUntil.Before(first.health.backoffUntil)) {
-			first = m
+		if wait := t.wait(now, m); wait > 0 && t.fits(m, r) && (first == nil || wait < shortest) {
+			first, shortest = m, wait
 		}
 	}
 	if first == nil {
 		return verdict.New(verdict.NotRun, verdict.CodeUnavailable,
 			"service %q has no usable endpoint among %d", r.Service, len(s.members)).After(noEndpointRetryAfter)
 	}
-	wait := first.health.backoffUntil.Sub(now)
-	spread := max(first.health.backoffTime, minReturnSpread)
+	spread := max(shortest, minReturnSpread)
+	if first.health.backingOff(now) {
+		spread = max(first.health.backoffTime, minReturnSpread)
+	}
 	return verdict.New(verdict.NotRun, verdict.CodeUnavailable,
-		"all usable endpoints of service %q have asked for no calls, the first one for another %s", r.Service, wait).After(wait + time.Duration(rng.Int64N(int64(spread))))
+		"all usable endpoints of service %q want no calls now, the first one for another %s", r.Service, shortest).After(shortest + time.Duration(rng.Int64N(int64(spread))))
 }
 
 // fits reports whether an endpoint may be chosen for a request by what is asked for.
@@ -159,12 +168,13 @@
 }
 
 // candidates returns the endpoints that may be chosen: the first non-empty of the healthy,
-// the ejected or full, and the missing ones. Endpoints that want no calls are left out.
+// the ejected or full, and the missing ones. Endpoints that want no calls at present are left
+// out.
 func (t *Table) candidates(now time.Time, s *service, r Request) []*member {
 	var healthy, unhealthy, missing []*member
 	for _, m := range s.members {
 		switch {
-		case !t.fits(m, r) || m.health.backingOff(now):
+		case !t.fits(m, r) || t.wait(now, m) > 0:
 		case !m.missingSince.IsZero():
 			if !r.Imported {
 				missing = append(missing, m)
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/jujubeshed/jujubeshed/internal/endpointlimit"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/site"
 	"github.com/jujubeshed/jujubeshed/internal/verdict"
@@ -18,6 +19,7 @@
 	byHash       map[uint32]*member
 	sentPrefixes []sentPrefix // recently sent by this node, oldest first
 	nodeCount    int          // nodes that choose among the same endpoints, including this one
+	limits       *endpointlimit.Limits
 }
 
 // service contains the members and statistics of a service.
@@ -32,6 +34,7 @@
 func New(opts Options) *Table {
 	return &Table{
 		opts:     opts.withDefaults(),
+		limits:   endpointlimit.New(string(opts.Node)),
 		members:  make(map[ident.EndpointID]*member),
 		services: make(map[ident.Service]*service),
 		attempts: make(map[ident.AttemptID]*attempt),
@@ -129,8 +132,12 @@
 	m.cache.add(now, p.Segments)
 	t.recordSentPrefix(now, m, p)
 	m.idleConns.take()
+	t.limits.Spend(now, m.incarnation)
 }
 
+// Limits returns the limits that endpoints have named.
+func (t *Table) Limits() *endpointlimit.Limits { return t.limits }
+
 // FirstEvent records that the response to an attempt has started.
 func (t *Table) FirstEvent(now time.Time, id ident.AttemptID) {
 	a := t.attempts[id]
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -114,6 +114,8 @@
 
 // Options are the settings of a Table. Zero fields take their defaults.
 type Options struct {
+	// Node is this node, among which and the others the limits of endpoints are divided.
+	Node       ident.NodeID
 	DataCentre ident.DataCentre
 	// PrefillPerSec is the prefill rate of an engine in tokens per second until it has
 	// been measured. Default: 80000, between the rates of the known engines.
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/site"
 )
 
 // evidence are the crashes that count for a segment.
@@ -90,8 +92,8 @@
 
 // endpointsWith returns the crashed endpoints at which a request with one of certain segments
 // was.
-func (t *Tracker) endpointsWith(includes func(Segment) bool) map[Incarnation]bool {
-	out := make(map[Incarnation]bool)
+func (t *Tracker) endpointsWith(includes func(Segment) bool) map[site.IncarnationHash]bool {
+	out := make(map[site.IncarnationHash]bool)
 	for _, c := range t.crashes {
 		if slices.ContainsFunc(c.Segments, includes) {
 			out[c.Endpoint] = true
@@ -100,12 +102,12 @@
 	return out
 }
 
-func unexplained(crashes []Crash, explained map[Incarnation]bool) []Crash {
+func unexplained(crashes []Crash, explained map[site.IncarnationHash]bool) []Crash {
 	return slices.DeleteFunc(slices.Clone(crashes), func(c Crash) bool { return explained[c.Endpoint] })
 }
 
-func endpointsOf(crashes []Crash) map[Incarnation]bool {
-	out := make(map[Incarnation]bool)
+func endpointsOf(crashes []Crash) map[site.IncarnationHash]bool {
+	out := make(map[site.IncarnationHash]bool)
 	for _, c := range crashes {
 		out[c.Endpoint] = true
 	}
--- a/internal/quarantine/model_test.go
+++ b/internal/quarantine/model_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/attempt/simclock"
+
+	"github.com/jujubeshed/jujubeshed/internal/site"
 )
 
 // model is a deployment in virtual time: nodes that exchange reports by gossip with delays and
@@ -41,7 +43,7 @@
 }
 
 type modelEngine struct {
-	incarnation Incarnation
+	incarnation site.IncarnationHash
 	down        bool
 	requests    map[*modelRequest]bool
 }
@@ -176,7 +178,7 @@
 }
 
 func (m *model) startEngine(e *modelEngine) {
-	e.incarnation, e.down, e.requests = Incarnation(m.newID()), false, make(map[*modelRequest]bool)
+	e.incarnation, e.down, e.requests = site.IncarnationHash(m.newID()), false, make(map[*modelRequest]bool)
 }
 
 // crash ends an engine and all requests there.
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/site"
 )
 
 var testStart = time.Unix(1_800_000_000, 0)
@@ -19,7 +21,7 @@
 }
 
 // crash records the crash of an endpoint, at which a request had been sent 200 ms before.
-func (c *clocked) crash(endpoint Incarnation, segments ...Segment) {
+func (c *clocked) crash(endpoint site.IncarnationHash, segments ...Segment) {
 	c.RecordCrash(c.now, Crash{Endpoint: endpoint, Dispatched: c.now.Add(-200 * time.Millisecond), At: c.now, Segments: segments})
 	c.wait(time.Second)
 }
@@ -65,7 +67,7 @@
 	c := newClocked(t)
 	c.RecordAnswer(c.now, c.now.Add(-time.Minute), []Segment{7})
 	for i := range 4 {
-		c.crash(Incarnation(i), 7)
+		c.crash(site.IncarnationHash(i), 7)
 	}
 	c.checkHeld(false, 7)
 	c.crash(5, 7)
@@ -95,7 +97,7 @@
 	c := newClocked(t)
 	heard := c.now
 	for i := range 3 {
-		c.RecordCrash(c.now, Crash{Endpoint: Incarnation(i), Dispatched: c.now.Add(-time.Millisecond), At: c.now, Segments: []Segment{7}})
+		c.RecordCrash(c.now, Crash{Endpoint: site.IncarnationHash(i), Dispatched: c.now.Add(-time.Millisecond), At: c.now, Segments: []Segment{7}})
 		c.now = c.now.Add(time.Second)
 	}
 	for range 100 {
@@ -134,7 +136,7 @@
 			segments = append(segments, Segment(i%40*1000+j))
 		}
 		at := now.Add(-time.Duration(i) * 10 * time.Millisecond)
-		t.addCrash(now, Crash{Endpoint: Incarnation(i), Dispatched: at.Add(-time.Second), At: at, Segments: segments}, true)
+		t.addCrash(now, Crash{Endpoint: site.IncarnationHash(i), Dispatched: at.Add(-time.Second), At: at, Segments: segments}, true)
 		t.RecordAnswer(now, at.Add(-time.Minute), segments)
 		t.AddHold(now, Hold{Segment(1_000_000 + i), now.Add(HoldTime)})
 	}
--- a/internal/quarantine/types.go
+++ b/internal/quarantine/types.go
@@ -4,8 +4,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/jujubeshed/jujubeshed/internal/site"
 )
 
@@ -15,18 +13,10 @@
 // String returns the segment in hexadecimal, as in logs.
 func (s Segment) String() string { return strconv.FormatUint(uint64(s), 16) }
 
-// Incarnation identifies one incarnation of an endpoint by a hash.
-type Incarnation uint64
-
-// IncarnationOf returns the incarnation of an endpoint.
-func IncarnationOf(e site.Endpoint) Incarnation {
-	return Incarnation(xxhash.Sum64String(string(e.ID) + "/" + e.Address + "/" + strconv.FormatInt(e.Started.UnixMilli(), 10)))
-}
-
 // Crash is the end of an endpoint while a request there had no answer. Its times are times of
 // day.
 type Crash struct {
-	Endpoint Incarnation
+	Endpoint site.IncarnationHash
 	// Dispatched is when the request was sent, and At when its connection broke off.
 	Dispatched, At time.Time
 	// Segments are the segments of the request's prompt that other requests may have, too.
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -144,6 +144,16 @@
 	return left
 }
 
+// EndpointLimit is what a response states about the limit of its endpoint.
+type EndpointLimit struct {
+	// Named reports whether it names a limit: PerSecond requests or calls per second from
+	// all nodes together.
+	Named     bool
+	PerSecond float64
+	// Sent is when the request of the response was sent.
+	Sent time.Time
+}
+
 // EndpointSignals records what endpoints state in their responses, and decides what may still
 // be sent to them.
 type EndpointSignals interface {
@@ -151,9 +161,11 @@
 	Leaving(e site.Endpoint)
 	// BackOff is called when an endpoint turns a request away and wants no calls for d.
 	BackOff(e site.Endpoint, d time.Duration)
-	// Limit is called when an endpoint names the number of requests per second that it takes
-	// from all nodes together.
-	Limit(e site.Endpoint, perSecond float64)
+	// Limit is called with what each response states about the limit of its endpoint.
+	Limit(e site.Endpoint, l EndpointLimit)
+	// SentUnplaced is called before a call or a request is sent to an endpoint without having
+	// been placed there, since it concerns a request at that endpoint.
+	SentUnplaced(e site.Endpoint)
 	// MaySend returns an error with verdict NotRun if nothing may be sent to an endpoint
 	// now. A leaving endpoint still accepts what continues one of its requests, but no new
 	// ones. It is checked right before the first byte is sent.
--- a/internal/sharing/bounds_test.go
+++ b/internal/sharing/bounds_test.go
@@ -8,9 +8,11 @@
 	"google.golang.org/protobuf/proto"
 
 	sharingv1 "github.com/jujubeshed/jujubeshed/api/gen/sharing/v1"
+	"github.com/jujubeshed/jujubeshed/internal/endpointlimit"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/quarantine"
 	"github.com/jujubeshed/jujubeshed/internal/quota"
+	"github.com/jujubeshed/jujubeshed/internal/site"
 )
 
 func incarnationOf(n int) quota.NodeIncarnation {
@@ -50,7 +52,7 @@
 			for j := range 40 {
 				segments = append(segments, quarantine.Segment(uint64(1)<<63+uint64(i)<<10+uint64(j)))
 			}
-			tracker.RecordCrash(now, quarantine.Crash{Endpoint: quarantine.Incarnation(uint64(1)<<63 + uint64(i)), Dispatched: now.Add(-time.Minute), At: now.Add(-time.Second), Segments: segments})
+			tracker.RecordCrash(now, quarantine.Crash{Endpoint: site.IncarnationHash(uint64(1)<<63 + uint64(i)), Dispatched: now.Add(-time.Minute), At: now.Add(-time.Second), Segments: segments})
 			tracker.RecordAnswer(now, now.Add(-time.Minute), segments)
 			tracker.AddHold(now, quarantine.Hold{Segment: quarantine.Segment(uint64(1)<<63 + uint64(i)), Until: now.Add(quarantine.HoldTime)})
 		}
@@ -66,3 +68,30 @@
 func describe(msg *sharingv1.Row) string {
 	return fmt.Sprintf("%d bytes with %d crashes, %d answers, %d holds", proto.Size(msg), len(msg.Crashes), len(msg.Answers), len(msg.Holds))
 }
+
+// TestLimitReportsAreBounded checks that what all nodes report on the limits of endpoints takes a
+// small share of a node's link at 8, 76 and 195 nodes, with 720 endpoints in need, and nothing
+// where no endpoint has named a limit.
+func TestLimitReportsAreBounded(t *testing.T) {
+	now := time.Now()
+	limits := endpointlimit.New("n0")
+	limits.Observe(now, endpointlimit.Observation{Endpoint: 1, At: now})
+	if size := proto.Size(encodeState(&NodeState{Limits: limits.Report(now)})); size > proto.Size(encodeState(&NodeState{})) {
+		t.Errorf("%d bytes without a limit", size)
+	}
+	for _, n := range []int{8, 76, 195} {
+		var nodes []string
+		for i := range n {
+			nodes = append(nodes, fmt.Sprint("n", i))
+		}
+		limits.SetNodes(nodes)
+		for i := range 720 {
+			limits.Observe(now, endpointlimit.Observation{Endpoint: site.IncarnationHash(uint64(1)<<63 + uint64(i)), Limited: true, PerSecond: 2.3, At: now})
+		}
+		msg := &sharingv1.Row{Limits: encodeLimits(limits.Report(now))}
+		bytesPerSecond := float64(n*proto.Size(msg)) / intervalOf(n).Seconds()
+		if len(msg.Limits) == 0 || bytesPerSecond > maxLinkShare*linkBytesPerSecond {
+			t.Errorf("%d nodes: %d limits, %.0f bytes/s, at most %.0f", n, len(msg.Limits), bytesPerSecond, maxLinkShare*linkBytesPerSecond)
+		}
+	}
+}
--- a/internal/sharing/convert.go
+++ b/internal/sharing/convert.go
@@ -52,6 +52,7 @@
 	}
 	msg.Departures = encodeDepartures(s.Departures)
 	encodeQuarantine(msg, s.Quarantine)
+	msg.Limits = encodeLimits(s.Limits)
 	if s.Reports.Next != 0 {
 		msg.Reports = encodeReports(s.Reports)
 	}
@@ -135,6 +136,7 @@
 	}
 	s.Departures = decodeDepartures(msg.Departures)
 	s.Quarantine = decodeQuarantine(msg)
+	s.Limits = decodeLimits(msg.Limits)
 	if msg.Reports != nil {
 		s.Reports = decodeReports(msg.Reports)
 	}
--- a/internal/sharing/convertquarantine.go
+++ b/internal/sharing/convertquarantine.go
@@ -5,6 +5,7 @@
 
 	sharingv1 "github.com/jujubeshed/jujubeshed/api/gen/sharing/v1"
 	"github.com/jujubeshed/jujubeshed/internal/quarantine"
+	"github.com/jujubeshed/jujubeshed/internal/site"
 )
 
 func encodeQuarantine(msg *sharingv1.Row, r quarantine.Report) {
@@ -27,7 +28,7 @@
 	var r quarantine.Report
 	for _, c := range msg.Crashes {
 		at := time.UnixMilli(c.At)
-		crash := quarantine.Crash{Endpoint: quarantine.Incarnation(c.Endpoint), At: at, Dispatched: at.Add(-time.Duration(c.SentBefore) * time.Millisecond)}
+		crash := quarantine.Crash{Endpoint: site.IncarnationHash(c.Endpoint), At: at, Dispatched: at.Add(-time.Duration(c.SentBefore) * time.Millisecond)}
 		for _, s := range c.Segments {
 			crash.Segments = append(crash.Segments, quarantine.Segment(s))
 		}
--- a/internal/sharing/sharing_test.go
+++ b/internal/sharing/sharing_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/jujubeshed/jujubeshed/internal/directory"
 	"github.com/jujubeshed/jujubeshed/internal/duty"
+	"github.com/jujubeshed/jujubeshed/internal/endpointlimit"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/platformapi"
 	"github.com/jujubeshed/jujubeshed/internal/quarantine"
@@ -94,6 +95,7 @@
 		Answers: []quarantine.Answer{{Segment: 5, Began: time.UnixMilli(1000)}},
 		Holds:   []quarantine.Hold{{Segment: 1 << 63, Until: time.UnixMilli(99000)}},
 	},
+	Limits: []endpointlimit.Observation{{Endpoint: 1 << 63, Limited: true, PerSecond: 2.5, At: time.UnixMilli(77)}, {Endpoint: 7, At: time.UnixMilli(78)}},
 }
 
 // TestStateArrives checks that the fields of a node state arrive unchanged, and that a node
@@ -107,7 +109,8 @@
 	}
 	got := f.services[1].Peers(time.Minute)[0]
 	if got.StoreEra != testState.StoreEra || !reflect.DeepEqual(got.Departures, testState.Departures) || !reflect.DeepEqual(got.Reports, testState.Reports) ||
-		!reflect.DeepEqual(got.CompletedVersions, testState.CompletedVersions) || !reflect.DeepEqual(got.Quarantine, testState.Quarantine) {
+		!reflect.DeepEqual(got.CompletedVersions, testState.CompletedVersions) ||
+		!reflect.DeepEqual(got.Quarantine, testState.Quarantine) || !reflect.DeepEqual(got.Limits, testState.Limits) {
 		t.Errorf("state %+v, want %+v", got, testState)
 	}
 	if f.departures[1].Load() == 0 {
--- a/internal/sharing/state.go
+++ b/internal/sharing/state.go
@@ -8,6 +8,7 @@
 
 	"github.com/jujubeshed/jujubeshed/internal/directory"
 	"github.com/jujubeshed/jujubeshed/internal/duty"
+	"github.com/jujubeshed/jujubeshed/internal/endpointlimit"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/placement"
 	"github.com/jujubeshed/jujubeshed/internal/platformapi"
@@ -60,6 +61,8 @@
 	CompletedVersions []rollout.Arm
 	// Quarantine is what the node knows of prompt segments that crash endpoints.
 	Quarantine quarantine.Report
+	// Limits are what the node has observed of the limits of endpoints.
+	Limits []endpointlimit.Observation
 }
 
 // digestKey returns the key of the node's incarnation in a digest.
--- a/internal/site/endpoint.go
+++ b/internal/site/endpoint.go
@@ -1,8 +1,11 @@
 package site
 
 import (
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 )
 
@@ -31,6 +34,14 @@
 	return e.ID == o.ID && e.Address == o.Address && e.Started.Equal(o.Started) && e.Service == o.Service
 }
 
+// IncarnationHash identifies one start of one endpoint between nodes.
+type IncarnationHash uint64
+
+// Hash returns a hash of the endpoint's incarnation.
+func (e Endpoint) Hash() IncarnationHash {
+	return IncarnationHash(xxhash.Sum64String(string(e.ID) + "/" + e.Address + "/" + strconv.FormatInt(e.Started.UnixMilli(), 10)))
+}
+
 // MoveState is the state of a version move.
 type MoveState string
 
