Judge a version by the gaps between its events, too

Callers got streams that began in time and then crawled.

Cause: the only latency in the evidence was the time to the start of a response. Engines of a version that gets few requests begin soon although each step is slow: 155 ms on average against 99 ms, below the factor of two. Streams that callers gave up counted for nothing at all. Ruled out: late evidence (91 requests at the target by the decision), or a decision by one node alone.

The evidence of an arm has the streams, the number of gaps between events and their sum now, also of streams that were cancelled or broke off; a target is bad whose gaps are on average twice those of the other versions. Both comparisons are also made over all routes together, against what the same requests would have taken at the other versions, so that routes with few requests count.

--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -73,13 +73,14 @@
 }
 
 // Record implements serve.Versions.
-func (v *versions) Record(s ident.Service, version ident.Version, o placement.Outcome, route ident.RouteName, took time.Duration) {
-	if o != placement.OutcomeSuccess && o != placement.OutcomeFault {
-		return // no evidence about the version
+func (v *versions) Record(s ident.Service, version ident.Version, o placement.Outcome, route ident.RouteName, p serve.Progress) {
+	r := rollout.Result{
+		Counts: o == placement.OutcomeSuccess || o == placement.OutcomeFault, Fault: o == placement.OutcomeFault,
+		Latency: p.Latency, Events: p.Events, Streaming: p.Streaming,
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.mu.gate.Record(rollout.Arm{Service: s, Version: version, Route: route}, o == placement.OutcomeFault, took)
+	v.mu.gate.Record(rollout.Arm{Service: s, Version: version, Route: route}, r)
 }
 
 // Replace implements directory.Listener.
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 )
@@ -19,10 +20,49 @@
 	// LatencyMillis is the sum of the times to the start of the response, in milliseconds,
 	// over the requests without a fault.
 	LatencyMillis uint64 `json:"Millis"`
+	// Streams is the number of streams with two events or more, Gaps that of the gaps between
+	// their events, and GapMillis the sum of these gaps, in milliseconds. Streams that did not
+	// end are included.
+	Streams   uint64 `json:",omitempty"`
+	Gaps      uint64 `json:",omitempty"`
+	GapMillis uint64 `json:",omitempty"`
 }
 
 func (c Count) plus(o Count) Count {
-	return Count{c.Requests + o.Requests, c.Faults + o.Faults, c.LatencyMillis + o.LatencyMillis}
+	return Count{
+		Requests: c.Requests + o.Requests, Faults: c.Faults + o.Faults, LatencyMillis: c.LatencyMillis + o.LatencyMillis,
+		Streams: c.Streams + o.Streams, Gaps: c.Gaps + o.Gaps, GapMillis: c.GapMillis + o.GapMillis,
+	}
+}
+
+// Result describes how an attempt ended.
+type Result struct {
+	// Counts is set if the end is evidence about the version, and Fault if it was a fault.
+	// An attempt that its caller has cancelled counts only by its events.
+	Counts, Fault bool
+	// Latency is the time to the start of the response; it is ignored for a fault.
+	Latency time.Duration
+	// Events is the number of events of a stream, and Streaming the time from the first to
+	// the last one.
+	Events    int
+	Streaming time.Duration
+}
+
+// count returns the count of one result.
+func (r Result) count() Count {
+	var c Count
+	if r.Counts {
+		c.Requests = 1
+		if r.Fault {
+			c.Faults = 1
+		} else {
+			c.LatencyMillis = uint64(r.Latency.Milliseconds())
+		}
+	}
+	if r.Events >= 2 {
+		c.Streams, c.Gaps, c.GapMillis = 1, uint64(r.Events-1), uint64(r.Streaming.Milliseconds())
+	}
+	return c
 }
 
 // Evidence contains counts by arm.
@@ -49,8 +89,9 @@
 	// minFaultRate is the lowest fault rate assumed for the other versions, so that any
 	// version may have it.
 	minFaultRate = 0.03
-	// slowFactor is the ratio of mean latencies above which a version is bad, and
-	// minLatencySamples the minimum number of responses of each side for this comparison.
+	// slowFactor is the ratio of mean latencies, or of mean gaps between events, above which a
+	// version is bad, and minLatencySamples the minimum number of responses or streams of each
+	// side for this comparison.
 	slowFactor        = 2.0
 	minLatencySamples = 15
 )
@@ -74,10 +115,38 @@
 	return excess > minFaultExcess && excess > minFaultDeviations*math.Sqrt(p*(1-p)/n)
 }
 
+// isSlower reports whether the target's responses begin much later, or the events of its streams
+// come much more slowly. A version whose engines have little load may begin in time and still
+// be several times slower.
 func isSlower(target, base Count) bool {
+	var p pace
+	p.add(target, base)
+	return p.isSlow()
+}
+
+// pace compares the times of a target with those that its requests would have had at the base.
+type pace struct {
+	responses, streams   uint64
+	latency, baseLatency float64 // milliseconds
+	gaps, baseGaps       float64 // milliseconds
+}
+
+// add adds the requests of a route, if the base has enough of them.
+func (p *pace) add(target, base Count) {
 	succeeded, baseSucceeded := target.Requests-target.Faults, base.Requests-base.Faults
-	if succeeded < minLatencySamples || baseSucceeded < minLatencySamples {
-		return false
+	if baseSucceeded >= minLatencySamples {
+		p.responses += succeeded
+		p.latency += float64(target.LatencyMillis)
+		p.baseLatency += float64(succeeded) * float64(base.LatencyMillis) / float64(baseSucceeded)
 	}
-	return float64(target.LatencyMillis)/float64(succeeded) > slowFactor*float64(base.LatencyMillis)/float64(baseSucceeded)
+	if base.Streams >= minLatencySamples && base.Gaps > 0 {
+		p.streams += target.Streams
+		p.gaps += float64(target.GapMillis)
+		p.baseGaps += float64(target.Gaps) * float64(base.GapMillis) / float64(base.Gaps)
+	}
+}
+
+func (p *pace) isSlow() bool {
+	return p.responses >= minLatencySamples && p.latency > slowFactor*p.baseLatency ||
+		p.streams >= minLatencySamples && p.gaps > slowFactor*p.baseGaps
 }
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -118,19 +118,11 @@
 	}
 }
 
-// Record counts the result of a request if its service has a move. Latency is the time to
-// the start of the response; it is ignored for a fault.
-func (g *Gate) Record(a Arm, fault bool, latency time.Duration) {
-	if g.moves[a.Service] == nil {
-		return
+// Record counts the result of an attempt if its service has a move.
+func (g *Gate) Record(a Arm, r Result) {
+	if g.moves[a.Service] != nil {
+		g.local[a] = g.local[a].plus(r.count())
 	}
-	c := Count{Requests: 1}
-	if fault {
-		c.Faults = 1
-	} else {
-		c.LatencyMillis = uint64(latency.Milliseconds())
-	}
-	g.local[a] = g.local[a].plus(c)
 }
 
 // LocalEvidence returns this node's evidence for the services that have a move.
@@ -206,18 +198,20 @@
 }
 
 // findRegression returns the counts of a route on which the target is worse, if any. Else
-// it returns the counts of all routes together, and whether the target has more faults
-// there.
+// it returns the counts of all routes together, and whether the target is worse there: routes
+// with few requests count together.
 func (g *Gate) findRegression(m *move) (target, base Count, found bool) {
 	targets, bases := g.countsByRoute(m)
 	var allTarget, allBase Count
+	var all pace
 	for route, t := range targets {
 		if isWorse(t, bases[route]) {
 			return t, bases[route], true
 		}
 		allTarget, allBase = allTarget.plus(t), allBase.plus(bases[route])
+		all.add(t, bases[route])
 	}
-	return allTarget, allBase, hasMoreFaults(allTarget, allBase)
+	return allTarget, allBase, hasMoreFaults(allTarget, allBase) || all.isSlow()
 }
 
 // countsByRoute returns the counts of a move's target and of the other versions by route,
--- a/internal/rollout/gate_test.go
+++ b/internal/rollout/gate_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"encoding/json"
 	"math/rand/v2"
 	"testing"
@@ -29,10 +30,14 @@
 type behaviour struct {
 	faultRate     float64
 	latencyMillis float64
+	gapMillis     float64       // between events; zero for baseGapMillis
+	cancelled     bool          // callers cancel all requests before their end
 	from          time.Duration // start of this behaviour; before it the version behaves like the base
 	route         ident.RouteName
 }
 
+const baseGapMillis = 10
+
 var baseBehaviour = behaviour{faultRate: 0.02, latencyMillis: 50}
 
 func simulate(seed uint64, target behaviour) *simulation {
@@ -77,7 +82,10 @@
 			t.targetFaults++
 		}
 	}
-	g.Record(Arm{"s", v, route}, fault, time.Duration(b.latencyMillis*(0.5+t.rng.Float64()))*time.Millisecond)
+	g.Record(Arm{"s", v, route}, Result{
+		Counts: !b.cancelled, Fault: fault, Latency: time.Duration(b.latencyMillis*(0.5+t.rng.Float64())) * time.Millisecond,
+		Events: 5, Streaming: time.Duration(4 * cmp.Or(b.gapMillis, baseGapMillis) * (0.5 + t.rng.Float64()) * float64(time.Millisecond)),
+	})
 }
 
 // exchange distributes evidence and bad versions among the nodes; the first node holds
@@ -106,12 +114,14 @@
 // or on one route only, is rolled back in time and gets few requests.
 func TestBadVersions(t *testing.T) {
 	for name, target := range map[string]behaviour{
-		"fails":           {faultRate: 0.5, latencyMillis: 50},
-		"fails a quarter": {faultRate: 0.25, latencyMillis: 50},
-		"slow":            {faultRate: 0.02, latencyMillis: 250},
-		"fails later":     {faultRate: 0.6, latencyMillis: 50, from: 3 * time.Second},
-		"one route":       {faultRate: 0.7, latencyMillis: 50, route: "r2"},
-		"one slow route":  {faultRate: 0.02, latencyMillis: 400, route: "r1"},
+		"fails":                  {faultRate: 0.5, latencyMillis: 50},
+		"fails a quarter":        {faultRate: 0.25, latencyMillis: 50},
+		"slow":                   {faultRate: 0.02, latencyMillis: 250},
+		"fails later":            {faultRate: 0.6, latencyMillis: 50, from: 3 * time.Second},
+		"one route":              {faultRate: 0.7, latencyMillis: 50, route: "r2"},
+		"slow events":            {faultRate: 0.02, latencyMillis: 75, gapMillis: 50},
+		"slow events, cancelled": {latencyMillis: 75, gapMillis: 50, cancelled: true},
+		"one slow route":         {faultRate: 0.02, latencyMillis: 400, route: "r1"},
 	} {
 		for seed := range uint64(30) {
 			r := simulate(seed, target)
--- a/internal/serve/attempts.go
+++ b/internal/serve/attempts.go
@@ -30,7 +30,8 @@
 type attemptEntry struct {
 	id     ident.AttemptID
 	choice placement.Choice
-	sent   time.Time // zero before the attempt is sent
+	sent   time.Time     // zero before the attempt is sent
+	stream *answerStream // nil before its response has begun
 	err    error
 }
 
@@ -88,6 +89,29 @@
 	return time.Time{}
 }
 
+func (l *attemptLog) setStream(id ident.AttemptID, s *answerStream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range l.entries {
+		if l.entries[i].id == id {
+			l.entries[i].stream = s
+		}
+	}
+}
+
+// stream returns the response of an attempt, or nil. It is read by the goroutine of the attempt
+// alone.
+func (l *attemptLog) stream(id ident.AttemptID) *answerStream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.entries {
+		if e.id == id {
+			return e.stream
+		}
+	}
+	return nil
+}
+
 func (l *attemptLog) setError(id ident.AttemptID, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -147,7 +171,11 @@
 	if latency == 0 {
 		latency = r.Duration
 	}
-	c.h.versions.Record(c.service, r.Choice.Version, o, c.route.Name, latency)
+	p := Progress{Latency: latency}
+	if s := c.attempts.stream(r.Attempt); s != nil {
+		p.Events, p.Streaming = s.eventsRead, s.lastEventAt.Sub(s.firstEventAt)
+	}
+	c.h.versions.Record(c.service, r.Choice.Version, o, c.route.Name, p)
 	c.h.metrics.recordAttempt(c.service, o)
 }
 
@@ -194,6 +222,7 @@
 		c.h.placement.SetReportedLoad(a.Endpoint.ID, answer.Load)
 	}
 	s := &answerStream{call: c, ctx: ctx, attempt: id, endpoint: choice.Endpoint, answer: answer, resumed: a.After > 0, nextOffset: in.Dispatch.ResumeOffset, watchdog: watchdog}
+	c.attempts.setStream(id, s)
 	if answer.Events == nil {
 		c.countStarted()
 	} else {
--- a/internal/serve/guard_test.go
+++ b/internal/serve/guard_test.go
@@ -117,3 +117,28 @@
 		}
 	}
 }
+
+// pausingEvents returns its events after a pause each.
+type pausingEvents struct{ events }
+
+const eventPause = 20 * time.Millisecond
+
+func (e *pausingEvents) Next() (serve.Event, error) {
+	time.Sleep(eventPause)
+	return e.events.Next()
+}
+
+// TestPaceOfEventsIsRecorded checks that the evidence on a version has the number of a stream's
+// events and the time from the first to the last, also if the stream broke off.
+func TestPaceOfEventsIsRecorded(t *testing.T) {
+	for name, end := range map[string]error{"complete": io.EOF, "broken off": io.ErrUnexpectedEOF} {
+		node, _ := serveGuarded(&fakeGuard{holdAfter: 100}, "/draft/1", func(int, serve.Attempt) (*serve.Answer, error) {
+			answer := streamResponse("s", nil, nil)
+			answer.Events = &pausingEvents{events{queue: numberedEvents(1, 4), err: end}}
+			return answer, nil
+		})
+		if len(node.progress) != 1 || node.progress[0].Events != 4 || node.progress[0].Streaming < 3*eventPause {
+			t.Errorf("%s: recorded %+v", name, node.progress)
+		}
+	}
+}
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -75,8 +75,19 @@
 	// ChooseVersion returns the version to which a request must go, or the version to
 	// avoid; both are empty if any version will do.
 	ChooseVersion(s ident.Service) (only, avoid ident.Version)
-	// Record counts the outcome and latency of an attempt at an endpoint of version v.
-	Record(s ident.Service, v ident.Version, o placement.Outcome, route ident.RouteName, latency time.Duration)
+	// Record counts the outcome and the progress of an attempt at an endpoint of version v.
+	Record(s ident.Service, v ident.Version, o placement.Outcome, route ident.RouteName, p Progress)
+}
+
+// Progress describes how fast an endpoint answered an attempt.
+type Progress struct {
+	// Latency is the time to the start of the response, or to the end of an attempt without
+	// one.
+	Latency time.Duration
+	// Events is the number of events of a stream that were read, and Streaming the time from
+	// the first to the last of them.
+	Events    int
+	Streaming time.Duration
 }
 
 // PromptGuard holds back requests with prompt segments that crash endpoints.
--- a/internal/serve/handler_test.go
+++ b/internal/serve/handler_test.go
@@ -52,6 +52,7 @@
 	started      int // requests counted as started
 	send         func(n int, a serve.Attempt) (*serve.Answer, error)
 	sent         []serve.Attempt
+	progress     []serve.Progress // passed to Record
 }
 
 func newFakeNode(send func(n int, a serve.Attempt) (*serve.Answer, error)) (*fakeNode, *serve.Handler) {
@@ -116,7 +117,10 @@
 	return nil, errors.New("unexpected migration")
 }
 func (node *fakeNode) ChooseVersion(ident.Service) (_, _ ident.Version) { return "", "" }
-func (node *fakeNode) Record(ident.Service, ident.Version, placement.Outcome, ident.RouteName, time.Duration) {
+func (node *fakeNode) Record(_ ident.Service, _ ident.Version, _ placement.Outcome, _ ident.RouteName, p serve.Progress) {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	node.progress = append(node.progress, p)
 }
 
 func (node *fakeNode) Finished(id ident.AttemptID, o placement.Outcome) {
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -26,6 +26,7 @@
 	lastReadID     int // ID of the last event read; zero before the first
 	eventsRead     int // by this attempt
 	firstEventAt   time.Time
+	lastEventAt    time.Time
 	resumed        bool // the stream continues after an event that the caller has
 	ended          bool // the end of the stream was read
 	watchdog       *watchdog
@@ -79,9 +80,10 @@
 // countEvent counts an event, and records an answer when there are enough of them.
 func (s *answerStream) countEvent() {
 	s.eventsRead++
+	s.lastEventAt = time.Now()
 	switch s.eventsRead {
 	case 1:
-		s.firstEventAt = time.Now()
+		s.firstEventAt = s.lastEventAt
 	case minAnswerEvents:
 		s.call.h.guard.Answered(s.call.req.Prompt, s.firstEventAt)
 	}
--- a/internal/sharing/convert.go
+++ b/internal/sharing/convert.go
@@ -94,13 +94,13 @@
 func encodeArm(a rollout.Arm, c rollout.Count) *sharingv1.Arm {
 	return &sharingv1.Arm{
 		Service: string(a.Service), Version: string(a.Version), Route: string(a.Route),
-		Requests: c.Requests, Faults: c.Faults, Millis: c.LatencyMillis,
+		Requests: c.Requests, Faults: c.Faults, Millis: c.LatencyMillis, Streams: c.Streams, Gaps: c.Gaps, GapMillis: c.GapMillis,
 	}
 }
 
 func decodeArm(msg *sharingv1.Arm) (rollout.Arm, rollout.Count) {
 	a := rollout.Arm{Service: ident.Service(msg.Service), Version: ident.Version(msg.Version), Route: ident.RouteName(msg.Route)}
-	return a, rollout.Count{Requests: msg.Requests, Faults: msg.Faults, LatencyMillis: msg.Millis}
+	return a, rollout.Count{Requests: msg.Requests, Faults: msg.Faults, LatencyMillis: msg.Millis, Streams: msg.Streams, Gaps: msg.Gaps, GapMillis: msg.GapMillis}
 }
 
 func decodeStates(states []*sharingv1.Row) []NodeState {
--- a/internal/sharing/sharing_test.go
+++ b/internal/sharing/sharing_test.go
@@ -90,6 +90,7 @@
 	Departures:        []directory.Departure{{Endpoint: "e", Started: time.UnixMilli(123), Leaving: true, Era: 2}},
 	Reports:           duty.ReportLog{Next: 9, Era: 3, Pending: []duty.UsageReport{{Window: 8, Counts: duty.Counts{"w": 4}}}},
 	CompletedVersions: []rollout.Arm{{Service: "s", Version: "v2"}},
+	Evidence:          rollout.Evidence{{Service: "s", Version: "v2", Route: "r"}: {Requests: 1, Faults: 2, LatencyMillis: 3, Streams: 4, Gaps: 5, GapMillis: 6}},
 	Quarantine: quarantine.Report{
 		Crashes: []quarantine.Crash{{Endpoint: 1 << 63, Dispatched: time.UnixMilli(1200), At: time.UnixMilli(1234), Segments: []quarantine.Segment{5, 1 << 63}}},
 		Answers: []quarantine.Answer{{Segment: 5, Began: time.UnixMilli(1000)}},
@@ -110,7 +111,7 @@
 	got := f.services[1].Peers(time.Minute)[0]
 	if got.StoreEra != testState.StoreEra || !reflect.DeepEqual(got.Departures, testState.Departures) || !reflect.DeepEqual(got.Reports, testState.Reports) ||
 		!reflect.DeepEqual(got.CompletedVersions, testState.CompletedVersions) ||
-		!reflect.DeepEqual(got.Quarantine, testState.Quarantine) || !reflect.DeepEqual(got.Limits, testState.Limits) {
+		!reflect.DeepEqual(got.Quarantine, testState.Quarantine) || !reflect.DeepEqual(got.Limits, testState.Limits) || !reflect.DeepEqual(got.Evidence, testState.Evidence) {
 		t.Errorf("state %+v, want %+v", got, testState)
 	}
 	if f.departures[1].Load() == 0 {
