--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -140,6 +140,9 @@
 // observeLimit records what a response states about its endpoint's limit. It reports whether
 // that is new.
 func (s *state) observeLimit(e site.Endpoint, l serve.EndpointLimit) bool {
+	if !l.Named && !s.knowsLimits() {
+		return false
+	}
 	at := s.clock.Now()
 	if !l.Named {
 		at = at.Add(-time.Since(l.Sent))
