--- a/internal/endpointlimit/model_test.go
+++ b/internal/endpointlimit/model_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/attempt/simclock"
+	"github.com/jujubeshed/jujubeshed/internal/attempt/simclock/simgossip"
 	"github.com/jujubeshed/jujubeshed/internal/site"
 )
 
@@ -13,26 +14,19 @@
 // and losses, and whose endpoints all name limits while they are in need.
 type model struct {
 	*simclock.Clock
+	network   *simgossip.Network[[]Observation]
 	contact   time.Duration
 	nodes     []*modelNode
 	endpoints []*modelEndpoint
 }
 
 type modelNode struct {
-	name    string
-	limits  *Limits
-	skew    time.Duration // of its time of day
-	reports []modelReport // by node
-	told    map[*modelEndpoint]time.Time
+	name   string
+	limits *Limits
+	skew   time.Duration // of its time of day
+	told   map[*modelEndpoint]time.Time
 	// excusedUntil is when the node counts again after a restart or a cut.
 	excusedUntil time.Time
-	cutUntil     time.Time // from all other nodes
-}
-
-type modelReport struct {
-	beat         uint64
-	observations []Observation
-	at           time.Time // of its receipt; set by the receiver
 }
 
 type modelEndpoint struct {
@@ -44,89 +38,43 @@
 }
 
 const (
-	modelLossPercent = 5
-	modelLiveTime    = 3 * time.Second // of a node without a new report
-	countedWindow    = 4 * time.Second
+	modelLiveTime = 3 * time.Second // of a node without a new report
+	countedWindow = 4 * time.Second
 )
 
 func newModel(seed uint64, nodes, endpoints int, contact time.Duration) *model {
 	m := &model{Clock: simclock.New(seed), contact: contact}
 	for i := range nodes {
-		n := &modelNode{name: fmt.Sprint("n", i), skew: m.Within(60*time.Millisecond) - 30*time.Millisecond, reports: make([]modelReport, nodes)}
+		n := &modelNode{name: fmt.Sprint("n", i), skew: m.Within(60*time.Millisecond) - 30*time.Millisecond}
 		n.limits, n.told = New(n.name), make(map[*modelEndpoint]time.Time)
 		m.nodes = append(m.nodes, n)
 	}
 	for i := range endpoints {
 		m.endpoints = append(m.endpoints, &modelEndpoint{hash: site.Endpoint{ID: "e", Address: fmt.Sprint(i)}.Hash()})
 	}
-	for i := range nodes {
-		m.After(m.Within(m.interval()), func() { m.gossip(i) })
-	}
+	m.network = simgossip.New(m.Clock, nodes,
+		func(i int) []Observation { return m.nodes[i].limits.Report(m.Now.Add(m.nodes[i].skew)) },
+		func(to int, list []Observation) { m.nodes[to].limits.Merge(m.Now, list) })
 	m.After(0, m.tick)
 	return m
 }
 
-// interval is that of package sharing.
-func (m *model) interval() time.Duration {
-	const shortest, longest, nodes = 200 * time.Millisecond, 800 * time.Millisecond, 40
-	return min(max(shortest, shortest*time.Duration(len(m.nodes))/nodes), longest)
-}
-
 // tick sets the live nodes of each node.
 func (m *model) tick() {
-	for _, n := range m.nodes {
+	for i, n := range m.nodes {
 		live := []string{n.name}
-		for i, r := range n.reports {
-			if m.nodes[i] != n && r.beat > 0 && m.Now.Sub(r.at) < modelLiveTime {
-				live = append(live, m.nodes[i].name)
-			}
+		for _, peer := range m.network.HeardOf(i, modelLiveTime) {
+			live = append(live, m.nodes[peer].name)
 		}
 		n.limits.SetNodes(live)
 	}
 	m.After(100*time.Millisecond, m.tick)
 }
 
-// gossip is a round of one node: it exchanges states with two others.
-func (m *model) gossip(i int) {
-	n := m.nodes[i]
-	own := modelReport{beat: n.reports[i].beat + 1, observations: n.limits.Report(m.Now.Add(n.skew))}
-	n.reports[i] = own
-	for range 2 {
-		j := m.IntN(len(m.nodes))
-		peer := m.nodes[j]
-		if i == j || m.cut(n) || m.cut(peer) || m.Chance(modelLossPercent) {
-			continue
-		}
-		m.After(m.Within(50*time.Millisecond), func() {
-			m.receive(j, i, own)
-			answers := append([]modelReport(nil), peer.reports...)
-			m.After(m.Within(50*time.Millisecond), func() {
-				for k, r := range answers {
-					m.receive(i, k, r)
-				}
-			})
-		})
-	}
-	m.After(m.interval(), func() { m.gossip(i) })
-}
-
-func (m *model) cut(n *modelNode) bool { return m.Now.Before(n.cutUntil) }
-
-func (m *model) receive(node, from int, r modelReport) {
-	n := m.nodes[node]
-	if node == from || r.beat <= n.reports[from].beat {
-		return
-	}
-	r.at = m.Now
-	n.reports[from] = r
-	n.limits.Merge(m.Now, r.observations)
-}
-
 func (m *model) restart(i int) {
 	n := m.nodes[i]
-	beat := n.reports[i].beat
-	n.limits, n.told, n.reports = New(n.name), make(map[*modelEndpoint]time.Time), make([]modelReport, len(m.nodes))
-	n.reports[i].beat = beat
+	n.limits, n.told = New(n.name), make(map[*modelEndpoint]time.Time)
+	m.network.Restart(i)
 	n.excusedUntil = m.Now.Add(m.contact)
 }
 
@@ -220,9 +168,9 @@
 				if trouble {
 					m.each(0.2, func() { m.restart(m.IntN(size.nodes)) })
 					m.each(0.2, func() {
-						n := m.nodes[m.IntN(size.nodes)]
-						n.cutUntil = m.Now.Add(m.Within(6 * time.Second))
-						n.excusedUntil = n.cutUntil.Add(m.contact)
+						i, d := m.IntN(size.nodes), m.Within(6*time.Second)
+						m.network.Cut(i, d)
+						m.nodes[i].excusedUntil = m.Now.Add(d + m.contact)
 					})
 				}
 				m.After(4*time.Second, func() {
--- a/internal/quarantine/model_test.go
+++ b/internal/quarantine/model_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/attempt/simclock"
+	"github.com/jujubeshed/jujubeshed/internal/attempt/simclock/simgossip"
 
 	"github.com/jujubeshed/jujubeshed/internal/site"
 )
@@ -14,6 +15,7 @@
 // losses, and a service of engines. It implements the decision of each node with a Tracker.
 type model struct {
 	*simclock.Clock
+	network *simgossip.Network[Report]
 	contact time.Duration
 	nodes   []*modelNode
 	engines []*modelEngine
@@ -30,16 +32,8 @@
 type modelNode struct {
 	tracker *Tracker
 	skew    time.Duration // of its time of day
-	reports []modelReport // by node
 	// troubledUntil is when the node counts as in touch again after a restart or a cut.
 	troubledUntil time.Time
-	cutUntil      time.Time // from all other nodes, not from the store
-}
-
-type modelReport struct {
-	beat   uint64
-	report Report
-	at     time.Time // of its receipt; set by the receiver
 }
 
 type modelEngine struct {
@@ -55,24 +49,22 @@
 	answered   bool
 }
 
-const (
-	modelLossPercent = 5
-	modelStoreDelay  = 2 * time.Second // of a watch on the store
-)
+// modelStoreDelay is that of a watch on the store.
+const modelStoreDelay = 2 * time.Second
 
 func newModel(seed uint64, nodes, engines int, contact time.Duration) *model {
 	m := &model{Clock: simclock.New(seed), contact: contact, lastID: 1 << 32}
 	for range nodes {
-		m.nodes = append(m.nodes, &modelNode{tracker: New(m.Now), skew: m.Within(60*time.Millisecond) - 30*time.Millisecond, reports: make([]modelReport, nodes)})
+		m.nodes = append(m.nodes, &modelNode{tracker: New(m.Now), skew: m.Within(60*time.Millisecond) - 30*time.Millisecond})
 	}
 	for range engines {
 		e := &modelEngine{}
 		m.engines = append(m.engines, e)
 		m.startEngine(e)
 	}
-	for i := range nodes {
-		m.After(m.Within(m.interval()), func() { m.gossip(i) })
-	}
+	m.network = simgossip.New(m.Clock, nodes,
+		func(i int) Report { return m.nodes[i].tracker.Report(m.now(m.nodes[i]), nodes) },
+		func(to int, r Report) { m.nodes[to].tracker.Merge(m.now(m.nodes[to]), r) })
 	m.After(0, m.tick)
 	return m
 }
@@ -85,16 +77,10 @@
 // now returns a node's time of day.
 func (m *model) now(n *modelNode) time.Time { return m.Now.Add(n.skew) }
 
-// interval is that of package sharing.
-func (m *model) interval() time.Duration {
-	const shortest, longest, nodes = 200 * time.Millisecond, 800 * time.Millisecond, 40
-	return min(max(shortest, shortest*time.Duration(len(m.nodes))/nodes), longest)
-}
-
 // tick runs what nodes do periodically: they apply the store's holds and write their own.
 func (m *model) tick() {
-	for _, n := range m.nodes {
-		n.tracker.Tick(m.now(n), m.heardSince(n).Add(n.skew))
+	for i, n := range m.nodes {
+		n.tracker.Tick(m.now(n), m.network.HeardSince(i).Add(n.skew))
 		for _, h := range n.tracker.Holds() {
 			m.store(h)
 		}
@@ -102,19 +88,6 @@
 	m.After(100*time.Millisecond, m.tick)
 }
 
-// heardSince returns the time since which a node has received a report of all others that it
-// knows.
-func (m *model) heardSince(n *modelNode) time.Time {
-	const retention = 20 * time.Second // of the state of a silent node
-	since := m.Now
-	for i, r := range n.reports {
-		if m.nodes[i] != n && r.beat > 0 && m.Now.Sub(r.at) < retention && r.at.Before(since) {
-			since = r.at
-		}
-	}
-	return since
-}
-
 func (m *model) store(h Hold) {
 	for _, s := range m.stored {
 		if s.Segment == h.Segment {
@@ -129,48 +102,11 @@
 	})
 }
 
-// gossip is a round of one node: it exchanges states with two others.
-func (m *model) gossip(i int) {
-	n := m.nodes[i]
-	own := modelReport{beat: n.reports[i].beat + 1, report: n.tracker.Report(m.now(n), len(m.nodes))}
-	n.reports[i] = own
-	for range 2 {
-		j := m.IntN(len(m.nodes))
-		peer := m.nodes[j]
-		if i == j || m.cut(n) || m.cut(peer) || m.Chance(modelLossPercent) {
-			continue
-		}
-		m.After(m.Within(50*time.Millisecond), func() {
-			m.receive(j, i, own)
-			answers := append([]modelReport(nil), peer.reports...)
-			m.After(m.Within(50*time.Millisecond), func() {
-				for k, r := range answers {
-					m.receive(i, k, r)
-				}
-			})
-		})
-	}
-	m.After(m.interval(), func() { m.gossip(i) })
-}
-
-func (m *model) cut(n *modelNode) bool { return m.Now.Before(n.cutUntil) }
-
-func (m *model) receive(node, from int, r modelReport) {
-	n := m.nodes[node]
-	if node == from || r.beat <= n.reports[from].beat {
-		return
-	}
-	r.at = m.Now
-	n.reports[from] = r
-	n.tracker.Merge(m.now(n), r.report)
-}
-
 // restart replaces a node by one that knows only what the store has.
 func (m *model) restart(i int) {
 	n := m.nodes[i]
-	beat := n.reports[i].beat
-	n.tracker, n.reports = New(m.now(n)), make([]modelReport, len(m.nodes))
-	n.reports[i].beat = beat
+	n.tracker = New(m.now(n))
+	m.network.Restart(i)
 	n.troubledUntil = m.Now.Add(m.contact)
 	for _, h := range m.stored {
 		n.tracker.AddHold(m.now(n), h)
@@ -289,10 +225,7 @@
 				rate := 0.4 + float64(m.IntN(60))/10 // fatal requests a second
 				m.each(60+float64(m.IntN(300)), func() { m.sendSound(wait) })
 				m.each(0.15, func() { m.restart(m.IntN(size.nodes)) })
-				m.each(0.15, func() {
-					n := m.nodes[m.IntN(size.nodes)]
-					n.cutUntil = m.Now.Add(m.Within(6 * time.Second))
-				})
+				m.each(0.15, func() { m.network.Cut(m.IntN(size.nodes), m.Within(6*time.Second)) })
 				m.each(0.1, func() { m.crash(m.engines[m.IntN(size.engines)]) })
 				const fatal, otherFatal = 777, 778
 				m.After(5*time.Second, func() {
