End a hold of a prompt segment by itself; one crash holds it again

Found by reading. A hold was prolonged while requests with its segment came: a wrong decision on a segment in use would have refused its callers for ever, with nothing sent that could show the error.

A hold lasts ten minutes now, whatever comes. Crashes before the end of the hold don't count.

--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -17,7 +17,7 @@
 // Nodes exchange their crashes, and for the segments of these crashes when they last saw an
 // answer. Each node decides by itself and reverses the decision when an answer becomes known.
 // After a settling time, in which the answers of other nodes arrive, the segment is held for
-// HoldTime, and that decision is spread and stored.
+// HoldTime, and that decision is spread and stored. After a hold, one more crash is enough.
 //
 // Invariants:
 //   - A segment with an answer later than its crashes is not suspected.
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -21,7 +21,8 @@
 	heldAt := t.endpointsWith(func(s Segment) bool { _, ok := t.holds[s]; return ok })
 	suspects := make(map[Segment]int) // number of crashed endpoints
 	for s, e := range bySegment {
-		if crashes := unexplained(e.crashes, heldAt); !e.known && isSuspect(crashes, newSegmentCrashes, manyCrashes) {
+		_, relapsed := t.ended[s]
+		if crashes := unexplained(e.crashes, heldAt); relapsed && len(crashes) > 0 || !e.known && isSuspect(crashes, newSegmentCrashes, manyCrashes) {
 			suspects[s] = len(endpointsOf(crashes))
 		}
 	}
@@ -65,7 +66,8 @@
 	}
 }
 
-// evidence returns the crashes since the last answer of all segments with two or more crashes.
+// evidence returns the crashes since the last answer, and since the end of the last hold, of
+// all segments with two or more crashes, or with an earlier hold.
 func (t *Tracker) evidence(now time.Time) map[Segment]evidence {
 	count := make(map[Segment]int)
 	for _, c := range t.crashes {
@@ -76,10 +78,11 @@
 	out := make(map[Segment]evidence)
 	for _, c := range t.crashes {
 		for _, s := range c.Segments {
-			if count[s] < 2 {
+			ended, relapsed := t.ended[s]
+			if count[s] < 2 && !relapsed {
 				continue
 			}
-			if last := t.lastAnswer(now, s); c.At.After(last) {
+			if last := t.lastAnswer(now, s); c.At.After(last) && c.At.After(ended) {
 				e := out[s]
 				e.known = !last.IsZero() || now.Sub(t.startedAt) < learningTime
 				e.crashes = append(e.crashes, c.Crash)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -23,10 +23,12 @@
 	// learningTime is the time after its start in which a node counts all segments as
 	// answered before: it doesn't know yet which ones were.
 	learningTime = 5 * time.Second
-	// HoldTime is how long a segment is held after the last request with it.
+	// HoldTime is how long a segment is held. It is not prolonged by requests with it, so that
+	// a wrong decision ends by itself.
 	HoldTime = 10 * time.Minute
-	// renewalTime is how long before its end a hold is renewed if requests still come.
-	renewalTime = 5 * time.Minute
+	// relapseTime is how long after the end of a hold a single crash is enough to suspect the
+	// segment again.
+	relapseTime = time.Hour
 	// crashRetention is how long a crash counts, and answerRetention how long an answer.
 	crashRetention  = 10 * time.Minute
 	answerRetention = 10 * time.Minute
@@ -45,6 +47,7 @@
 	peerAnswers map[Segment]time.Time // latest answer reported by other nodes
 	suspected   map[Segment]time.Time // since when
 	holds       map[Segment]time.Time // until when
+	ended       map[Segment]time.Time // when the last hold ended
 	events      []Event
 	changed     bool // there are new facts since the last evaluation
 	startedAt   time.Time
@@ -61,7 +64,7 @@
 func New(now time.Time) *Tracker {
 	return &Tracker{
 		startedAt: now, answers: make(map[Segment]time.Time), peerAnswers: make(map[Segment]time.Time),
-		suspected: make(map[Segment]time.Time), holds: make(map[Segment]time.Time),
+		suspected: make(map[Segment]time.Time), holds: make(map[Segment]time.Time), ended: make(map[Segment]time.Time),
 	}
 }
 
@@ -80,14 +83,9 @@
 		if _, ok := t.suspected[s]; ok {
 			return s, true
 		}
-		until, ok := t.holds[s]
-		if !ok || !now.Before(until) {
-			continue
-		}
-		if until.Sub(now) < renewalTime {
-			t.holds[s] = now.Add(HoldTime)
+		if now.Before(t.holds[s]) {
+			return s, true
 		}
-		return s, true
 	}
 	return 0, false
 }
@@ -193,7 +191,16 @@
 // that all of them have seen, so that a node that is cut off doesn't decide for the others.
 func (t *Tracker) Tick(now, heardSince time.Time) {
 	t.heardSince = heardSince
-	maps.DeleteFunc(t.holds, func(_ Segment, until time.Time) bool { return !now.Before(until) })
+	for s, until := range t.holds {
+		if !now.Before(until) {
+			delete(t.holds, s)
+			t.ended[s] = until
+		}
+	}
+	maps.DeleteFunc(t.ended, func(_ Segment, at time.Time) bool { return now.Sub(at) > relapseTime })
+	if len(t.ended) > maxHolds {
+		expireHalf(t.ended)
+	}
 	if t.changed {
 		t.evaluate(now)
 	}
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -114,17 +114,22 @@
 	}
 }
 
-// TestHoldLasts checks that a hold lasts while requests with the segment come, and ends
-// HoldTime after the last one.
-func TestHoldLasts(t *testing.T) {
+// TestHoldEnds checks that a hold ends by itself although requests with the segment come, and
+// that the next crash holds the segment again, unless a request with it was answered.
+func TestHoldEnds(t *testing.T) {
 	c := newClocked(t)
 	c.AddHold(c.now, Hold{7, c.now.Add(100 * HoldTime)}) // of a node whose clock is wrong
-	for range 20 {
-		c.wait(HoldTime / 4)
-		c.checkHeld(true, 7)
-	}
-	c.wait(HoldTime + time.Second)
-	c.checkHeld(false, 7)
+	c.AddHold(c.now, Hold{8, c.now.Add(HoldTime)})
+	c.wait(HoldTime - 2*time.Second)
+	c.crash(9, 7) // of a request that was sent before the hold
+	c.checkHeld(true, 7)
+	c.wait(2 * time.Second)
+	c.checkHeld(false, 7, 8)
+	c.crash(1, 7)
+	c.checkHeld(true, 7)
+	c.crash(2, 8)
+	c.RecordAnswer(c.now, c.now, []Segment{8})
+	c.checkHeld(false, 8)
 }
 
 // fill returns a tracker with as many facts as it stores, all of them recent.
