--- a/review/testdata/rig/rig.go
+++ b/review/testdata/rig/rig.go
@@ -117,7 +117,7 @@
 		base := fmt.Sprintf("127.%d.%d.", 130+rand.IntN(100), rand.IntN(250))
 		free := true
 		for _, port := range []string{"7601", "8221", "8224", "8225", "8229", "8308"} {
-			for _, host := range []string{"1", "2", "3", "100"} {
+			for _, host := range []string{"1", "2", "3", "4", "5", "6", "7", "8", "100", "101", "102", "103", "104"} {
 				l, err := net.Listen("tcp", base+host+":"+port)
 				if err != nil {
 					free = false
