review: idle channels of callers take all descriptors of a node

idle_timeout_ms of the configuration and limits.max_fds of the settings are read nowhere: idle channels of callers stay open for five minutes. With a burst of 1.7 a node has no descriptor left after 82 s and takes no new channel, while it says that it is ready: RECOVER is broken.

--- a/review/testdata/rig/rig.go
+++ b/review/testdata/rig/rig.go
@@ -27,6 +27,9 @@
 // maxRunTime ends a case that takes too long.
 const maxRunTime = 110 * time.Second
 
+// maxFiles is limits.max_fds of the settings.
+const maxFiles = 4100
+
 // testCase is one case. It returns the violations of the rule.
 type testCase func(d *deployment, trouble bool) (violations []string, err error)
 
@@ -197,7 +200,7 @@
 		"node_id=" + n.name, "role=entry", "class=front", "serves=front,control", "ip=" + n.ip, "zone=a", "region=r", "zones.a=r",
 		"listen.front=" + n.front(), "listen.ready=" + n.ip + ":8224", "listen.control=" + n.ip + ":8229", "internal_ports=7600,7615",
 		"seeds=" + strings.Join(seeds, ","), "bootstrap=true", "fault_counted=false",
-		"limits.cpu_share=0.4", "limits.cores=1", "limits.memory_mb=284", "limits.max_fds=4100", "limits.link_mbps=1000.0", "limits.disk_mb=0",
+		"limits.cpu_share=0.4", "limits.cores=1", "limits.memory_mb=284", fmt.Sprintf("limits.max_fds=%d", maxFiles), "limits.link_mbps=1000.0", "limits.disk_mb=0",
 		"discovery=platform", "entry=vip", "heartbeat_ms=1200",
 		"contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,quota,leader,rollout,platform",
 		"bounds.seed_lag_s=3", "bounds.addr_reuse_s=2", "bounds.contact_ms=3000", "bounds.ack_ms=4000", "bounds.catch_up_s=4",
@@ -220,7 +223,8 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	cmd := exec.Command(n.d.program, "serve")
+	// The platform bounds the descriptors of a process.
+	cmd := exec.Command("bash", "-c", fmt.Sprintf("ulimit -n %d && exec \"$0\" serve", maxFiles), n.d.program)
 	cmd.Env = append(os.Environ(), "JUJUBESHED_BOOT="+n.settings)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
