--- a/review/testdata/rig/idle.go
+++ b/review/testdata/rig/idle.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -33,6 +35,11 @@
 		// patience is the time in which a node has to read a request on a new channel.
 		patience = time.Second
 	)
+	// The channels of the clients are this process's own.
+	var own syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &own); err != nil || own.Cur < nodes*maxFiles+500 {
+		return nil, fmt.Errorf("the clients need %d descriptors, %d are allowed; error %v", nodes*maxFiles+500, own.Cur, err)
+	}
 	if err := d.startStore(); err != nil {
 		return nil, err
 	}
@@ -70,6 +77,7 @@
 	}
 	at := func(t time.Time) int { return int(t.Sub(begin).Seconds()) }
 	var open []net.Conn
+	var ownErr error // of a client that had no descriptor
 	var wg sync.WaitGroup
 	for i, n := range d.nodes {
 		wg.Go(func() { // the platform asks for readiness once a second, on a kept channel
@@ -91,6 +99,9 @@
 					defer mu.Unlock()
 					s := &seconds[i][at(tried)]
 					s.tried++
+					if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
+						ownErr = err
+					}
 					if err != nil {
 						return
 					}
@@ -102,6 +113,9 @@
 		})
 	}
 	wg.Wait()
+	if ownErr != nil {
+		return nil, ownErr
+	}
 	var violations []string
 	for i, n := range d.nodes {
 		taken := 0
--- a/review/testdata/rig/rig.go
+++ b/review/testdata/rig/rig.go
@@ -21,6 +21,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/jujubeshed/jujubeshed/platform/platformtest"
 )
 
@@ -223,14 +225,17 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	// The platform bounds the descriptors of a process.
-	cmd := exec.Command("bash", "-c", fmt.Sprintf("ulimit -n %d && exec \"$0\" serve", maxFiles), n.d.program)
+	cmd := exec.Command(n.d.program, "serve")
 	cmd.Env = append(os.Environ(), "JUJUBESHED_BOOT="+n.settings)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	// The platform bounds the descriptors of a process.
+	if err := unix.Prlimit(cmd.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: maxFiles, Max: maxFiles}, nil); err != nil {
+		return err
+	}
 	exited := make(chan struct{})
 	n.d.mu.Lock()
 	n.cmd, n.exited = cmd, exited
