--- a/review/testdata/rig/engine.go
+++ b/review/testdata/rig/engine.go
@@ -38,8 +38,7 @@
 	conns    map[net.Conn]bool
 	listener net.Listener
 	ended    bool
-	link     chan struct{} // holds a token while a copy is on its way
-	queue    []chan struct{}
+	queue    []chan struct{} // of the copies that wait for the link, the one on its way first
 }
 
 // engineRun is a run in progress or a stopped one.
@@ -66,7 +65,7 @@
 		return err
 	}
 	e.listener, e.state, e.born = l, "ready", time.Now().UnixMilli()
-	e.runs, e.conns, e.link = make(map[string]*engineRun), make(map[net.Conn]bool), make(chan struct{}, 1)
+	e.runs, e.conns = make(map[string]*engineRun), make(map[net.Conn]bool)
 	srv := &http.Server{Handler: e, ReadHeaderTimeout: 10 * time.Second, ConnState: func(c net.Conn, s http.ConnState) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
--- a/review/testdata/rig/idle.go
+++ b/review/testdata/rig/idle.go
@@ -36,9 +36,8 @@
 		patience = time.Second
 	)
 	// The channels of the clients are this process's own.
-	var own syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &own); err != nil || own.Cur < nodes*maxFiles+500 {
-		return nil, fmt.Errorf("the clients need %d descriptors, %d are allowed; error %v", nodes*maxFiles+500, own.Cur, err)
+	if err := mayOpen(nodes*maxFiles + 500); err != nil {
+		return nil, err
 	}
 	if err := d.startStore(); err != nil {
 		return nil, err
@@ -118,20 +117,7 @@
 	}
 	var violations []string
 	for i, n := range d.nodes {
-		taken := 0
-		for s, c := range seconds[i] {
-			taken += c.answered
-			d.logf("node %s, second %d: ready %t, %d clients opened a channel, %d got an answer, %d channels open", n.name, s, c.ready, c.tried, c.answered, taken)
-		}
-		for s := 0; s+contact <= int(length.Seconds()); s++ {
-			span := second{ready: true}
-			for _, c := range seconds[i][s : s+contact] {
-				span.tried, span.answered, span.ready = span.tried+c.tried, span.answered+c.answered, span.ready && c.ready
-			}
-			if span.ready && span.tried >= clients && span.answered == 0 {
-				violations = append(violations, fmt.Sprintf("RECOVER: %s says that it is ready and takes none of %d new channels in the seconds %d to %d", n.name, span.tried, s, s+contact))
-			}
-		}
+		violations = append(violations, d.judge(n, seconds[i], contact, clients)...)
 	}
 	for _, c := range open {
 		_ = c.Close()
@@ -139,6 +125,39 @@
 	return violations, nil
 }
 
+// mayOpen returns an error if this process may have fewer open descriptors than n.
+func mayOpen(n uint64) error {
+	var own syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &own); err != nil {
+		return err
+	}
+	if own.Cur < n {
+		return fmt.Errorf("the clients need %d descriptors, %d are allowed", n, own.Cur)
+	}
+	return nil
+}
+
+// judge returns the spans of contact seconds in which a node was ready all the time and took no new
+// channel while a number of clients tried.
+func (d *deployment) judge(n *node, seconds []second, contact, clients int) []string {
+	taken := 0
+	for s, c := range seconds {
+		taken += c.answered
+		d.logf("node %s, second %d: ready %t, %d clients opened a channel, %d got an answer, %d channels open", n.name, s, c.ready, c.tried, c.answered, taken)
+	}
+	var violations []string
+	for s := 0; s+contact <= len(seconds); s++ {
+		span := second{ready: true}
+		for _, c := range seconds[s : s+contact] {
+			span.tried, span.answered, span.ready = span.tried+c.tried, span.answered+c.answered, span.ready && c.ready
+		}
+		if span.ready && span.tried >= clients && span.answered == 0 {
+			violations = append(violations, fmt.Sprintf("RECOVER: %s says that it is ready and takes none of %d new channels in the seconds %d to %d", n.name, span.tried, s, s+contact))
+		}
+	}
+	return violations
+}
+
 // visit opens a channel to a node, sends a request and reads the answer. The channel stays open.
 func visit(n *node, id string, patience time.Duration) (net.Conn, error) {
 	conn, err := net.DialTimeout("tcp", n.front(), patience)
--- a/review/testdata/rig/rig.go
+++ b/review/testdata/rig/rig.go
@@ -249,11 +249,6 @@
 	return nil
 }
 
-func (n *node) signal(s syscall.Signal) {
-	n.d.logf("node %s gets signal %s", n.name, s)
-	_ = n.cmd.Process.Signal(s)
-}
-
 // ready asks the node whether it is ready.
 func (n *node) ready() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
