Streams that were stopped for a failed migration are incomplete

Cause: such a stream ends with its connection. A node that has an engine stop a run for its migration makes the engine close that connection before the last event. If the rest could not be read then (the answer to the stop was lost, or the continuation at the other engine was refused, lost or answered with an error), answerStream.nextEvent took the end for the stream's own. A status 503 without a handle also counted as proof that nothing was stopped.

Ruled out: resets taken for an end (streams that were not stopped were aborted in the same run); the relay (all paths were there). Each caller concerned has a line "Move failed." or "could not be resumed".

Why it works: the migration records, before the stop is sent, that the run may be stopped; the mark goes only when the run was certainly not stopped (nothing sent, or status 404, 409, 421) or the stream was resumed. An unmarked end with the mark is a broken stream, is logged as such, and is no evidence against the request.

Evidence: TestStoppedStreamIsIncomplete failed in five of its eight cases before ("events "ab", aborted false"), TestMigrate and TestMigrateFromUnreachable in one each.

--- a/internal/serve/migration.go
+++ b/internal/serve/migration.go
@@ -3,18 +3,21 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/placement"
 	"github.com/jujubeshed/jujubeshed/internal/site"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
 )
 
 // A stream whose engine is about to terminate is migrated to another engine. Its KV cache
 // is copied while it continues to run; then it is stopped, the rest of its KV cache is
 // copied, and the other engine resumes it after the last event that was read. This
 // continues the same execution, so that streams that must not run twice can be migrated,
-// too. If the migration fails, the stream stays at its engine until that terminates.
+// too. If the migration fails before the stream is stopped, the stream stays at its engine
+// until that terminates. If it fails later, the stream is incomplete however it ends.
 
 const (
 	// migrationLead is how long before its engine terminates a stream is migrated. All
@@ -87,6 +90,16 @@
 	done    chan struct{} // closed when kvCopy is final
 	kvCopy  *KVCopy
 	resumed bool // the other engine has resumed the stream
+	// mayBeStopped reports whether the engine may have stopped the stream, which has not been
+	// resumed since. It is final when done is closed.
+	mayBeStopped atomic.Bool
+}
+
+// stoppedForMigration reports whether the stream may have ended because it was stopped for its
+// migration, and has not been resumed since.
+func (s *answerStream) stoppedForMigration() bool {
+	m := s.migrationState.Load()
+	return m != nil && m.mayBeStopped.Load()
 }
 
 // startMigration chooses the target engine and starts to copy in the background.
@@ -122,7 +135,11 @@
 	firstCopy := time.Since(start)
 	if err == nil {
 		req.Stop = true
+		m.mayBeStopped.Store(true)
 		m.kvCopy, err = c.h.transport.Migrate(ctx, req)
+		if m.kvCopy == nil && verdict.Of(err) == verdict.NotRun {
+			m.mayBeStopped.Store(false)
+		}
 		if err != nil && m.kvCopy != nil {
 			m.target = s.endpoint // it was stopped there and still has its KV cache
 		}
@@ -167,6 +184,7 @@
 		s.call.h.log.Warn("request: Migrated stream could not be resumed.", "request", s.call.req.ID, "to", m.target.ID, "error", err)
 		return nil
 	}
+	m.mayBeStopped.Store(false)
 	if m.target.ID != s.endpoint.ID {
 		m.resumed = true
 		s.call.h.placement.Finished(s.attempt, placement.OutcomeNeutral)
--- a/internal/serve/migration_test.go
+++ b/internal/serve/migration_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -23,6 +24,8 @@
 	stopErr   error // returned by migrations with Stop; nil for success
 	copyOnErr bool  // a KV copy is returned together with stopErr
 	end       error // with which the stream of a stopped request ends; nil for io.ErrUnexpectedEOF
+	// resumption responds to attempts with a KV copy, if it is not nil.
+	resumption func() (*serve.Answer, error)
 
 	mu         sync.Mutex
 	sent       []serve.Attempt
@@ -42,6 +45,9 @@
 		answer.Events = &stoppableEvents{events{queue: numberedEvents(1, 2), err: m.end}, ctx, m.stopped}
 		return answer, nil
 	}
+	if m.resumption != nil {
+		return m.resumption()
+	}
 	return streamResponse("second", numberedEvents(a.After+1, 4), io.EOF), nil
 }
 
@@ -100,29 +106,8 @@
 		"failed":         {transport: &migratingTransport{stopErr: refusal(verdict.MayHaveRun)}, events: "ab"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			node, _ := newFakeNode(nil)
-			cfg := *testConfig
-			engine := site.Engine{Slots: 8, CacheTokens: 10000, SupportsMigration: true}
-			cfg.Services = map[ident.Service]site.Service{"llm": {Name: "llm", Engine: &engine}}
-			node.config = &cfg
 			tr := tc.transport
-			tr.stopped = make(chan struct{})
-			h := serve.NewHandler(serve.Dependencies{
-				NodeServices: node, Placement: node, Versions: node, Transport: tr, Log: slog.New(slog.DiscardHandler),
-				Metrics: serve.NewMetrics(prometheus.NewRegistry()),
-			})
-			var c caller
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				h.Serve(context.Background(), request("/draft/x"), &c)
-			}()
-			from := node.drainEngineOfFirstAttempt(tr)
-			now := time.Now()
-			h.MigrateStreams(now) // too early: the engine terminates in 2.5 s
-			h.MigrateStreams(now.Add(1500 * time.Millisecond))
-			h.MigrateStreams(now.Add(1600 * time.Millisecond))
-			<-done
+			node, c, from := serveMigrated(tr)
 			if c.events != tc.events {
 				t.Errorf("the caller got events %q, want %q", c.events, tc.events)
 			}
@@ -137,6 +122,64 @@
 	}
 }
 
+// serveMigrated serves a stream that must not run twice, whose engine terminates while it runs. It
+// returns the node, what the caller got and the engine.
+func serveMigrated(tr *migratingTransport) (*fakeNode, *caller, site.Endpoint) {
+	node, _ := newFakeNode(nil)
+	cfg := *testConfig
+	engine := site.Engine{Slots: 8, CacheTokens: 10000, SupportsMigration: true}
+	cfg.Services = map[ident.Service]site.Service{"llm": {Name: "llm", Engine: &engine}}
+	node.config = &cfg
+	tr.stopped = make(chan struct{})
+	h := serve.NewHandler(serve.Dependencies{
+		NodeServices: node, Placement: node, Versions: node, Transport: tr, Log: slog.New(slog.DiscardHandler),
+		Metrics: serve.NewMetrics(prometheus.NewRegistry()),
+	})
+	c := &caller{}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.Serve(context.Background(), request("/draft/x"), c)
+	}()
+	from := node.drainEngineOfFirstAttempt(tr)
+	now := time.Now()
+	h.MigrateStreams(now) // too early: the engine terminates in 2.5 s
+	h.MigrateStreams(now.Add(1500 * time.Millisecond))
+	h.MigrateStreams(now.Add(1600 * time.Millisecond))
+	<-done
+	return node, c, from
+}
+
+// TestStoppedStreamIsIncomplete guards against streams that end as complete after a part of their
+// events: an engine that stops a stream for its migration ends the connection, which ends a stream
+// without length or chunks also where that is complete.
+func TestStoppedStreamIsIncomplete(t *testing.T) {
+	resumption := func(a *serve.Answer, err error) func() (*serve.Answer, error) {
+		return func() (*serve.Answer, error) { return a, err }
+	}
+	for name, tc := range map[string]struct {
+		transport *migratingTransport
+		complete  bool
+	}{
+		"stop without response":       {transport: &migratingTransport{stopErr: refusal(verdict.MayHaveRun)}},
+		"stopped, resumption refused": {transport: &migratingTransport{resumption: resumption(nil, refusal(verdict.NotRun))}},
+		"stopped, resumption lost":    {transport: &migratingTransport{resumption: resumption(nil, refusal(verdict.MayHaveRun))}},
+		"stopped, resumption failed":  {transport: &migratingTransport{resumption: resumption(&serve.Answer{Head: serve.Head{Status: http.StatusInternalServerError}}, nil)}},
+		"no room, refused at its own": {transport: &migratingTransport{stopErr: refusal(verdict.NotRun), copyOnErr: true, resumption: resumption(nil, refusal(verdict.NotRun))}},
+		"ended before it was stopped": {transport: &migratingTransport{stopErr: refusal(verdict.NotRun)}, complete: true},
+		"resumed, unmarked end":       {transport: &migratingTransport{resumption: resumption(streamResponse("second", numberedEvents(3, 4), serve.ErrUnmarkedEnd), nil)}, complete: true},
+		"resumed, resumption cut off": {transport: &migratingTransport{resumption: resumption(streamResponse("second", numberedEvents(3, 3), io.ErrUnexpectedEOF), nil)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tc.transport.end = serve.ErrUnmarkedEnd
+			_, c, _ := serveMigrated(tc.transport)
+			if c.aborted == tc.complete || c.head == nil {
+				t.Errorf("events %q, aborted %t, head %v", c.events, c.aborted, c.head)
+			}
+		})
+	}
+}
+
 // drainEngineOfFirstAttempt waits for the first attempt, then marks its engine as
 // terminating in 2.5 s and returns it.
 func (node *fakeNode) drainEngineOfFirstAttempt(tr *migratingTransport) site.Endpoint {
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -111,9 +111,15 @@
 }
 
 // unmarkedEnd returns the error for a stream that ended with its connection: io.EOF if it is
-// complete. One that had no event, and was not resumed after its last one, broke off.
+// complete. One that had no event, and was not resumed after its last one, broke off. One that
+// may have been stopped for its migration ends in the same way before its last event.
 func (s *answerStream) unmarkedEnd() error {
 	s.unmarked = true
+	if s.stoppedForMigration() {
+		s.call.h.log.Warn("request: Stream is incomplete: it was stopped for its migration, which failed.",
+			"request", s.call.req.ID, "attempt", s.attempt, "endpoint", s.endpoint.ID, "events", s.eventsRead, "last_event", s.lastReadID)
+		return errors.Wrap(io.ErrUnexpectedEOF, "stream was stopped for its migration")
+	}
 	if s.eventsRead == 0 && !s.resumed {
 		return errors.Mark(errors.Wrap(io.ErrUnexpectedEOF, "stream without an event"), ErrBrokenOff)
 	}
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -232,7 +232,8 @@
 	Send(ctx context.Context, a Attempt) (*Answer, error)
 	// Migrate copies the KV cache of a running request to another engine. If it returns a
 	// copy together with an error, the request was stopped and has to resume at its own
-	// engine.
+	// engine. An error without a copy has verdict NotRun only if the request was certainly not
+	// stopped.
 	Migrate(ctx context.Context, m Migration) (*KVCopy, error)
 	// Probe tries to connect to an endpoint.
 	Probe(ctx context.Context, e site.Endpoint) Reachability
