jujubeshed node follows the host list past entries that can't be read

With one entry in the platform's host list that doesn't have the form of the API (nested too deeply, a number too large, an unknown state), a node that started never became ready, and one that polled saw no new host.

Cause: the generated client decodes and validates the list as a whole, and discovery keeps the last list after any error.

Why it works: after such a list the client requests it once more and leaves out the entries that it can't decode; it does so from then on. Endpoints whose address has no port in range are left out. Other errors (no answer, refusals) are handled as before.

--- a/internal/e2e/deployment_test.go
+++ b/internal/e2e/deployment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -26,12 +27,14 @@
 // deployment is a small installation of the program and its test doubles, as separate processes.
 type deployment struct {
 	platform string
-	desk     string   // address of the order service
-	nodes    []string // addresses for callers
-	peers    []string // addresses for other nodes
-	ops      []string // addresses for operators
-	nodeProc []*process
-	engines  []*engineProcess
+	// nodePlatform is the address at which nodes reach the platform; empty for that of the platform.
+	nodePlatform string
+	desk         string   // address of the order service
+	nodes        []string // addresses for callers
+	peers        []string // addresses for other nodes
+	ops          []string // addresses for operators
+	nodeProc     []*process
+	engines      []*engineProcess
 }
 
 // engineProcess is the process of a stand-in engine.
@@ -48,6 +51,8 @@
 	engine       []string // additional flags of the engines
 	extraEngines []string // data centres of additional engines
 	platform     standinplatform.Faults
+	// nodePlatform returns the address of a proxy through which nodes reach the platform; nil for none.
+	nodePlatform func(t testing.TB, platform string) string
 }
 
 func newDeployment(t testing.TB, opts deploymentOptions) *deployment {
@@ -61,6 +66,9 @@
 		}
 		return err
 	})
+	if opts.nodePlatform != nil {
+		d.nodePlatform = opts.nodePlatform(t, d.platform)
+	}
 	for _, dc := range append(slices.Clone(dataCentres), opts.extraEngines...) {
 		d.startEngine(t, dc, "v1", opts.engine...)
 	}
@@ -91,7 +99,7 @@
 	t.Helper()
 	args := []string{"node", "--node-id", fmt.Sprintf("entry-%d", i), "--data-centre", dataCentres[i],
 		"--callers", d.nodes[i], "--peers", d.peers[i], "--operators", d.ops[i],
-		"--host", fmt.Sprintf("entry-host-%d", i), "--platform", d.platform, "--key", sharedKey, "--drain-delay", "200ms", "--drain-timeout", "500ms"}
+		"--host", fmt.Sprintf("entry-host-%d", i), "--platform", cmp.Or(d.nodePlatform, d.platform), "--key", sharedKey, "--drain-delay", "200ms", "--drain-timeout", "500ms"}
 	for j, p := range d.peers {
 		if j != i {
 			args = append(args, "--join", p)
--- a/internal/platformapi/client.go
+++ b/internal/platformapi/client.go
@@ -59,6 +59,7 @@
 	transport *http.Transport
 
 	reads, writes, watches, failed atomic.Uint64
+	oddHosts                       atomic.Bool // a host list with unreadable entries was received
 }
 
 var (
@@ -77,7 +78,7 @@
 		MaxConnsPerHost:     opts.MaxConns,
 		MaxIdleConnsPerHost: opts.MaxConns,
 	}
-	c, err := api.NewClient(opts.Address, api.WithClient(&http.Client{Transport: refusalTransport{transport}}))
+	c, err := api.NewClient(opts.Address, api.WithClient(&http.Client{Transport: hostListTransport{refusalTransport{transport}}}))
 	if err != nil {
 		return nil, errors.Wrapf(err, "platform address %q", opts.Address)
 	}
@@ -164,7 +165,7 @@
 func (c *Client) ListHosts(ctx context.Context) ([]HostInfo, error) {
 	ctx, cancel := c.startCall(ctx, &c.reads, 0)
 	defer cancel()
-	list, err := c.api.ListHosts(ctx)
+	list, err := c.listHosts(ctx)
 	if err != nil {
 		return nil, c.readError(err, "list hosts")
 	}
--- a/internal/platformapi/convert.go
+++ b/internal/platformapi/convert.go
@@ -20,6 +20,9 @@
 		out.Deadline = api.NewOptUnixMilli(h.Deadline)
 	}
 	for _, e := range h.Endpoints {
+		if !hasPort(e.Address) {
+			continue // another writer's; nothing can be sent there
+		}
 		out.Endpoints = append(out.Endpoints, api.Endpoint{
 			ID:      string(e.ID),
 			Address: e.Address,
@@ -44,6 +47,9 @@
 		Class:        h.Class.Value,
 	}
 	for _, e := range h.Endpoints {
+		if !hasPort(e.Address) {
+			continue // another writer's; nothing can be sent there
+		}
 		out.Endpoints = append(out.Endpoints, EndpointInfo{
 			ID:      ident.EndpointID(e.ID),
 			Address: e.Address,
