jujubeshed node: a refusal proves "not run" only for the attempt that it names

Reported by another operator: a faulty endpoint wrote an earlier refusal once more on a kept connection; callers were told "not run" for requests that ran, or these ran twice (REFUSED, TWICE). It could happen in `jujubeshed node`.

Cause: Client.checkResponse accepted a refusal before it compared the attempt that the response names, and accepted one that names none on any connection.

Ruled out: net/http discards such bytes only on idle connections; with a request on its way the copy is taken for its response, as the test shows.

Why it works: the attempt is compared first, so that a copy makes the attempt "may have run"; on a reused connection a refusal without an attempt proves nothing. First responses on a connection can be no copies.

Evidence: TestLateRefusalOnReusedConnection failed before ("attempt a2: error unavailable (not-run)", with and without the ID) and passes; an endpoint's own refusal still counts.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -85,8 +85,11 @@
 // only if no connection was established. A response that refuses the attempt with an
 // explicit not-run header is returned as an error too.
 func (c *Client) Do(ctx context.Context, req *http.Request, m Meta) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var connected, reused atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) {
+		connected.Store(true)
+		reused.Store(c.Reused)
+	}}
 	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
 	req.GetBody = nil
 	if req.Body == nil || req.Body == http.NoBody {
@@ -104,26 +107,32 @@
 		}
 		return nil, verdict.Wrap(v, verdict.CodeUpstream, errors.Wrapf(err, "attempt %s at %s", m.Attempt, req.URL.Host))
 	}
-	if err := c.checkResponse(resp, m); err != nil {
+	if err := c.checkResponse(resp, m, reused.Load()); err != nil {
 		return nil, err
 	}
 	return resp, nil
 }
 
 // checkResponse returns an error if the response is an explicit not-run refusal or
-// belongs to another attempt.
-func (c *Client) checkResponse(resp *http.Response, m Meta) error {
+// belongs to another attempt. On a reused connection, a refusal that doesn't name its attempt may
+// be a late copy of one to an earlier attempt: it proves nothing.
+func (c *Client) checkResponse(resp *http.Response, m Meta, reused bool) error {
+	echo := resp.Header.Get(HeaderAttemptID)
+	if echo != "" && echo != string(m.Attempt) {
+		closeBody(resp.Body)
+		return verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "endpoint %s responded to attempt %s instead of %s",
+			resp.Request.URL.Host, echo, m.Attempt)
+	}
 	if verdict.Parse(resp.Header.Get(verdict.Header)) == verdict.NotRun && resp.StatusCode >= http.StatusBadRequest {
 		defer closeBody(resp.Body)
+		if echo == "" && reused {
+			return verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "endpoint %s refused with status %d without naming attempt %s",
+				resp.Request.URL.Host, resp.StatusCode, m.Attempt)
+		}
 		body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
 		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "endpoint %s refused with status %d: %s",
 			resp.Request.URL.Host, resp.StatusCode, body).After(RetryAfter(resp.Header))
 	}
-	if echo := resp.Header.Get(HeaderAttemptID); echo != "" && echo != string(m.Attempt) {
-		closeBody(resp.Body)
-		return verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "endpoint %s responded to attempt %s instead of %s",
-			resp.Request.URL.Host, echo, m.Attempt)
-	}
 	return nil
 }
 
--- a/internal/endpoint/client_test.go
+++ b/internal/endpoint/client_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/verdict"
 )
 
@@ -140,6 +141,62 @@
 	}
 }
 
+// TestLateRefusalOnReusedConnection guards against attempts that count as not run while an endpoint
+// runs them: a second copy of an earlier refusal comes late, on a connection that is in use again.
+func TestLateRefusalOnReusedConnection(t *testing.T) {
+	refusal := func(id string) string {
+		return "HTTP/1.1 503 Service Unavailable\r\n" + verdict.Header + ": not-run\r\n" + id + "Content-Length: 0\r\n\r\n"
+	}
+	for name, c := range map[string]struct {
+		second string // what the endpoint sends when it gets the second attempt
+		want   verdict.Verdict
+	}{
+		"copy with ID":    {refusal(HeaderAttemptID + ": a1\r\n"), verdict.MayHaveRun},
+		"copy without ID": {refusal(""), verdict.MayHaveRun},
+		"its own refusal": {refusal(HeaderAttemptID + ": a2\r\n"), verdict.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = ln.Close() }()
+			go respondInTurn(ln, refusal(HeaderAttemptID+": a1\r\n"), c.second)
+			client := NewClient()
+			defer client.Close()
+			for i, want := range []verdict.Verdict{verdict.NotRun, c.want} {
+				req, err := http.NewRequest(http.MethodPost, "http://"+ln.Addr().String()+"/orders", strings.NewReader("x"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				attempt := ident.AttemptID(fmt.Sprintf("a%d", i+1))
+				if _, err := client.Do(context.Background(), req, Meta{Attempt: attempt}); err == nil || verdict.Of(err) != want {
+					t.Errorf("attempt %s: error %v, want verdict %s", attempt, err, want)
+				}
+			}
+		})
+	}
+}
+
+// respondInTurn accepts one connection and sends the responses to its requests, in order.
+func respondInTurn(ln net.Listener, responses ...string) {
+	conn, err := ln.Accept()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	r := bufio.NewReader(conn)
+	for _, response := range responses {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(conn, response)
+	}
+	_, _ = io.Copy(io.Discard, conn)
+}
+
 func TestChatStream(t *testing.T) {
 	chunk := `data: {"id":"r","attempt":"a","offset":%d,"choices":[{"index":0,"delta":{"content":%q},"finish_reason":null}]}` + "\n\n"
 	complete := fmt.Sprintf(chunk, 4, "né ") + ": comment\n\n" + fmt.Sprintf(chunk, 5, "x") +
