The memory of a failed resumption is returned

Cause: resumeMigrated drops a response that is no stream, and did not call its Release, so that its body counted towards the memory for bodies for ever.

Ruled out: other responses that are dropped are released when their attempt is closed (answerStream.Close).

Evidence: TestFailedResumptionReturnsItsMemory failed before ("memory released 0 times") and passes.

--- a/internal/serve/migration.go
+++ b/internal/serve/migration.go
@@ -177,6 +177,9 @@
 	m.kvCopy = nil // it can be used once
 	answer, err := s.call.h.transport.Send(s.ctx, a)
 	if err == nil && answer.Events == nil {
+		if answer.Release != nil {
+			answer.Release()
+		}
 		s.call.h.log.Warn("request: Migrated stream could not be resumed.", "request", s.call.req.ID, "to", m.target.ID, "status", answer.Head.Status)
 		return nil
 	}
--- a/internal/serve/migration_test.go
+++ b/internal/serve/migration_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -180,6 +181,17 @@
 	}
 }
 
+// TestFailedResumptionReturnsItsMemory guards against nodes that run out of memory for bodies: an
+// engine answers the resumption of a migrated stream with an error, whose body is not passed on.
+func TestFailedResumptionReturnsItsMemory(t *testing.T) {
+	var released atomic.Int32
+	answer := &serve.Answer{Head: serve.Head{Status: http.StatusInternalServerError}, Body: []byte("x"), Release: func() { released.Add(1) }}
+	_, c, _ := serveMigrated(&migratingTransport{resumption: func() (*serve.Answer, error) { return answer, nil }})
+	if !c.aborted || c.events != "ab" || released.Load() != 1 {
+		t.Errorf("events %q, aborted %t, memory released %d times", c.events, c.aborted, released.Load())
+	}
+}
+
 // drainEngineOfFirstAttempt waits for the first attempt, then marks its engine as
 // terminating in 2.5 s and returns it.
 func (node *fakeNode) drainEngineOfFirstAttempt(tr *migratingTransport) site.Endpoint {
