Broken responses over HTTP/1.0 don't look complete

Callers that speak HTTP/1.0 got a stream that broke off as a complete one, in `jujubeshed serve` and, for responses of plain services, in `jujubeshed node`.

Cause: a body without a length ends with its connection in HTTP/1.0. net/http ends an aborted handler with a regular close, which is just that end.

Ruled out: HTTP/1.1, where the end of the chunks is missing; bodies with a length.

Why it works: the connection is reset for such callers, which no reader takes for an end.

--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jujubeshed/jujubeshed/internal/httpabort"
 	"github.com/jujubeshed/jujubeshed/internal/verdict"
 )
 
@@ -62,9 +63,8 @@
 	case err == nil:
 		return nil
 	case headerSent:
-		// The header has been sent, so aborting the connection is the only way to signal
-		// a truncated response.
-		panic(http.ErrAbortHandler)
+		httpabort.Abort(w, r) // the header has been sent
+		return err
 	default:
 		writeProblem(w, verdict.From(err))
 		return err
