Hold back only requests with all segments that the crashes can't tell apart

Cause: each segment was suspected by itself. Segments of the same requests have the same evidence, so that the companions of a deadly one were suspected with it; from then on no request with them was sent, and no answer could clear them.

Ruled out: the restart alone (the unit test shows it with segments that were all answered a minute before, and with ones that never were); lost answers of other nodes (the model shows it without losses).

Why it works: suspects with the same evidence, up to one crash, are alternatives, and only requests with all of them are held back. Deadly requests have all; sound ones lack the deadly one and go on, so that their answers clear the rest. A crash under a request that lacks an alternative tells them apart, too. Without either, the most specific one is held after 8 s instead of all after 2 s.

The model's engines end their requests in a fixed order now: the order of a map made each run of a seed another one.

--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -226,7 +226,7 @@
 	for _, e := range events {
 		switch e.Kind {
 		case quarantine.EventSuspected:
-			g.log.Warn("quarantine: Requests are suspected to crash endpoints; their like are held back.", "trait", e.Trait.String(), "crashes", e.Crashes)
+			g.log.Warn("quarantine: Requests are suspected to crash endpoints; their like are held back.", "trait", e.Trait.String(), "crashes", e.Crashes, "alternatives", e.Alternatives)
 		case quarantine.EventCleared:
 			g.log.Info("quarantine: Requests are cleared: endpoints have answered their like.", "trait", e.Trait.String())
 		case quarantine.EventHeld:
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -18,6 +18,10 @@
 // of an answer are weaker evidence, as a stream that is resumed after each crash is at the next
 // one, too; they count only where no other trait explains them.
 //
+// Several traits may be at the same crashes, and no answer tells them apart: all nodes have just
+// started, or few sound requests come for each deadly one. Then only requests with all of these
+// traits are held back. Those with some of them go on, so that their answers clear the sound traits.
+//
 // Nodes exchange their crashes, and for the traits of these crashes when they last saw an
 // answer. Each node decides by itself and reverses the decision when an answer becomes known.
 // After a settling time, in which the answers of other nodes arrive, the trait is held for
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -8,6 +9,9 @@
 	"github.com/jujubeshed/jujubeshed/internal/site"
 )
 
+// endpointSet is a set of endpoints.
+type endpointSet map[site.IncarnationHash]bool
+
 // evidence are the crashes that count for a trait.
 type evidence struct {
 	crashes []knownCrash
@@ -42,12 +46,12 @@
 	byTrait := t.evidence(now)
 	heldAt := t.endpointsWith(func(s Trait) bool { _, ok := t.holds[s]; return ok })
 	crashTimes := t.crashTimes(heldAt)
-	suspects := make(map[Trait]int) // number of crashed endpoints
+	suspects := make(map[Trait]endpointSet) // the crashed endpoints that count for each
 	for s, e := range byTrait {
 		_, relapsed := t.ended[s]
 		crashes := early(unexplained(e.crashes, heldAt))
 		if relapsed && len(crashes) > 0 || !e.known && isSuspect(crashes, e.signature, newTraitCrashes, manyCrashes) && (!e.signature || dominates(crashes, crashTimes)) {
-			suspects[s] = len(endpointsOf(crashes))
+			suspects[s] = endpointsOf(crashes)
 		}
 	}
 	// Weaker evidence counts only for crashes that no other suspect explains: sound requests
@@ -55,38 +59,90 @@
 	// after each crash is at the next one, too.
 	explained := t.endpointsWith(func(s Trait) bool {
 		_, held := t.holds[s]
-		return held || suspects[s] > 0
+		return held || len(suspects[s]) > 0
 	})
 	crashTimes = t.crashTimes(explained)
 	for s, e := range byTrait {
-		if crashes := unexplained(e.crashes, explained); suspects[s] == 0 && isSuspect(crashes, e.signature, e.enough(), 0) && (!e.signature || dominates(crashes, crashTimes)) {
-			suspects[s] = len(endpointsOf(crashes))
+		if crashes := unexplained(e.crashes, explained); len(suspects[s]) == 0 && isSuspect(crashes, e.signature, e.enough(), 0) && (!e.signature || dominates(crashes, crashTimes)) {
+			suspects[s] = endpointsOf(crashes)
 		}
 	}
 	t.apply(now, suspects)
 }
 
-// apply changes the suspected traits to the given ones, with the number of crashed endpoints.
-func (t *Tracker) apply(now time.Time, suspects map[Trait]int) {
+// apply changes the suspected traits to the given ones, with the crashed endpoints that count for
+// them.
+func (t *Tracker) apply(now time.Time, suspects map[Trait]endpointSet) {
+	t.alternatives = alternatives(suspects)
 	for s := range t.suspected {
-		if suspects[s] == 0 {
+		if len(suspects[s]) == 0 {
 			delete(t.suspected, s)
 			t.events = append(t.events, Event{Trait: s, Kind: EventCleared})
 		}
 	}
-	for s, crashes := range suspects {
+	for s, endpoints := range suspects {
 		if _, known := t.suspected[s]; !known && !t.holds[s].After(now) {
 			t.suspected[s] = now
-			t.events = append(t.events, Event{Trait: s, Kind: EventSuspected, Crashes: crashes})
+			t.events = append(t.events, Event{Trait: s, Kind: EventSuspected, Crashes: len(endpoints), Alternatives: len(t.alternatives[s])})
+		}
+	}
+}
+
+// alternatives returns, for each of several suspects, those that the crashes can't tell apart from
+// it: nearly the same ones count for them.
+func alternatives(suspects map[Trait]endpointSet) map[Trait][]Trait {
+	out := make(map[Trait][]Trait)
+	for s, own := range suspects {
+		for other, endpoints := range suspects {
+			if other != s && sameEvidence(own, endpoints) {
+				out[s] = append(out[s], other)
+			}
+		}
+	}
+	return out
+}
+
+// sameEvidence reports whether the endpoints that count for two suspects are the same, up to one
+// that has crashed for another reason.
+func sameEvidence(a, b endpointSet) bool {
+	common := 0
+	for e := range a {
+		if b[e] {
+			common++
+		}
+	}
+	most := max(len(a), len(b))
+	return common == most || common >= 2 && common == most-1
+}
+
+// mostSpecific reports whether a suspect is the one of its alternatives that the fewest requests
+// have: a signature, or the segment that comes last in prompts.
+func (t *Tracker) mostSpecific(s Trait) bool {
+	position := make(map[Trait]int)
+	for _, c := range t.crashes {
+		for i, segment := range c.Segments {
+			position[segment] = max(position[segment], i)
 		}
+		position[c.Signature] = maxSegments
 	}
+	return !slices.ContainsFunc(t.alternatives[s], func(other Trait) bool {
+		return cmp.Or(cmp.Compare(position[other], position[s]), cmp.Compare(other, s)) > 0
+	})
 }
 
 // settle holds the traits that have been suspected for settleTime, if all other nodes have
-// reported since.
+// reported since. Of suspects that can't be told apart, it holds the most specific one, later: until
+// then, answers to requests with some of them may still tell them apart.
 func (t *Tracker) settle(now time.Time) {
 	for s, since := range t.suspected {
-		if now.Sub(since) >= settleTime && t.heardSince.Sub(since) >= settleTime/2 {
+		wait := settleTime
+		if len(t.alternatives[s]) > 0 {
+			if !t.mostSpecific(s) {
+				continue
+			}
+			wait = sharedSettleTime
+		}
+		if now.Sub(since) >= wait && t.heardSince.Sub(since) >= settleTime/2 {
 			t.setHold(s, now.Add(HoldTime))
 		}
 	}
@@ -129,7 +185,7 @@
 }
 
 // crashTimes returns when the endpoints crashed whose crash is not explained, in order.
-func (t *Tracker) crashTimes(explained map[site.IncarnationHash]bool) []time.Time {
+func (t *Tracker) crashTimes(explained endpointSet) []time.Time {
 	first := make(map[site.IncarnationHash]time.Time)
 	for _, c := range t.crashes {
 		if at, ok := first[c.Endpoint]; !explained[c.Endpoint] && (!ok || c.At.Before(at)) {
@@ -161,8 +217,8 @@
 
 // endpointsWith returns the crashed endpoints at which a request with one of certain traits
 // was.
-func (t *Tracker) endpointsWith(includes func(Trait) bool) map[site.IncarnationHash]bool {
-	out := make(map[site.IncarnationHash]bool)
+func (t *Tracker) endpointsWith(includes func(Trait) bool) endpointSet {
+	out := make(endpointSet)
 	for _, c := range t.crashes {
 		for s := range c.traits {
 			if includes(s) {
@@ -173,12 +229,12 @@
 	return out
 }
 
-func unexplained(crashes []knownCrash, explained map[site.IncarnationHash]bool) []knownCrash {
+func unexplained(crashes []knownCrash, explained endpointSet) []knownCrash {
 	return slices.DeleteFunc(slices.Clone(crashes), func(c knownCrash) bool { return explained[c.Endpoint] })
 }
 
-func endpointsOf(crashes []knownCrash) map[site.IncarnationHash]bool {
-	out := make(map[site.IncarnationHash]bool)
+func endpointsOf(crashes []knownCrash) endpointSet {
+	out := make(endpointSet)
 	for _, c := range crashes {
 		out[c.Endpoint] = true
 	}
--- a/internal/quarantine/model_test.go
+++ b/internal/quarantine/model_test.go
@@ -1,7 +1,9 @@
 package quarantine
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -58,7 +60,14 @@
 	requests    map[*modelRequest]bool
 }
 
+// running returns the requests at the engine in the order in which they were sent, so that a run of
+// the model is the same each time.
+func (e *modelEngine) running() []*modelRequest {
+	return slices.SortedFunc(maps.Keys(e.requests), func(a, b *modelRequest) int { return cmp.Compare(a.id, b.id) })
+}
+
 type modelRequest struct {
+	id         uint64
 	node       *modelNode
 	signature  Trait
 	segments   []Trait
@@ -151,7 +160,7 @@
 		return
 	}
 	e.down = true
-	for r := range e.requests {
+	for _, r := range e.running() {
 		c := Crash{Endpoint: e.incarnation, Dispatched: r.dispatched, At: m.now(r.node), Signature: r.signature, Segments: r.segments, Answering: r.answered}
 		if r.answered {
 			c.Segments = nil
@@ -206,7 +215,7 @@
 		return
 	}
 	m.countLate(k, n)
-	r := &modelRequest{node: n, signature: signature, segments: segments, dispatched: m.now(n)}
+	r := &modelRequest{id: m.newID(), node: n, signature: signature, segments: segments, dispatched: m.now(n)}
 	e.requests[r] = true
 	incarnation := e.incarnation
 	m.After(30*time.Millisecond+m.Within(wait), func() {
@@ -369,6 +378,41 @@
 	}
 }
 
+// TestFatalSegmentAfterRestart guards against routes that are held back as a whole: all nodes have
+// just been restarted and know no answers when requests with a fatal segment begin to come, many for
+// each sound one that shares all their other segments.
+func TestFatalSegmentAfterRestart(t *testing.T) {
+	for _, size := range []struct {
+		nodes, engines, seeds int
+		contact               time.Duration
+	}{{3, 18, 30, 3 * time.Second}, {8, 18, 30, 3 * time.Second}, {76, 60, 6, 3 * time.Second}, {195, 78, 4, 5 * time.Second}} {
+		t.Run(fmt.Sprint(size.nodes), func(t *testing.T) {
+			for seed := range max(size.seeds, simclock.LongSeeds()*size.seeds/30) {
+				m := newModel(uint64(seed), size.nodes, size.engines, size.contact)
+				wait := 50*time.Millisecond + m.Within(300*time.Millisecond)
+				rate := 2 + float64(m.IntN(20)) // fatal requests a second
+				m.each(1.7, func() { m.send(wait, firstSegment, tenantSegment, Trait(m.newID())) })
+				m.After(14*time.Second, func() {
+					for i := range m.nodes {
+						m.restart(i)
+					}
+				})
+				m.After(15*time.Second, func() {
+					m.fatal = 777
+					m.each(rate, func() { m.send(wait, firstSegment, tenantSegment, m.fatal, Trait(m.newID())) })
+				})
+				m.Run(50 * time.Second)
+				if m.lateSends > 3 {
+					t.Errorf("seed %d, %.0f/s: %d requests with the segment were sent late, after %d crashes", seed, rate, m.lateSends, len(m.crashTimes))
+				}
+				if m.sound.lateRefused > 0 {
+					t.Errorf("seed %d, %.0f/s: of %d sound requests %d were refused, %d of them late", seed, rate, m.sound.sent, m.sound.refused, m.sound.lateRefused)
+				}
+			}
+		})
+	}
+}
+
 // TestDeadlyRequest: at 8, 76 and 195 nodes, with random rates, delays, losses, restarts and
 // nodes that are cut off from the others, each of several requests that come again at any node
 // and crash their engine is sent no more than three times later than the time of contact after
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -21,6 +21,8 @@
 	clockTolerance = 100 * time.Millisecond
 	// settleTime is the shortest time for which a trait is suspected before it is held.
 	settleTime = 2 * time.Second
+	// sharedSettleTime is the same for suspects that the crashes can't tell apart.
+	sharedSettleTime = 8 * time.Second
 	// learningTime is the time after its start in which a node counts all segments as
 	// answered before: it doesn't know yet which ones were.
 	learningTime = 5 * time.Second
@@ -50,12 +52,14 @@
 	completions map[Trait]time.Time // latest completed request of this node, by signature
 	peerAnswers map[Trait]time.Time // latest answer or completion reported by other nodes
 	suspected   map[Trait]time.Time // since when
-	holds       map[Trait]time.Time // until when
-	ended       map[Trait]time.Time // when the last hold ended
-	events      []Event
-	changed     bool // there are new facts since the last evaluation
-	startedAt   time.Time
-	reports     uint64 // number of reports made
+	// alternatives are, for a suspected trait, the others that the crashes can't tell apart from it.
+	alternatives map[Trait][]Trait
+	holds        map[Trait]time.Time // until when
+	ended        map[Trait]time.Time // when the last hold ended
+	events       []Event
+	changed      bool // there are new facts since the last evaluation
+	startedAt    time.Time
+	reports      uint64 // number of reports made
 	// heardSince is the time since which all known nodes have sent a report.
 	heardSince time.Time
 }
@@ -88,7 +92,7 @@
 		t.evaluate(now)
 	}
 	for _, s := range traits {
-		if _, ok := t.suspected[s]; ok {
+		if _, ok := t.suspected[s]; ok && t.hasAlternatives(s, traits) {
 			return s, true
 		}
 		if now.Before(t.holds[s]) {
@@ -98,6 +102,17 @@
 	return 0, false
 }
 
+// hasAlternatives reports whether all suspects that can't be told apart from s are among the traits
+// of a request. A request that lacks one of them may be sound, and its answer or crash tells them apart.
+func (t *Tracker) hasAlternatives(s Trait, traits []Trait) bool {
+	for _, other := range t.alternatives[s] {
+		if !slices.Contains(traits, other) {
+			return false
+		}
+	}
+	return true
+}
+
 // RecordCrash records the crash of an endpoint that this node has seen.
 func (t *Tracker) RecordCrash(now time.Time, c Crash) { t.addCrash(now, c, self) }
 
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -180,3 +180,67 @@
 		tr.Held(testStart, segments)
 	}
 }
+
+// TestSegmentsThatCantBeToldApart guards against sound requests that are held back with a deadly
+// segment: it comes with segments that sound requests have, too, and no answer tells them apart, as
+// all were answered before the first crash, or the node has just started.
+func TestSegmentsThatCantBeToldApart(t *testing.T) {
+	answered := newClocked(t)
+	answered.RecordAnswer(answered.now, answered.now.Add(-time.Minute), []Trait{1, 2, 7})
+	for name, c := range map[string]*clocked{
+		"answered before": answered,
+		"never answered":  newClocked(t),
+		"just started":    {New(testStart.Add(-time.Second)), t, testStart},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c.t = t
+			for i := range 5 {
+				crash := Crash{Endpoint: site.IncarnationHash(i), Dispatched: c.now.Add(-200 * time.Millisecond), At: c.now, Segments: []Trait{1, 2, 7}}
+				c.RecordCrash(c.now, crash)
+				c.now = c.now.Add(350 * time.Millisecond)
+			}
+			c.checkHeld(true, 1, 2, 7)
+			c.checkHeld(false, 1, 2)
+			c.checkHeld(false, 1, 3)
+			c.RecordAnswer(c.now, c.now, []Trait{1, 2})
+			c.wait(3 * time.Second)
+			c.checkHeld(true, 7)
+			c.checkHeld(false, 1, 2)
+			if holds := c.Holds(); len(holds) != 1 || holds[0].Trait != 7 {
+				t.Errorf("holds are %v", holds)
+			}
+		})
+	}
+}
+
+// TestOneOfSeveralSegmentsIsHeld checks that the last of several segments is held, for which
+// requests with all of them are the only ones, if no answer tells them apart in time.
+func TestOneOfSeveralSegmentsIsHeld(t *testing.T) {
+	c := newClocked(t)
+	for i := range 4 {
+		c.crash(site.IncarnationHash(i), 1, 2, 7)
+	}
+	c.wait(settleTime)
+	if holds := c.Holds(); len(holds) != 0 {
+		t.Errorf("holds are %v before the segments could be told apart", holds)
+	}
+	c.wait(sharedSettleTime)
+	c.checkHeld(true, 1, 2, 7)
+	c.checkHeld(false, 1, 2)
+	if holds := c.Holds(); len(holds) != 1 || holds[0].Trait != 7 {
+		t.Errorf("holds are %v", holds)
+	}
+}
+
+// TestSharedSegmentTurnsFatal checks that a crash under one of the segments alone, which are
+// suspected together, tells them apart.
+func TestSharedSegmentTurnsFatal(t *testing.T) {
+	c := newClocked(t)
+	for i := range 3 {
+		c.crash(site.IncarnationHash(i), 1, 7)
+	}
+	c.checkHeld(false, 1)
+	c.crash(4, 1)
+	c.crash(5, 1)
+	c.checkHeld(true, 1)
+}
--- a/internal/quarantine/types.go
+++ b/internal/quarantine/types.go
@@ -85,8 +85,9 @@
 type Event struct {
 	Trait Trait
 	Kind  EventKind
-	// Crashes is the number of endpoints that crashed, for EventSuspected.
-	Crashes int
+	// Crashes is the number of endpoints that crashed, for EventSuspected, and Alternatives that of
+	// other suspects that these crashes can't tell apart from the trait.
+	Crashes, Alternatives int
 }
 
 // EventKind is the kind of an Event.
@@ -94,8 +95,8 @@
 
 // The kinds of events.
 const (
-	// EventSuspected means that requests with the trait are held back from now on, unless
-	// an answer becomes known.
+	// EventSuspected means that requests with the trait, and with all its alternatives, are held
+	// back from now on, unless an answer becomes known.
 	EventSuspected EventKind = "suspected"
 	// EventCleared means that they are no longer held back.
 	EventCleared EventKind = "cleared"
