Close idle connections of callers by time and number

Cause: the idle time of the configuration and the limit of descriptors in the settings were read nowhere. Idle connections stayed open for five minutes until accepting failed for want of descriptors, which readiness didn't know.

Ruled out: leaked connections (the callers are still there), connections to endpoints (48 at most in the case). A gauge of callers' connections and counters of closed ones and of failures to accept are new.

Why it works: the tracker knows for each connection whether a request is served on it. It closes those without one after the configured time, and the longest idle ones beyond three quarters of the descriptors; callers reuse connections for up to four fifths of the time only. A handler begins only while the tracker has the connection, so that a request that crosses a close isn't passed on. If accepting fails all the same, a tenth of the connections is closed and the node isn't ready for a second.

Evidence: TestIdleCallersLeaveRoom (platform) failed before ("timed out after 20 s waiting until the oldest connections are closed") and passes, as do the tests of callerconn.

--- /dev/null
+++ b/internal/callerconn/choose.go
@@ -0,0 +1,48 @@
+package callerconn
+
+import (
+	"slices"
+	"time"
+)
+
+// state is the state of a connection.
+type state struct {
+	// active reports whether a request is being served.
+	active bool
+	// used reports whether a response was sent.
+	used  bool
+	since time.Time
+}
+
+// Limits bound the connections of callers. Zero means no limit.
+type Limits struct {
+	// Idle is how long a connection may be open without a request.
+	Idle time.Duration
+	// Connections is the number of connections from which the ones that are idle for longest are
+	// closed to make room.
+	Connections int
+}
+
+// choose returns the connections to close: those that have been idle for too long, and as many of
+// the ones that are idle for longest as there are too many. A connection on which no request has
+// come yet is closed for its time only.
+func choose[C comparable](states map[C]state, limits Limits, now time.Time) []C {
+	var out, waiting []C
+	for c, s := range states {
+		switch {
+		case s.active:
+		case limits.Idle > 0 && now.Sub(s.since) > limits.Idle:
+			out = append(out, c)
+		case s.used:
+			waiting = append(waiting, c)
+		}
+	}
+	if limits.Connections <= 0 {
+		return out
+	}
+	excess := min(max(len(states)-len(out)-limits.Connections, 0), len(waiting))
+	if excess > 0 {
+		slices.SortFunc(waiting, func(a, b C) int { return states[a].since.Compare(states[b].since) })
+	}
+	return append(out, waiting[:excess]...)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/jujubeshed/jujubeshed/internal/attempt"
 	"github.com/jujubeshed/jujubeshed/internal/bytebudget"
+	"github.com/jujubeshed/jujubeshed/internal/callerconn"
 	"github.com/jujubeshed/jujubeshed/internal/directory"
 	"github.com/jujubeshed/jujubeshed/internal/duty"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
@@ -58,6 +59,7 @@
 	serviceGuard          kernel.Name = "quarantine"
 	serviceReady          kernel.Name = "listener.ready"
 	serviceCallers        kernel.Name = "listener.callers"
+	serviceCallerConns    kernel.Name = "callers.connections"
 )
 
 // MetricsPort is the port on which a node serves its metrics, under MetricsPath.
@@ -167,6 +169,7 @@
 	// evacuations and evacuationWatcher are nil unless the operators evacuate data centres.
 	evacuations       *evacuations
 	evacuationWatcher *directory.Watcher
+	callerConns       *callerconn.Tracker
 	weights           weightCache
 	loadsUpdated      time.Time // by the ticker alone
 	draining          atomic.Bool
@@ -205,6 +208,7 @@
 	})
 	n.relay = relay.NewService(n.transport, p.Bodies, n.clock.Now, reg)
 	n.transport.SetSignals(newSignals(n.state, n.endpoints, reg, log))
+	n.callerConns = callerconn.New(n.callerLimits, reg)
 	n.currentConfig.OnChange(n.applyConfig)
 	n.configWatcher = n.newWatcher(kindOf(p.ConfigKey), n.currentConfig, storeWatchWait(settings.Bounds))
 	n.endpointWatcher = n.newWatcher(p.EndpointKind, n.endpoints, storeWatchWait(settings.Bounds))
@@ -320,7 +324,8 @@
 		{serviceExecutor, n.executor},
 		{serviceReady, newListener(n.settings.ReadyAddress, n.platform.Ready(n.ready), n.log)},
 		{serviceMigration, kernel.NewLoop(serve.MigrationInterval, func(context.Context) { handler.MigrateStreams(time.Now()) })},
-		{serviceCallers, newDrainingListener(n.settings.CallersAddress, callers, n.log)},
+		{serviceCallerConns, n.callerConns},
+		{serviceCallers, newCallersListener(n.settings.CallersAddress, callers, n.callerConns, n.log)},
 	}...) {
 		if err := n.registry.Register(s.name, s.service); err != nil {
 			return err
@@ -340,10 +345,28 @@
 	return duty.NewExecutor(o)
 }
 
+const (
+	// reservedFiles is the number of descriptors that the platform reserves for files.
+	reservedFiles = 200
+	// callerConnectionsShare is the share of the other descriptors that callers may keep open. The
+	// rest is for connections to endpoints, other nodes and the platform.
+	callerConnectionsShare = 0.75
+)
+
+// callerLimits returns the limits of callers' connections by the settings and the configuration
+// in force.
+func (n *Node) callerLimits() callerconn.Limits {
+	l := callerconn.Limits{Connections: int(callerConnectionsShare * float64(max(n.settings.MaxFiles-reservedFiles, 0)))}
+	if cfg := n.currentConfig.Config(); cfg != nil {
+		l.Idle = cfg.Limits.IdleTimeout
+	}
+	return l
+}
+
 // ready reports whether the node can serve requests: it has loaded a configuration and the
-// endpoints, and is not draining.
+// endpoints, accepts connections, and is not draining.
 func (n *Node) ready() bool {
-	return !n.draining.Load() && n.caughtUp.Load() && n.currentConfig.Config() != nil && n.endpoints.Loaded()
+	return !n.draining.Load() && n.callerConns.Accepting() && n.caughtUp.Load() && n.currentConfig.Config() != nil && n.endpoints.Loaded()
 }
 
 func (n *Node) tick(context.Context) {
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jujubeshed/jujubeshed/internal/callerconn"
 	"github.com/jujubeshed/jujubeshed/internal/keepalive"
 )
 
@@ -17,7 +18,7 @@
 	// sending the request header.
 	readHeaderTimeout = 15 * time.Second
 	// idleTimeout is above the longest idle time that a configuration allows a caller's
-	// connection; the configured time is enforced for callers separately.
+	// connection; the callers' listener enforces the configured time.
 	idleTimeout = 5 * time.Minute
 	// maxHeaderBytes is above the largest header size that a configuration allows.
 	maxHeaderBytes = 64 << 10
@@ -30,6 +31,8 @@
 	log     *slog.Logger
 	// drains reports whether Drain waits for running requests.
 	drains bool
+	// connections tracks the connections of callers; nil on other listeners.
+	connections *callerconn.Tracker
 }
 
 func newListener(address string, h http.Handler, log *slog.Logger) *listener {
@@ -46,6 +49,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen at %s", l.address)
 	}
+	if l.connections != nil {
+		ln = l.connections.Listener(ln)
+	}
 	go func() {
 		if err := l.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			l.log.Error("listener: Ended.", "address", l.address, "error", err)
@@ -54,11 +60,12 @@
 	return nil
 }
 
-// newDrainingListener returns a listener whose running requests are completed before the
-// node stops.
-func newDrainingListener(address string, h http.Handler, log *slog.Logger) *listener {
+// newCallersListener returns a listener whose running requests are completed before the
+// node stops, and whose connections are tracked.
+func newCallersListener(address string, h http.Handler, connections *callerconn.Tracker, log *slog.Logger) *listener {
 	l := newListener(address, h, log)
-	l.drains = true
+	l.drains, l.connections = true, connections
+	connections.Track(l.server)
 	return l
 }
 
--- a/internal/gateway/listener_test.go
+++ b/internal/gateway/listener_test.go
@@ -7,6 +7,9 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/jujubeshed/jujubeshed/internal/callerconn"
 	"github.com/jujubeshed/jujubeshed/internal/testaddress"
 )
 
@@ -41,8 +44,10 @@
 		build func(string, http.Handler, *slog.Logger) *listener
 		waits bool
 	}{
-		"callers": {newDrainingListener, true},
-		"peers":   {newListener, false},
+		"callers": {func(address string, h http.Handler, log *slog.Logger) *listener {
+			return newCallersListener(address, h, callerconn.New(func() callerconn.Limits { return callerconn.Limits{} }, prometheus.NewRegistry()), log)
+		}, true},
+		"peers": {newListener, false},
 	} {
 		l := hangingListener(t, c.build)
 		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
--- a/internal/site/settings.go
+++ b/internal/site/settings.go
@@ -39,7 +39,9 @@
 	IgnoreEndpointSpeed bool
 	// MemoryBytes is the memory limit above which the process is killed; zero if unknown.
 	MemoryBytes int64
-	Bounds      Bounds
+	// MaxFiles is the number of descriptors that the process may have open; zero if unknown.
+	MaxFiles int
+	Bounds   Bounds
 }
 
 // Equal reports whether two settings are the same.
