--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"log/slog"
+	"math"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jujubeshed/jujubeshed/internal/callerconn"
 	"github.com/jujubeshed/jujubeshed/internal/entry"
 	"github.com/jujubeshed/jujubeshed/internal/kernel"
 )
@@ -19,6 +22,24 @@
 	answerExpiryInterval = 5 * time.Second
 )
 
+const (
+	// callerIdleTimeout is how long a caller's connection may be open without a request.
+	callerIdleTimeout = 2 * time.Minute
+	// callerConnectionsShare is the share of the process's descriptors that callers may keep open.
+	// The rest is for connections to endpoints, other nodes and the platform.
+	callerConnectionsShare = 0.75
+)
+
+// callerLimits returns the limits of callers' connections.
+func callerLimits() callerconn.Limits {
+	limits := callerconn.Limits{Idle: callerIdleTimeout}
+	var files syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files) == nil {
+		limits.Connections = int(callerConnectionsShare * float64(min(files.Cur, math.MaxInt32)))
+	}
+	return limits
+}
+
 // callerListener serves callers and drains their requests.
 type callerListener struct {
 	*listener
@@ -35,8 +56,10 @@
 	_ kernel.Stopper = (*callerListener)(nil)
 )
 
-func newCallerListener(opts *Options, s *entry.Server, r *reclaimTracker, log *slog.Logger) *callerListener {
+func newCallerListener(opts *Options, s *entry.Server, connections *callerconn.Tracker, r *reclaimTracker, log *slog.Logger) *callerListener {
 	l := newListener("callers", opts.Callers, s, log)
+	l.connections = connections
+	connections.Track(l.server)
 	l.server.MaxHeaderBytes = entry.MaxReadHeaderBytes // the entry server enforces its own limit
 	return &callerListener{
 		listener: l,
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jujubeshed/jujubeshed/internal/callerconn"
 	"github.com/jujubeshed/jujubeshed/internal/entry"
 )
 
@@ -21,6 +22,8 @@
 	log    *slog.Logger
 	server *http.Server
 	ln     net.Listener
+	// connections tracks the connections of callers; nil on other listeners.
+	connections *callerconn.Tracker
 }
 
 func newListener(name, addr string, h http.Handler, log *slog.Logger) *listener {
@@ -46,6 +49,9 @@
 		return errors.Wrapf(err, "listen for %s at %q", l.name, l.addr)
 	}
 	l.ln = ln
+	if l.connections != nil {
+		ln = l.connections.Listener(ln)
+	}
 	go func() {
 		if err := l.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			l.log.Error("node: Listener failed.", "listener", l.name, "error", err)
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -13,6 +13,7 @@
 
 	"github.com/jujubeshed/jujubeshed/internal/admit/gate"
 	"github.com/jujubeshed/jujubeshed/internal/answer"
+	"github.com/jujubeshed/jujubeshed/internal/callerconn"
 	"github.com/jujubeshed/jujubeshed/internal/config"
 	"github.com/jujubeshed/jujubeshed/internal/config/syncer"
 	"github.com/jujubeshed/jujubeshed/internal/discovery"
@@ -55,6 +56,8 @@
 	serviceObserver  kernel.Name = "observe.endpoints"
 	serviceOperators kernel.Name = "listener.operators"
 	serviceCallers   kernel.Name = "listener.callers"
+
+	serviceCallerConns kernel.Name = "callers.connections"
 )
 
 // handoverIdleTimeout is the time after which idle connections for answers between
@@ -80,6 +83,7 @@
 	observer          *observe.Observer
 	answers           *answer.Table
 	entry             *entry.Server
+	callerConns       *callerconn.Tracker
 	sender            *dispatch.Sender
 	moves             *moves
 	pause             *pauseGuard
@@ -209,9 +213,10 @@
 	w.sender = dispatch.New(dispatch.Options{Tokens: w.demand.Tokens}, w.endpoints, w.balancer, w.moves)
 	w.pause = newPauseGuard(w.log, w.config.CatchUp)
 	w.remote = handover.NewPeerClient(w.log, w.peers, w.gossip.HTTPClient(w.handoverTransport))
+	w.callerConns = callerconn.New(callerLimits, w.metrics)
 	w.entry = entry.New(entry.Options{
 		Node: w.opts.ID, DataCentre: w.opts.DataCentre, Incarnation: w.incarnation,
-		Ready:       func() bool { return w.hosts.Hosts() != nil },
+		Ready:       func() bool { return w.hosts.Hosts() != nil && w.callerConns.Accepting() },
 		ConfigFresh: w.pause.caughtUp,
 	}, entry.Dependencies{
 		Log:     w.log,
@@ -251,7 +256,8 @@
 		{controller.Name, w.fleet},
 		{serviceSender, w.sender},
 		{serviceOperators, newListener("operators", w.opts.Operators, operators, w.log)},
-		{serviceCallers, newCallerListener(w.opts, w.entry, w.reclaim, w.log)},
+		{serviceCallerConns, w.callerConns},
+		{serviceCallers, newCallerListener(w.opts, w.entry, w.callerConns, w.reclaim, w.log)},
 	}
 	for _, s := range services {
 		if err := w.registry.Register(s.name, s.s); err != nil {
