Orders that an endpoint refuses end with their callers

Cause: Machine.callerGone did nothing for a request that is not idempotent, so that notDispatched later sent a refused one again, though nothing of it had run.

Why it works: the machine remembers that the caller has left. An order goes on only while an attempt may run, so that its outcome is known; a refusal ends it as not run.

--- a/internal/attempt/machine.go
+++ b/internal/attempt/machine.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -32,6 +33,7 @@
 	excluded   []ident.EndpointID
 	leaving    []Leaving
 	mayHaveRun bool
+	callerGone bool
 	migrated   bool      // a reclaim or the shutdown of a node interrupted the request
 	hedgeAt    time.Time // zero where no hedge is scheduled
 	retryAt    time.Time // zero where no dispatch is scheduled
@@ -112,7 +114,7 @@
 	case Stop:
 		return m.stop()
 	case CallerGone:
-		return m.callerGone()
+		return m.callerLeft()
 	default:
 		return m.tick(now)
 	}
@@ -314,12 +316,15 @@
 	return append(acts, HandOver{State: s})
 }
 
-// callerGone ends an idempotent request, and one with EndWithCaller. Any other continues,
-// so that its outcome becomes known.
-func (m *Machine) callerGone() []Action {
-	if !m.req.Idempotent && !m.req.EndWithCaller {
+var errCallerGone = errors.New("caller disconnected")
+
+// callerLeft ends an idempotent request, and one with EndWithCaller. Any other continues as long
+// as an attempt may run, so that its outcome becomes known, and isn't dispatched again.
+func (m *Machine) callerLeft() []Action {
+	m.callerGone = true
+	if !m.req.Idempotent && !m.req.EndWithCaller && len(m.active) > 0 {
 		return nil
 	}
 	acts := m.cancelAll(nil, nil)
-	return append(acts, m.giveUp(verdict.CodeDeadline, fmt.Errorf("caller disconnected"))...)
+	return append(acts, m.giveUp(verdict.CodeDeadline, errCallerGone)...)
 }
--- a/internal/attempt/retry.go
+++ b/internal/attempt/retry.go
@@ -21,6 +21,9 @@
 	if m.costsNoRetry(ev) {
 		m.unsent = a.payment
 	}
+	if m.callerGone {
+		return m.giveUp(verdict.CodeDeadline, errCallerGone)
+	}
 	if ev.Held {
 		return m.giveUp(verdict.CodeHeld, ev.Cause)
 	}
--- a/internal/relay/through.go
+++ b/internal/relay/through.go
@@ -45,8 +45,8 @@
 			return nil, err
 		}
 		left := a.TimeLeft(walltime.SinceBoot())
-		if left <= 0 || ctx.Err() != nil {
-			return nil, verdict.New(verdict.NotRun, verdict.CodeNotSent, "deadline passed %s before the request was relayed", -left)
+		if err := mayRelay(ctx, a, left); err != nil {
+			return nil, err
 		}
 		var answer *serve.Answer
 		var tryNext bool
@@ -58,6 +58,19 @@
 	return nil, err
 }
 
+// mayRelay returns an error if an attempt must not be relayed any more: its time is over, or its
+// caller has left.
+func mayRelay(ctx context.Context, a serve.Attempt, left time.Duration) error {
+	switch {
+	case left <= 0 || ctx.Err() != nil:
+		return verdict.New(verdict.NotRun, verdict.CodeNotSent, "deadline passed %s before the request was relayed", -left)
+	case a.CallerGone != nil && a.CallerGone():
+		return verdict.New(verdict.NotRun, verdict.CodeNotSent, "caller left before the request was relayed")
+	default:
+		return nil
+	}
+}
+
 // sendThroughShare sends an attempt through one of the nodes that have a share of its endpoint.
 func (t *Transport) sendThroughShare(ctx context.Context, a serve.Attempt) (*serve.Answer, error) {
 	a.SpendsShare = true
@@ -71,8 +84,8 @@
 	err := error(verdict.New(verdict.NotRun, verdict.CodeNotSent, "no node that has a share of endpoint %q can be reached", a.Endpoint.ID).After(noShareRetryAfter))
 	for _, address := range nodes {
 		left := a.TimeLeft(walltime.SinceBoot())
-		if left <= 0 || ctx.Err() != nil {
-			return nil, verdict.New(verdict.NotRun, verdict.CodeNotSent, "deadline passed %s before the request was relayed", -left)
+		if err := mayRelay(ctx, a, left); err != nil {
+			return nil, err
 		}
 		var answer *serve.Answer
 		var tryNext bool
--- a/internal/serve/attempts.go
+++ b/internal/serve/attempts.go
@@ -244,6 +244,7 @@
 	return Attempt{
 		Request: c.req, Endpoint: e, Deadline: c.deadline, Priority: c.priority(),
 		After: c.lastEventID(), Stream: c.route.Kind == site.KindStream, Workspace: c.workspaceName(), Homes: c.homes(),
+		CallerGone: c.callerGone,
 	}
 }
 
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -201,12 +201,14 @@
 	delivery  delivery
 	countOnce sync.Once
 	attempts  attemptLog
+	// callerGone reports whether the caller has left.
+	callerGone func() bool
 }
 
 // Serve serves a request and writes the response to out. The end of ctx means that the
 // caller has disconnected.
 func (h *Handler) Serve(ctx context.Context, req *Request, out Writer) {
-	c := &call{h: h, req: req, out: out}
+	c := &call{h: h, req: req, out: out, callerGone: func() bool { return ctx.Err() != nil }}
 	c.delivery.out = out
 	err := c.admit()
 	if err == nil {
--- a/internal/serve/handler_test.go
+++ b/internal/serve/handler_test.go
@@ -538,3 +538,23 @@
 		t.Errorf("%.0f tokens are charged for a request that did not run", node.charged)
 	}
 }
+
+// TestRefusedOrderEndsWithCaller guards against orders that go on to other endpoints for callers who
+// have left: an endpoint that was silent for a while refuses the order after its caller has left.
+func TestRefusedOrderEndsWithCaller(t *testing.T) {
+	ctx, leave := context.WithCancel(context.Background())
+	node, h := newFakeNode(func(n int, _ serve.Attempt) (*serve.Answer, error) {
+		if n == 1 {
+			leave()
+			time.Sleep(20 * time.Millisecond) // the node notices that the caller has left
+		}
+		return nil, refusal(verdict.NotRun)
+	})
+	h.Serve(ctx, request("/order/x"), &caller{})
+	if len(node.sent) != 1 {
+		t.Errorf("the order was sent %d times", len(node.sent))
+	}
+	if !node.sent[0].CallerGone() {
+		t.Error("the attempt doesn't know that the caller has left")
+	}
+}
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -81,6 +81,9 @@
 	Through []ident.NodeID
 	// SpendsShare reports whether the attempt is another node's that has no share of its own.
 	SpendsShare bool
+	// CallerGone reports whether the caller has left. It is checked right before the attempt is
+	// sent; nil if it isn't known.
+	CallerGone func() bool
 	// Statements, if not nil, is set to what the endpoint states in its response.
 	Statements *Statements
 	// Import is the KV copy of the migrated request that this attempt resumes; nil for a
