jujubeshed node: lookups and orders without a key end with their callers

Cause: servePlain detached every request from its caller. That is needed for orders with a key only, whose outcome is recorded for their repeats.

Why it works: all others keep the caller's context; the state machine then cancels lookups, and lets an order without a key go on only while an attempt may run.

Evidence: TestCallerLeaves failed before for three of its four cases (GET /catalogue with and without a key, POST /gifts) and passes; an order with a key still goes on.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -31,7 +31,8 @@
 type fakeSender struct {
 	tokens  []string
 	end     answer.End
-	unblock chan struct{} // if not nil, the answer ends when this is closed
+	unblock chan struct{}                         // if not nil, the answer ends when this is closed
+	forward func(ctx context.Context, r *Request) // called by Forward if it is not nil
 }
 
 func (f *fakeSender) Chat(ctx context.Context, chat *ChatCompletion) {
@@ -47,7 +48,10 @@
 	chat.Answer.Close(time.Now(), f.end)
 }
 
-func (f *fakeSender) Forward(_ context.Context, r *Request, in *http.Request, body []byte, handle func(*http.Response) error) error {
+func (f *fakeSender) Forward(ctx context.Context, r *Request, in *http.Request, body []byte, handle func(*http.Response) error) error {
+	if f.forward != nil {
+		f.forward(ctx, r)
+	}
 	rec := httptest.NewRecorder()
 	rec.Header().Set("Connection", "X-Secret")
 	rec.Header().Set("X-Secret", "hop")
@@ -79,6 +83,7 @@
   chat: {prefix: /chat, methods: [POST], service: model, class: quick}
   drafts: {prefix: /drafts, methods: [POST], service: model, class: long}
   orders: {prefix: /orders, methods: [POST], service: desk, class: order, require_key: true}
+  gifts: {prefix: /gifts, methods: [POST], service: desk, class: order}
   catalogue: {prefix: /catalogue, methods: [GET], service: desk, class: lookup}
 workspaces:
   families: {keys: [families-key]}
@@ -285,3 +290,33 @@
 		}
 	})
 }
+
+// TestCallerLeaves guards against requests that go on for callers who have left. Only the outcome of
+// an order with a key is of use then, to its repeats.
+func TestCallerLeaves(t *testing.T) {
+	for _, c := range []struct {
+		method, path, key string
+		ends              bool
+	}{
+		{http.MethodGet, "/catalogue", "", true},
+		{http.MethodGet, "/catalogue", "k1", true},
+		{http.MethodPost, "/gifts", "", true},
+		{http.MethodPost, "/orders", "k2", false},
+	} {
+		caller, leave := context.WithCancel(context.Background())
+		ended := false
+		s, _ := newServer(t, &fakeSender{forward: func(ctx context.Context, _ *Request) {
+			leave()
+			ended = ctx.Err() != nil
+		}}, fakeGate{})
+		r := httptest.NewRequest(c.method, c.path, strings.NewReader("x")).WithContext(caller)
+		r.Header.Set("Authorization", "Bearer families-key")
+		if c.key != "" {
+			r.Header.Set("Idempotency-Key", c.key)
+		}
+		s.ServeHTTP(httptest.NewRecorder(), r)
+		if ended != c.ends {
+			t.Errorf("%s %s with key %q: the request ends with its caller: %t", c.method, c.path, c.key, ended)
+		}
+	}
+}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -25,7 +25,12 @@
 
 // servePlain handles a request to a plain service.
 func (s *Server) servePlain(w http.ResponseWriter, r *http.Request, req *Request, body []byte) {
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), req.Deadline)
+	// The outcome of a request with a key is recorded for its repeats, also if the caller leaves.
+	parent := r.Context()
+	if !req.Route.Idempotent && req.Key != "" {
+		parent = context.WithoutCancel(parent)
+	}
+	ctx, cancel := context.WithDeadline(parent, req.Deadline)
 	defer cancel()
 	release, err := s.gate.Acquire(ctx, req)
 	if err != nil {
