SIGHUP doesn't end a process that starts

Cause: the handler was installed after all services had started. Until then the signal has its default effect; the initialisation of the packages alone takes 5 to 7 ms.

Ruled out: the reload itself (it reads and logs).

Why it works: package hangup imports little, so that Go initialises it right after os/signal, 1.0 to 1.3 ms after the start (GODEBUG=inittrace=1). It asks for the signal if the arguments name the command serve; what comes before the services have started is handled then.

What is left is the start of the Go runtime.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -2,16 +2,14 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/urfave/cli/v3"
 
 	"github.com/jujubeshed/jujubeshed/internal/gateway"
+	"github.com/jujubeshed/jujubeshed/internal/hangup"
 	"github.com/jujubeshed/jujubeshed/internal/logqueue"
 	"github.com/jujubeshed/jujubeshed/platform"
 )
@@ -30,7 +28,7 @@
 
 func serveCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "serve",
+		Name:  hangup.Command,
 		Usage: "run an entry node on the users' platform",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "path of the platform's settings file (default: $JUJUBESHED_BOOT or /etc/jujubeshed/node.conf)", Sources: env("settings")},
@@ -73,12 +71,9 @@
 	if err := n.Start(ctx); err != nil {
 		return err
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
 	for {
 		select {
-		case <-reload:
+		case <-hangup.Signals():
 			next, err := platform.LoadSettings(path)
 			log.Info("gateway: Reload requested; changed settings take effect at the next start.", "changed", err == nil && !next.Equal(settings), "error", err)
 		case <-ctx.Done():
