--- a/internal/platformapi/convert.go
+++ b/internal/platformapi/convert.go
@@ -20,9 +20,6 @@
 		out.Deadline = api.NewOptUnixMilli(h.Deadline)
 	}
 	for _, e := range h.Endpoints {
-		if !hasPort(e.Address) {
-			continue // another writer's; nothing can be sent there
-		}
 		out.Endpoints = append(out.Endpoints, api.Endpoint{
 			ID:      string(e.ID),
 			Address: e.Address,
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -18,7 +18,7 @@
 // of an answer are weaker evidence, as a stream that is resumed after each crash is at the next
 // one, too; they count only where no other trait explains them.
 //
-// Several traits may be at the same crashes, and no answer tells them apart: all nodes have just
+// Several traits may be at the same crashes, and no answer distinguishes them: all nodes have just
 // started, or few sound requests come for each deadly one. Then only requests with all of these
 // traits are held back. Those with some of them go on, so that their answers clear the sound traits.
 //
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -88,7 +88,7 @@
 	}
 }
 
-// alternatives returns, for each of several suspects, those that the crashes can't tell apart from
+// alternatives returns, for each of several suspects, those that the crashes can't distinguish from
 // it: nearly the same ones count for them.
 func alternatives(suspects map[Trait]endpointSet) map[Trait][]Trait {
 	out := make(map[Trait][]Trait)
@@ -131,8 +131,8 @@
 }
 
 // settle holds the traits that have been suspected for settleTime, if all other nodes have
-// reported since. Of suspects that can't be told apart, it holds the most specific one, later: until
-// then, answers to requests with some of them may still tell them apart.
+// reported since. Of suspects that can't be distinguished, it holds the most specific one, later: until
+// then, answers to requests with some of them may still distinguish them.
 func (t *Tracker) settle(now time.Time) {
 	for s, since := range t.suspected {
 		wait := settleTime
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -21,7 +21,7 @@
 	clockTolerance = 100 * time.Millisecond
 	// settleTime is the shortest time for which a trait is suspected before it is held.
 	settleTime = 2 * time.Second
-	// sharedSettleTime is the same for suspects that the crashes can't tell apart.
+	// sharedSettleTime is the same for suspects that the crashes can't distinguish.
 	sharedSettleTime = 8 * time.Second
 	// learningTime is the time after its start in which a node counts all segments as
 	// answered before: it doesn't know yet which ones were.
@@ -52,7 +52,7 @@
 	completions map[Trait]time.Time // latest completed request of this node, by signature
 	peerAnswers map[Trait]time.Time // latest answer or completion reported by other nodes
 	suspected   map[Trait]time.Time // since when
-	// alternatives are, for a suspected trait, the others that the crashes can't tell apart from it.
+	// alternatives are, for a suspected trait, the others that the crashes can't distinguish from it.
 	alternatives map[Trait][]Trait
 	holds        map[Trait]time.Time // until when
 	ended        map[Trait]time.Time // when the last hold ended
@@ -102,8 +102,8 @@
 	return 0, false
 }
 
-// hasAlternatives reports whether all suspects that can't be told apart from s are among the traits
-// of a request. A request that lacks one of them may be sound, and its answer or crash tells them apart.
+// hasAlternatives reports whether all suspects that can't be distinguished from s are among the traits
+// of a request. A request that lacks one of them may be sound, and its answer or crash distinguishes them.
 func (t *Tracker) hasAlternatives(s Trait, traits []Trait) bool {
 	for _, other := range t.alternatives[s] {
 		if !slices.Contains(traits, other) {
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -181,10 +181,10 @@
 	}
 }
 
-// TestSegmentsThatCantBeToldApart guards against sound requests that are held back with a deadly
-// segment: it comes with segments that sound requests have, too, and no answer tells them apart, as
+// TestIndistinguishableSegments guards against sound requests that are held back with a deadly
+// segment: it comes with segments that sound requests have, too, and no answer distinguishes them, as
 // all were answered before the first crash, or the node has just started.
-func TestSegmentsThatCantBeToldApart(t *testing.T) {
+func TestIndistinguishableSegments(t *testing.T) {
 	answered := newClocked(t)
 	answered.RecordAnswer(answered.now, answered.now.Add(-time.Minute), []Trait{1, 2, 7})
 	for name, c := range map[string]*clocked{
@@ -214,7 +214,7 @@
 }
 
 // TestOneOfSeveralSegmentsIsHeld checks that the last of several segments is held, for which
-// requests with all of them are the only ones, if no answer tells them apart in time.
+// requests with all of them are the only ones, if no answer distinguishes them in time.
 func TestOneOfSeveralSegmentsIsHeld(t *testing.T) {
 	c := newClocked(t)
 	for i := range 4 {
@@ -222,7 +222,7 @@
 	}
 	c.wait(settleTime)
 	if holds := c.Holds(); len(holds) != 0 {
-		t.Errorf("holds are %v before the segments could be told apart", holds)
+		t.Errorf("holds are %v before the segments could be distinguished", holds)
 	}
 	c.wait(sharedSettleTime)
 	c.checkHeld(true, 1, 2, 7)
@@ -233,7 +233,7 @@
 }
 
 // TestSharedSegmentTurnsFatal checks that a crash under one of the segments alone, which are
-// suspected together, tells them apart.
+// suspected together, distinguishes them.
 func TestSharedSegmentTurnsFatal(t *testing.T) {
 	c := newClocked(t)
 	for i := range 3 {
--- a/internal/quarantine/types.go
+++ b/internal/quarantine/types.go
@@ -86,7 +86,7 @@
 	Trait Trait
 	Kind  EventKind
 	// Crashes is the number of endpoints that crashed, for EventSuspected, and Alternatives that of
-	// other suspects that these crashes can't tell apart from the trait.
+	// other suspects that these crashes can't distinguish from the trait.
 	Crashes, Alternatives int
 }
 
