Only endpoints whose port is out of range are left out of host lists

Cause: hasPort took an address without a port for odd. The platform's API asks for IP:port, but nothing checked it before, and an address without a port can't be dialled, which the balancer finds out by itself.

Ruled out: the tests; they are unchanged and pass again.

Why it works: only a port that is there and out of range makes an endpoint odd.

Evidence: go test ./internal/fleet/controller failed in five tests and passes; TestOddHostInList passes.

--- a/internal/platformapi/convert.go
+++ b/internal/platformapi/convert.go
@@ -44,7 +44,7 @@
 		Class:        h.Class.Value,
 	}
 	for _, e := range h.Endpoints {
-		if !hasPort(e.Address) {
+		if hasOddPort(e.Address) {
 			continue // another writer's; nothing can be sent there
 		}
 		out.Endpoints = append(out.Endpoints, EndpointInfo{
--- a/internal/platformapi/hosts.go
+++ b/internal/platformapi/hosts.go
@@ -92,12 +92,12 @@
 	return errors.As(err, &body) || errors.As(err, &invalid)
 }
 
-// hasPort reports whether an address ends with a port in range.
-func hasPort(address string) bool {
+// hasOddPort reports whether the port of an address is none that can be connected to.
+func hasOddPort(address string) bool {
 	_, port, err := net.SplitHostPort(address)
 	if err != nil {
-		return false
+		return false // it names no port
 	}
 	n, err := strconv.ParseUint(port, 10, 16)
-	return err == nil && n > 0
+	return err != nil || n == 0
 }
