Logs and metrics name what cut a stream

From the log line of a request it couldn't be told whether its endpoint had ended the connection, whether this node had had the run stopped for its migration and could not resume it, or whether the caller, a write to it, the deadline or a failing connection was the reason; no metric counted such streams at all.

The last log line of a stream that ends after its head with an error has cut_by now, and stream_cut_total counts by service and cause. The cause is taken from the state of the stream and of the response to the caller, after all attempts have ended; no decision depends on it.

Test: TestCutStreamsNameTheirCause, TestStreamCutByItsMigrationSaysSo (each of the six causes).

--- a/internal/serve/attempts.go
+++ b/internal/serve/attempts.go
@@ -115,6 +115,18 @@
 	return nil
 }
 
+// lastStream returns the response of the last attempt that has one, or nil.
+func (l *attemptLog) lastStream() *answerStream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := len(l.entries) - 1; i >= 0; i-- {
+		if s := l.entries[i].stream; s != nil {
+			return s
+		}
+	}
+	return nil
+}
+
 func (l *attemptLog) setError(id ident.AttemptID, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/serve/delivery.go
+++ b/internal/serve/delivery.go
@@ -19,6 +19,7 @@
 		sent      int   // number of events sent
 		started   bool
 		firstSent time.Time
+		writeErr  error // of a write of a stream to the caller
 	}
 }
 
@@ -73,16 +74,26 @@
 		return err
 	}
 	if begin != nil {
-		if err := d.out.Begin(*begin); err != nil {
-			return err
-		}
+		err = d.out.Begin(*begin)
 	}
 	for _, raw := range events {
-		if err := d.out.Event(raw); err != nil {
-			return err
+		if err == nil {
+			err = d.out.Event(raw)
 		}
 	}
-	return nil
+	if err != nil {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.mu.writeErr = err
+	}
+	return err
+}
+
+// writeFailed reports whether a write of a stream to the caller has failed.
+func (d *delivery) writeFailed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mu.writeErr != nil
 }
 
 // advance marks the next n events as sent. It returns the head if it has to be sent
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -381,6 +381,11 @@
 	if ctx.Err() != nil {
 		outcome = "caller-gone"
 	}
+	if err != nil && c.delivery.hasStarted() && c.route.Kind == site.KindStream {
+		cause := c.cutBy(ctx, err)
+		attrs = append(attrs, "cut_by", cause)
+		c.h.metrics.recordCut(c.service, cause)
+	}
 	c.h.metrics.recordRequest(route, workspace, outcome, now.Sub(c.req.Arrived), c.delivery.timeToFirstByte(c.req.Arrived))
 	c.h.log.Info("request: Done.", append(attrs, "outcome", outcome)...)
 }
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -16,6 +16,7 @@
 	duration   *prometheus.HistogramVec
 	firstByte  *prometheus.HistogramVec
 	migrations *prometheus.CounterVec
+	cut        *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them with reg.
@@ -38,7 +39,10 @@
 	m.migrations = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "run_move_total", Help: "Migrations of running streams from draining endpoints, by service and outcome.",
 	}, []string{"service", "outcome"})
-	reg.MustRegister(m.requests, m.attempts, m.duration, m.firstByte, m.migrations)
+	m.cut = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "stream_cut_total", Help: "Streams that ended for their callers before their last event, by service and by what ended them.",
+	}, []string{"service", "cause"})
+	reg.MustRegister(m.requests, m.attempts, m.duration, m.firstByte, m.migrations, m.cut)
 	return m
 }
 
@@ -60,6 +64,11 @@
 	m.attempts.WithLabelValues(string(s), outcomeNames[o]).Inc()
 }
 
+// recordCut counts a stream that was cut after its head.
+func (m *Metrics) recordCut(s ident.Service, cause cutCause) {
+	m.cut.WithLabelValues(string(s), string(cause)).Inc()
+}
+
 // recordMigration counts the migration of a stream.
 func (m *Metrics) recordMigration(s ident.Service, err error) {
 	outcome := "ok"
--- a/internal/serve/migration_test.go
+++ b/internal/serve/migration_test.go
@@ -126,6 +126,11 @@
 // serveMigrated serves a stream that must not run twice, whose engine terminates while it runs. It
 // returns the node, what the caller got and the engine.
 func serveMigrated(tr *migratingTransport) (*fakeNode, *caller, site.Endpoint) {
+	return serveMigratedWith(tr, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
+}
+
+// serveMigratedWith does the same with a log and a registry of metrics.
+func serveMigratedWith(tr *migratingTransport, log *slog.Logger, reg *prometheus.Registry) (*fakeNode, *caller, site.Endpoint) {
 	node, _ := newFakeNode(nil)
 	cfg := *testConfig
 	engine := site.Engine{Slots: 8, CacheTokens: 10000, SupportsMigration: true}
@@ -133,8 +138,7 @@
 	node.config = &cfg
 	tr.stopped = make(chan struct{})
 	h := serve.NewHandler(serve.Dependencies{
-		NodeServices: node, Placement: node, Versions: node, Transport: tr, Log: slog.New(slog.DiscardHandler),
-		Metrics: serve.NewMetrics(prometheus.NewRegistry()),
+		NodeServices: node, Placement: node, Versions: node, Transport: tr, Log: log, Metrics: serve.NewMetrics(reg),
 	})
 	c := &caller{}
 	done := make(chan struct{})
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -32,6 +32,7 @@
 	unmarked       bool // that end may be one of the connection alone
 	watchdog       *watchdog
 	migrationState atomic.Pointer[migrationState] // nil before a migration has started
+	readErr        error                          // with which the stream broke off; nil before that
 }
 
 // Recv implements runner.Stream.
@@ -61,11 +62,13 @@
 		return runner.Frame{Chunk: &attempt.Chunk{Echo: echo, Offset: s.nextOffset, Finish: "end"}}, nil
 	}
 	if err != nil {
+		s.readErr = err
 		s.call.brokenOff(s.attempt, s.call.attempts.choice(s.attempt), true, s.eventsRead, err)
 		return runner.Frame{}, s.watchdog.wrapError(err)
 	}
 	s.watchdog.reset()
 	if err := s.checkSequence(ev); err != nil {
+		s.readErr = err
 		return runner.Frame{}, err
 	}
 	if s.lastReadID == 0 {
