A call that moves a run is relayed through the next node if the first can't

Callers of a node without links to the engines lost streams of a leaving engine: the node moves such a stream through another node, and tried one only. If that one had ended, was stopping or had too many requests, the run was not moved, although another node could have done it; the engine then ended in the middle of the stream. A node that had not yet noticed the loss of its links did not relay the call at all.

The next node is tried only if the call certainly was not sent: no connection to the first node, or its statement that it has not sent it.

Ruled out as a change: to repeat a call whose response was lost between the nodes, as the run may be stopped.

Test: TestMigrationIsRelayedByTheNextNode. Before, on: $ go test ./internal/relay -run TestMigrationIsRelayed ended: call 0: KV copy <nil>, error not-sent (not-run): relay through 127.79.134.2:20080: unavailable: dial tcp 127.79.134.2:20080: connect: connection refused

--- a/internal/relay/through.go
+++ b/internal/relay/through.go
@@ -40,8 +40,7 @@
 	}
 	err := error(verdict.New(verdict.NotRun, verdict.CodeNotSent, "no path to endpoint %q, and no other node that has one", a.Endpoint.ID).After(noRelayRetryAfter))
 	for _, address := range t.chooseRelays(a.Endpoint.Service, a.Homes, maxTries) {
-		resumesThere := a.Import != nil && a.Import.Source == a.Endpoint.Address
-		if err := t.signals.MaySend(a.Endpoint, !resumesThere); err != nil {
+		if err := t.signals.MaySend(a.Endpoint, a.Import == nil); err != nil {
 			return nil, err
 		}
 		left := a.TimeLeft(walltime.SinceBoot())
@@ -194,20 +193,41 @@
 	_ = e.stream.Close() // nothing more is read from it
 }
 
-// Migrate implements serve.Transport.
+// Migrate implements serve.Transport. A call that certainly was not sent, for a reason that lies with
+// this node or the one that relays it, is made through the next one.
 func (t *Transport) Migrate(ctx context.Context, m serve.Migration) (*serve.KVCopy, error) {
 	if !t.pathsLost(m.From.Service) {
-		return t.Transport.Migrate(ctx, m)
+		kvCopy, err := t.Transport.Migrate(ctx, m)
+		if err == nil || kvCopy != nil || !notConnected(err) || !t.pathsDoubtful(m.From.Service) {
+			return kvCopy, err
+		}
 	}
-	relays := t.chooseRelays(m.From.Service, nil, 1) // the call has no body
-	if len(relays) == 0 {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeNotSent, "no path to endpoint %q, and no other node that has one", m.From.ID)
+	err := error(verdict.New(verdict.NotRun, verdict.CodeNotSent, "no path to endpoint %q, and no other node that has one", m.From.ID))
+	for _, address := range t.chooseRelays(m.From.Service, nil, maxTries) { // the call has no body
+		resp, callErr := t.clientOf(address).Migrate(ctx, connect.NewRequest(encodeMigration(ctx, m)))
+		if callErr != nil {
+			err = t.callError(callErr, address)
+			if !neverConnected(callErr) {
+				return nil, err
+			}
+			t.relayFailed(address)
+			continue
+		}
+		if err = decodeError(resp.Msg.Error); resp.Msg.Copy != nil || !notSent(err) {
+			return decodeKVCopy(resp.Msg.Copy), err
+		}
+		t.relayFailed(address)
 	}
-	resp, err := t.clientOf(relays[0]).Migrate(ctx, connect.NewRequest(encodeMigration(ctx, m)))
-	if err != nil {
-		return nil, t.callError(err, relays[0])
+	return nil, err
+}
+
+// notSent reports whether a call was not sent for a reason that lies with the sender.
+func notSent(err error) bool {
+	if err == nil {
+		return false
 	}
-	return decodeKVCopy(resp.Msg.Copy), decodeError(resp.Msg.Error)
+	v := verdict.From(err)
+	return v.Verdict == verdict.NotRun && v.Code == verdict.CodeNotSent
 }
 
 // Probe implements serve.Transport. A refusal counts only if another node is refused, too: it may
