A stream that was stopped for its migration is not given up while a copy can be used

The node tells the engine to stop the run, so that the end of the stream is the node's from then on. It then sent the continuation once, to one engine.

Cause: each step of the migration was tried once, and its failure taken for the loss of the run, although the protocol keeps the memory at both engines: the target from the first copy on, the source once it has stopped. A refusal (503, 421, back-off), a reset, a target that had ended, a lost response to the stop, or an engine that terminated before the second copy was complete cut the stream. A target without room for the first copy left the stream at its engine until that terminated.

An engine that may have continued the run is the only one to be asked again, since it takes a copy once; another one follows if its process has ended. - Without the response to the stop, the first copy is used only after the engine has ended the connection and a repeated stop, or a probe, shows that it does not run the request any more. - The first copy is offered to up to three targets, and nothing is stopped for one that leaves or backs off. - run_resume_total, `request: Run resumed.`, and in the lines of a move whether the run had been copied and may be stopped; run_move_total has the outcome "ended" for streams that ended meanwhile.

Ruled out: SIGHUP itself (reads the settings, touches no request). Not changed: streams are still moved on the estimate of their engine's termination.

The stand-in of TestStoppedStreamIsIncomplete takes a repeated stop; its expectations are unchanged.

--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -200,6 +200,13 @@
 	return s.mu.table.TerminationTime(id)
 }
 
+// AcceptsUntil implements serve.Placement.
+func (s *state) AcceptsUntil(id ident.EndpointID) (until time.Time, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mu.table.AcceptsUntil(id)
+}
+
 // usage returns the current usage of a service's endpoints.
 func (s *state) usage(name ident.Service) placement.Usage {
 	s.mu.Lock()
--- a/internal/placement/backoff_test.go
+++ b/internal/placement/backoff_test.go
@@ -152,3 +152,38 @@
 		t.Errorf("a repeated report moves the end to %s", end.Sub(now))
 	}
 }
+
+// TestAcceptsUntil checks until when requests that continue are sent to a leaving endpoint: before the
+// drain time has passed since its report, and before it terminates.
+func TestAcceptsUntil(t *testing.T) {
+	const drain = 2 * time.Second
+	now := time.Unix(1000, 0)
+	a := llmEndpoint("a")
+	leaving := func(in time.Duration) site.Endpoint {
+		e := a
+		e.Leaving, e.LeavesIn = true, in
+		return e
+	}
+	for name, c := range map[string]struct {
+		listed, missing []site.Endpoint
+		limited, known  bool
+		most            time.Duration
+	}{
+		"ready":                {listed: []site.Endpoint{a}, known: true},
+		"removed":              {},
+		"missing":              {missing: []site.Endpoint{a}, limited: true, known: true, most: drain},
+		"leaving":              {listed: []site.Endpoint{leaving(0)}, limited: true, known: true, most: drain},
+		"leaving soon":         {listed: []site.Endpoint{leaving(time.Second)}, limited: true, known: true, most: time.Second},
+		"leaving later":        {listed: []site.Endpoint{leaving(time.Minute)}, limited: true, known: true, most: drain},
+		"leaving, now missing": {missing: []site.Endpoint{leaving(time.Minute)}, limited: true, known: true, most: drain},
+	} {
+		table := New(Options{DataCentre: "a", DrainTime: drain})
+		table.SetEndpoints(now, []site.Endpoint{a}, nil, services)
+		table.SetEndpoints(now, c.listed, c.missing, services)
+		table.SetEndpoints(now.Add(500*time.Millisecond), c.listed, c.missing, services)
+		until, known := table.AcceptsUntil(a.ID)
+		if known != c.known || until.IsZero() == c.limited || c.limited && (until.After(now.Add(c.most)) || until.Before(now.Add(c.most/2))) {
+			t.Errorf("%s: known %t, until %s", name, known, until.Sub(now))
+		}
+	}
+}
--- a/internal/placement/member.go
+++ b/internal/placement/member.go
@@ -16,6 +16,7 @@
 	incarnation     site.IncarnationHash
 	engine          *site.Engine // nil for an endpoint that is not an engine
 	missingSince    time.Time    // when it was first no longer listed; zero while listed
+	leavingSince    time.Time    // when it was first leaving or missing; zero otherwise
 	terminationTime time.Time    // of a leaving or missing endpoint; zero otherwise
 	timeReported    bool         // the endpoint has reported its terminationTime itself
 	inflight        map[ident.AttemptID]*attempt
@@ -66,12 +67,16 @@
 func (m *member) setTerminationTime(now time.Time, drainTime time.Duration) {
 	switch {
 	case !m.Leaving && m.missingSince.IsZero():
-		m.terminationTime = time.Time{}
+		m.leavingSince, m.terminationTime = time.Time{}, time.Time{}
+		return
 	case m.LeavesIn > 0 && !m.timeReported:
 		m.terminationTime, m.timeReported = now.Add(m.LeavesIn), true
 	case m.terminationTime.IsZero():
 		m.terminationTime = now.Add(drainTime)
 	}
+	if m.leavingSince.IsZero() {
+		m.leavingSince = now
+	}
 }
 
 // running estimates the number of requests of all nodes at the endpoint.
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -320,6 +320,24 @@
 	return m.terminationTime, true
 }
 
+// acceptsShare is the fraction of the drain time for which requests that have started may be sent
+// to a leaving endpoint. The rest is left for the time that its report takes to this node.
+const acceptsShare = 0.9
+
+// AcceptsUntil returns until when what continues a request may be sent to an endpoint, or the zero
+// time if it neither leaves nor is missing. known is false for an unknown endpoint.
+func (t *Table) AcceptsUntil(id ident.EndpointID) (until time.Time, known bool) {
+	m := t.members[id]
+	if m == nil || m.leavingSince.IsZero() {
+		return time.Time{}, m != nil
+	}
+	until = m.leavingSince.Add(seconds(acceptsShare * t.opts.DrainTime.Seconds()))
+	if m.terminationTime.Before(until) {
+		until = m.terminationTime
+	}
+	return until, true
+}
+
 // Usage is the capacity and load of a service.
 type Usage struct {
 	// Endpoints is the number of endpoints that are neither leaving nor missing, by pool.
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -16,6 +16,7 @@
 	duration   *prometheus.HistogramVec
 	firstByte  *prometheus.HistogramVec
 	migrations *prometheus.CounterVec
+	resumed    *prometheus.CounterVec
 	cut        *prometheus.CounterVec
 }
 
@@ -39,10 +40,13 @@
 	m.migrations = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "run_move_total", Help: "Migrations of running streams from draining endpoints, by service and outcome.",
 	}, []string{"service", "outcome"})
+	m.resumed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "run_resume_total", Help: "Streams that were stopped for their migration, by service and by where they were resumed.",
+	}, []string{"service", "outcome"})
 	m.cut = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "stream_cut_total", Help: "Streams that ended for their callers before their last event, by service and by what ended them.",
 	}, []string{"service", "cause"})
-	reg.MustRegister(m.requests, m.attempts, m.duration, m.firstByte, m.migrations, m.cut)
+	reg.MustRegister(m.requests, m.attempts, m.duration, m.firstByte, m.migrations, m.resumed, m.cut)
 	return m
 }
 
@@ -69,11 +73,26 @@
 	m.cut.WithLabelValues(string(s), string(cause)).Inc()
 }
 
-// recordMigration counts the migration of a stream.
-func (m *Metrics) recordMigration(s ident.Service, err error) {
+// recordMigration counts the migration of a stream; ended reports whether the stream ended meanwhile.
+func (m *Metrics) recordMigration(s ident.Service, err error, ended bool) {
 	outcome := "ok"
-	if err != nil {
+	switch {
+	case err != nil && ended:
+		outcome = "ended"
+	case err != nil:
 		outcome = "failed"
 	}
 	m.migrations.WithLabelValues(string(s), outcome).Inc()
 }
+
+// recordResumption counts a stream that was stopped for its migration.
+func (m *Metrics) recordResumption(s ident.Service, atTarget, resumed bool) {
+	outcome := "lost"
+	switch {
+	case atTarget:
+		outcome = "target"
+	case resumed:
+		outcome = "source"
+	}
+	m.resumed.WithLabelValues(string(s), outcome).Inc()
+}
--- a/internal/serve/migration.go
+++ b/internal/serve/migration.go
@@ -1,11 +1,15 @@
 package serve
 
 import (
+	"cmp"
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/placement"
 	"github.com/jujubeshed/jujubeshed/internal/site"
@@ -17,7 +21,8 @@
 // copied, and the other engine resumes it after the last event that was read. This
 // continues the same execution, so that streams that must not run twice can be migrated,
 // too. If the migration fails before the stream is stopped, the stream stays at its engine
-// until that terminates. If it fails later, the stream is incomplete however it ends.
+// until that terminates. Once the stream may be stopped, it is not given up while a copy of its
+// KV cache can be used. If it can't be resumed, it is incomplete however it ends.
 
 const (
 	// migrationLead is how long before its engine terminates a stream is migrated. All
@@ -29,6 +34,11 @@
 	migrationMargin = 150 * time.Millisecond
 	// MigrationInterval is the interval at which active streams are checked for migration.
 	MigrationInterval = 100 * time.Millisecond
+	// maxMigrationTargets is the number of engines to which a stream's KV cache is offered.
+	maxMigrationTargets = 3
+	// confirmTimeout limits the calls by which a node makes sure that an engine does not run a
+	// request any more.
+	confirmTimeout = 500 * time.Millisecond
 )
 
 // migrationSuffix is appended to the ID of an attempt to form the ID under which its
@@ -83,15 +93,20 @@
 	}
 }
 
-// migrationState is the state of a stream's migration to another engine.
+// migrationState is the state of a stream's migration to another engine. The fields without
+// another note are final when done is closed.
 type migrationState struct {
-	target  site.Endpoint // set to the stream's own engine if it has to resume there
+	target  site.Endpoint
 	attempt ident.AttemptID
-	done    chan struct{} // closed when kvCopy is final
-	kvCopy  *KVCopy
-	resumed bool // the other engine has resumed the stream
+	done    chan struct{} // closed when the copies are final
+	// firstCopy is the copy made while the stream was running, and kvCopy the one made after it
+	// was stopped; nil for none.
+	firstCopy, kvCopy *KVCopy
+	atSource          bool // kvCopy is not at the target
+	used              bool // the copies; of the goroutine that reads the stream
+	resumed           bool // the target has resumed the stream; of the same goroutine
 	// mayBeStopped reports whether the engine may have stopped the stream, which has not been
-	// resumed since. It is final when done is closed.
+	// resumed since.
 	mayBeStopped atomic.Bool
 }
 
@@ -106,50 +121,56 @@
 func (s *answerStream) startMigration(now, end time.Time) {
 	c := s.call
 	m := &migrationState{attempt: s.attempt + migrationSuffix, done: make(chan struct{})}
-	choice, refusal := c.h.placement.Pick(m.attempt, placement.Request{
-		Service: c.service, Prompt: c.req.Prompt, Exclude: []ident.EndpointID{s.endpoint.ID}, Version: s.endpoint.Version,
-		MaxGap: c.route.MaxGap, Homes: c.homes(), Imported: true,
-	})
-	if refusal != nil {
+	if refusal := s.chooseTarget(m, nil); refusal != nil {
 		c.h.log.Info("request: Not moved.", "request", c.req.ID, "from", s.endpoint.ID, "ends_in_ms", end.Sub(now).Milliseconds(), "cause", refusal.Error())
 		close(m.done)
 		s.migrationState.Store(m) // not retried: the next check would most likely find no engine either
 		return
 	}
-	m.target = choice.Endpoint
-	c.attempts.add(m.attempt, choice)
 	s.migrationState.Store(m)
 	go s.copyKV(m, end.Sub(now))
 }
 
+// chooseTarget sets the engine to which the stream is migrated, which is none of those excluded.
+func (s *answerStream) chooseTarget(m *migrationState, excluded []ident.EndpointID) *verdict.Error {
+	c := s.call
+	choice, refusal := c.h.placement.Pick(m.attempt, placement.Request{
+		Service: c.service, Prompt: c.req.Prompt, Exclude: append([]ident.EndpointID{s.endpoint.ID}, excluded...), Version: s.endpoint.Version,
+		MaxGap: c.route.MaxGap, Homes: c.homes(), Imported: true,
+	})
+	if refusal != nil {
+		return refusal
+	}
+	m.target = choice.Endpoint
+	c.attempts.add(m.attempt, choice)
+	return nil
+}
+
 // copyKV copies the stream's KV cache in two steps: most of it while the stream runs, and
 // the rest after the stream was stopped.
 func (s *answerStream) copyKV(m *migrationState, remaining time.Duration) {
 	defer close(m.done)
 	c := s.call
-	req := Migration{Request: c.req.ID, From: s.endpoint, To: m.target}
 	ctx, cancel := context.WithTimeout(s.ctx, remaining)
 	defer cancel()
 	start := time.Now()
-	_, err := c.h.transport.Migrate(ctx, req)
+	err := s.copyRunning(ctx, m, start.Add(remaining-migrationMargin))
 	firstCopy := time.Since(start)
 	if err == nil {
-		req.Stop = true
 		m.mayBeStopped.Store(true)
-		m.kvCopy, err = c.h.transport.Migrate(ctx, req)
+		m.kvCopy, err = c.h.transport.Migrate(ctx, s.migration(m, true))
 		if m.kvCopy == nil && verdict.Of(err) == verdict.NotRun {
 			m.mayBeStopped.Store(false)
 		}
-		if err != nil && m.kvCopy != nil {
-			m.target = s.endpoint // it was stopped there and still has its KV cache
-		}
-	}
-	if err != nil {
+		m.atSource = err != nil && m.kvCopy != nil
+	} else {
 		c.h.placement.Finished(m.attempt, placement.OutcomeNeutral)
 	}
-	c.h.metrics.recordMigration(c.service, err)
+	ended := s.ctx.Err() != nil
+	c.h.metrics.recordMigration(c.service, err, ended)
 	attrs := []any{"request", c.req.ID, "from", s.endpoint.ID, "to", m.target.ID, "ends_in_ms", remaining.Milliseconds(),
-		"copy_ms", firstCopy.Milliseconds(), "stop_ms", (time.Since(start) - firstCopy).Milliseconds()}
+		"copy_ms", firstCopy.Milliseconds(), "stop_ms", (time.Since(start) - firstCopy).Milliseconds(),
+		"copied", m.firstCopy != nil, "may_be_stopped", m.mayBeStopped.Load(), "ended", ended}
 	if err != nil {
 		c.h.log.Info("request: Move failed.", append(attrs, "error", err.Error())...)
 		return
@@ -157,11 +178,47 @@
 	c.h.log.Info("request: Run moved.", attrs...)
 }
 
-// resumeMigrated returns the rest of a stream that was stopped for its migration. It
-// returns nil if the stream was not stopped for that, or can't be resumed.
-func (s *answerStream) resumeMigrated() *Answer {
+func (s *answerStream) migration(m *migrationState, stop bool) Migration {
+	return Migration{Request: s.call.req.ID, From: s.endpoint, To: m.target, Stop: stop}
+}
+
+// errTargetRefuses means that a target would refuse to resume the stream.
+var errTargetRefuses = errors.New("target is leaving or wants no calls")
+
+// copyRunning copies the KV cache of the running stream to an engine that can resume it. Where one
+// has no room, or turns out to refuse requests, another one is tried until a time.
+func (s *answerStream) copyRunning(ctx context.Context, m *migrationState, until time.Time) error {
+	h := s.call.h
+	var excluded []ident.EndpointID
+	for {
+		kvCopy, err := h.transport.Migrate(ctx, s.migration(m, false))
+		if err == nil && (h.placement.Leaving(m.target.ID) || h.placement.BackingOff(m.target.ID)) {
+			err = errTargetRefuses
+		}
+		if err == nil {
+			err = ctx.Err()
+		}
+		if err == nil {
+			m.firstCopy = kvCopy
+			return nil
+		}
+		excluded = append(excluded, m.target.ID)
+		if ctx.Err() != nil || verdict.From(err).Code == verdict.CodeNotRunning || len(excluded) >= maxMigrationTargets || !time.Now().Before(until) {
+			return err
+		}
+		h.placement.Finished(m.attempt, placement.OutcomeNeutral)
+		if s.chooseTarget(m, excluded) != nil {
+			return err
+		}
+	}
+}
+
+// resumeMigrated returns the rest of a stream that ended with cause, since it was stopped for its
+// migration or its engine has terminated meanwhile. It returns nil if neither is the case, or if
+// the stream can't be resumed.
+func (s *answerStream) resumeMigrated(cause error) *Answer {
 	m := s.migrationState.Load()
-	if m == nil || s.ctx.Err() != nil {
+	if m == nil || m.used || s.ctx.Err() != nil {
 		return nil
 	}
 	select {
@@ -169,30 +226,118 @@
 	case <-s.ctx.Done():
 		return nil
 	}
-	if m.kvCopy == nil {
+	if errors.Is(cause, ErrUnmarkedEnd) && !m.mayBeStopped.Load() || !s.confirmStopped(m, cause) {
 		return nil
 	}
-	a := s.call.newAttempt(m.target)
-	a.After, a.Import = max(s.lastReadID, a.After), m.kvCopy
-	m.kvCopy = nil // it can be used once
-	answer, err := s.call.h.transport.Send(s.ctx, a)
-	if err == nil && answer.Events == nil {
-		if answer.Release != nil {
-			answer.Release()
+	m.used = true
+	return s.continueRun(m)
+}
+
+// confirmStopped reports whether the stream's own engine certainly does not run it any more and a
+// copy of its KV cache exists. A stop whose response was lost is repeated.
+func (s *answerStream) confirmStopped(m *migrationState, cause error) bool {
+	switch {
+	case m.kvCopy != nil:
+		return true
+	case m.firstCopy == nil, !errors.IsAny(cause, ErrBrokenOff, ErrUnmarkedEnd): // it may go on there, unheard
+		return false
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, confirmTimeout)
+	defer cancel()
+	t := s.call.h.transport
+	kvCopy, err := t.Migrate(ctx, s.migration(m, true))
+	if kvCopy != nil {
+		m.kvCopy, m.atSource = kvCopy, err != nil
+		return true
+	}
+	return verdict.From(err).Code == verdict.CodeNotRunning || t.Probe(ctx, s.endpoint) == Refused
+}
+
+// continueRun sends the request to the engines with a copy of its KV cache until one resumes the
+// stream.
+func (s *answerStream) continueRun(m *migrationState) *Answer {
+	h := s.call.h
+	target := &copyPlace{endpoint: m.target, kvCopy: cmp.Or(m.kvCopy, m.firstCopy)}
+	source := &copyPlace{endpoint: s.endpoint, kvCopy: cmp.Or(m.kvCopy, m.firstCopy)}
+	plan := continuation{places: []*copyPlace{target, source}, deadline: s.call.deadline}
+	if m.atSource {
+		target.kvCopy = m.firstCopy
+		plan.places = []*copyPlace{source, target}
+	}
+	start := time.Now()
+	var err error
+	for {
+		for _, p := range plan.places {
+			until, known := h.placement.AcceptsUntil(p.endpoint.ID)
+			p.until, p.gone = until, p.gone || !known
 		}
-		s.call.h.log.Warn("request: Migrated stream could not be resumed.", "request", s.call.req.ID, "to", m.target.ID, "status", answer.Head.Status)
-		return nil
+		p, wait, ok := plan.next(time.Now())
+		if !ok || !sleep(s.ctx, wait) {
+			break
+		}
+		a := s.call.newAttempt(p.endpoint)
+		a.After, a.Import, a.Repeated = max(s.lastReadID, a.After), p.kvCopy, plan.tries > 1
+		var answer *Answer
+		if answer, err = h.transport.Send(s.ctx, a); err == nil && answer.Events != nil {
+			m.mayBeStopped.Store(false)
+			if m.resumed = p == target; m.resumed {
+				h.placement.Finished(s.attempt, placement.OutcomeNeutral)
+			}
+			h.metrics.recordResumption(s.call.service, m.resumed, true)
+			h.log.Info("request: Run resumed.", "request", s.call.req.ID, "at", p.endpoint.ID, "moved", m.resumed, "after", a.After,
+				"tries", plan.tries, "took_ms", time.Since(start).Milliseconds())
+			return answer
+		}
+		var outcome continuationOutcome
+		outcome, err = s.continuationOutcome(p.endpoint, answer, err)
+		plan.record(time.Now(), outcome)
 	}
+	h.metrics.recordResumption(s.call.service, false, false)
+	attrs := []any{"request", s.call.req.ID, "from", s.endpoint.ID, "to", m.target.ID, "tries", plan.tries, "took_ms", time.Since(start).Milliseconds()}
 	if err != nil {
-		s.call.h.log.Warn("request: Migrated stream could not be resumed.", "request", s.call.req.ID, "to", m.target.ID, "error", err)
-		return nil
+		attrs = append(attrs, "error", err.Error())
+	}
+	h.log.Warn("request: Migrated stream could not be resumed.", attrs...)
+	return nil
+}
+
+// continuationOutcome returns how a try to resume a stream ended that got no stream, and its error.
+func (s *answerStream) continuationOutcome(e site.Endpoint, answer *Answer, err error) (continuationOutcome, error) {
+	if answer != nil && answer.Release != nil {
+		answer.Release()
+	}
+	v := verdict.From(err)
+	switch {
+	case err == nil && answer.Head.Status == http.StatusServiceUnavailable:
+		return continuationRefused, errors.New("refused with status 503")
+	case err == nil:
+		return continuationFailed, errors.Newf("response with status %d", answer.Head.Status)
+	case v.Verdict != verdict.NotRun:
+		return continuationUnknown, err
+	case v.Code == verdict.CodeUnavailable:
+		return continuationRefused, err
 	}
-	m.mayBeStopped.Store(false)
-	if m.target.ID != s.endpoint.ID {
-		m.resumed = true
-		s.call.h.placement.Finished(s.attempt, placement.OutcomeNeutral)
+	ctx, cancel := context.WithTimeout(s.ctx, confirmTimeout)
+	defer cancel()
+	if v.Code == verdict.CodeUpstream && s.call.h.transport.Probe(ctx, e) == Refused {
+		return engineEnded, err
+	}
+	return continuationNotSent, err
+}
+
+// sleep waits for d and reports whether ctx has not ended meanwhile.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return answer
 }
 
 // finishMigration records the outcome of the attempt at the target engine.
--- a/internal/serve/migration_test.go
+++ b/internal/serve/migration_test.go
@@ -65,7 +65,11 @@
 	if !req.Stop {
 		return c, nil
 	}
-	close(m.stopped)
+	select {
+	case <-m.stopped: // the call is repeated
+	default:
+		close(m.stopped)
+	}
 	if m.stopErr != nil && !m.copyOnErr {
 		return nil, m.stopErr
 	}
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -102,7 +102,7 @@
 	if err == nil || errors.Is(err, io.EOF) {
 		return ev, err
 	}
-	if answer := s.resumeMigrated(); answer != nil {
+	if answer := s.resumeMigrated(err); answer != nil {
 		s.answer.Events.Close()
 		s.answer, s.resumed = answer, true
 		ev, err = s.answer.Events.Next()
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -81,6 +81,9 @@
 	Through []ident.NodeID
 	// SpendsShare reports whether the attempt is another node's that has no share of its own.
 	SpendsShare bool
+	// Repeated reports whether the attempt was placed at its endpoint before and is sent there once
+	// more.
+	Repeated bool
 	// CallerGone reports whether the caller has left. It is checked right before the attempt is
 	// sent; nil if it isn't known.
 	CallerGone func() bool
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -71,6 +71,9 @@
 	// CodeNotSent is that of an attempt that was not sent, for a reason that is no evidence
 	// about the health of its endpoint.
 	CodeNotSent Code = "not-sent"
+	// CodeNotRunning is that of a call about a request that its endpoint does not run, or does
+	// not run any more.
+	CodeNotRunning Code = "not-running"
 	// CodeRelay is that of an attempt that failed between this node and the one that relayed
 	// it, which is no evidence about its endpoint.
 	CodeRelay Code = "relay"
