Quiet nodes without links to the endpoints notice it at their first failure

Cause: a node suspected its paths after three attempts without a connection. A cut node with few requests has not got so many after seconds, reports no loss, and so is offered the requests of the other cut nodes; its word that it could not connect ended the attempt there.

A relay that could not connect and doubts its own paths says so, and the caller's node asks a second one. At most once is kept: only an attempt that the relay states as not run goes on. The relay is not avoided for other requests, as the endpoint may be down instead.

--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -13,7 +13,8 @@
 	// suspectFailures is the number of different endpoints that could not be connected to
 	// since the last probe from which the paths are suspected. Answers on connections that
 	// were open before don't count against it. unheardFailures is the number of attempts, also
-	// at one endpoint, for which no connection was made since the last byte from any.
+	// at one endpoint, for which no connection was made since the last byte from any; one is
+	// enough once no byte has come for silenceTime, as a node with few requests has no more.
 	suspectFailures = 3
 	unheardFailures = 3
 	// suspectWaiting is the number of different endpoints at which requests have waited for
@@ -107,7 +108,7 @@
 
 // suspected reports whether the paths may be lost.
 func (p *Paths) suspected(now time.Time) bool {
-	if len(p.failures) >= suspectFailures || p.unheard >= unheardFailures {
+	if len(p.failures) >= suspectFailures || p.unheard >= unheardFailures || p.Doubtful(now) {
 		return true
 	}
 	if now.Sub(p.heard) < silenceTime {
--- a/internal/reach/paths_test.go
+++ b/internal/reach/paths_test.go
@@ -272,3 +272,21 @@
 		}
 	}
 }
+
+// TestOneFailureAtQuietNodeIsProbed guards against a cut node that takes its paths for sound for
+// seconds, as it has few requests: it probes after the first attempt without a connection, unless
+// it has just heard of an endpoint.
+func TestOneFailureAtQuietNodeIsProbed(t *testing.T) {
+	for _, c := range []struct {
+		heardBefore time.Duration // the failure
+		due         bool
+	}{{10 * time.Millisecond, false}, {time.Second, true}} {
+		now := time.Unix(1_800_000_000, 0)
+		p := NewPaths(now)
+		now = now.Add(c.heardBefore)
+		p.End(now, p.Begin(now, site.Endpoint{ID: "e1", Address: "a"}.Hash()), NotConnected)
+		if due := p.ProbeDue(now); due != c.due {
+			t.Errorf("endpoint heard of %s before the failure: probe due %t", c.heardBefore, due)
+		}
+	}
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -19,6 +19,7 @@
 	"github.com/jujubeshed/jujubeshed/api/gen/relay/v1/relayv1connect"
 	"github.com/jujubeshed/jujubeshed/internal/bytebudget"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/reach"
 	"github.com/jujubeshed/jujubeshed/internal/serve"
 	"github.com/jujubeshed/jujubeshed/internal/site"
 	"github.com/jujubeshed/jujubeshed/internal/verdict"
@@ -326,6 +327,29 @@
 	}
 }
 
+// TestRelayInDoubtIsNotTheLast guards against requests that fail at a node without paths since the
+// other node to which they were sent had lost its paths, too, and did not know it yet.
+func TestRelayInDoubtIsNotTheLast(t *testing.T) {
+	for range 10 { // the other nodes are tried in a random order
+		served := 0
+		cut := newPair(t, nil)
+		cut.service.transport.mu.paths["s"] = reach.NewPaths(time.Now().Add(-time.Second)) // nothing heard since
+		sound := newPair(t, func(context.Context, serve.Attempt) (*serve.Answer, error) {
+			served++
+			return &serve.Answer{Head: serve.Head{Status: 200}}, nil
+		})
+		nodes := append(cut.origin.opts.Nodes("s", nil), sound.origin.opts.Nodes("s", nil)...)
+		cut.origin.opts.Nodes = func(ident.Service, site.Homes) []string { return nodes }
+		if _, err := cut.origin.Send(context.Background(), attemptOf(false)); err != nil || served != 1 {
+			t.Errorf("sent %d times, error %v", served, err)
+		}
+		// The endpoint could have been down instead, so that both are used for other requests.
+		if left := cut.origin.chooseRelays("s", nil, 2); len(left) != 2 {
+			t.Errorf("only %v are used afterwards", left)
+		}
+	}
+}
+
 // FuzzSendRequest checks that a malformed message neither crashes the service nor blocks it.
 func FuzzSendRequest(f *testing.F) {
 	raw, _ := proto.Marshal(encodeAttempt(attemptOf(true), time.Second, time.Now()))
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -134,6 +134,7 @@
 	if err != nil {
 		msg := encodeError(err)
 		msg.PathsLost = s.transport.pathsLost(a.Endpoint.Service)
+		msg.PathsDoubtful = notConnected(err) && s.transport.pathsDoubtful(a.Endpoint.Service)
 		return out.Send(&relayv1.SendResponse{Error: msg, Statements: encodeStatements(*a.Statements)})
 	}
 	if answer.Release != nil {
--- a/internal/relay/through.go
+++ b/internal/relay/through.go
@@ -53,7 +53,9 @@
 		if answer, tryNext, err = t.sendThrough(ctx, address, a, left); err == nil || !tryNext {
 			return answer, err
 		}
-		t.relayFailed(address)
+		if !errors.Is(err, errDoubtful) {
+			t.relayFailed(address)
+		}
 	}
 	return nil, err
 }
@@ -99,6 +101,10 @@
 	return nil, err
 }
 
+// errDoubtful marks the error of a node that could not connect to the endpoint: its own paths may be
+// lost, or the endpoint may be down, so that the node is still used for others.
+var errDoubtful = errors.New("the paths of the other node are in doubt")
+
 // sendThrough sends an attempt through a node. tryNext reports whether it was not sent for a
 // reason that lies with that node.
 func (t *Transport) sendThrough(ctx context.Context, address string, a serve.Attempt, left time.Duration) (answer *serve.Answer, tryNext bool, err error) {
@@ -125,7 +131,11 @@
 		if msg.Error == nil {
 			return nil, false, verdict.New(verdict.MayHaveRun, verdict.CodeRelay, "response through %s has neither head nor error", address)
 		}
-		return nil, msg.Error.PathsLost && msg.Error.NotRun, decodeError(msg.Error)
+		err := decodeError(msg.Error)
+		if msg.Error.PathsDoubtful && !msg.Error.PathsLost {
+			err = errors.Mark(err, errDoubtful)
+		}
+		return nil, msg.Error.NotRun && (msg.Error.PathsLost || msg.Error.PathsDoubtful), err
 	}
 	t.relayed.WithLabelValues("response").Inc()
 	answer = decodeHead(msg.Head)
