A held-back request does not go on at a second engine from its first copy

Since a stream whose engine ends during its migration goes on at the target from the copy that was made while it ran. Where the request is one of those that crash engines, and requests like it are held back by then, its continuation could end the target, too. It stays cut in this case, as a new request would be refused.

The attempt at the target is recorded as ended, too, if the stream ended while another target was chosen: the load of the placement could keep it before.

Test: TestFirstCopyIsUsedOnlyAfterTheRun, which also checks that the first copy is not used while the engine may run the request. Without the check, case "held back": $ go test ./internal/serve -run TestFirstCopyIsUsed migration_test.go:235: events "abcd", aborted false

--- a/internal/serve/migration.go
+++ b/internal/serve/migration.go
@@ -163,10 +163,11 @@
 			m.mayBeStopped.Store(false)
 		}
 		m.atSource = err != nil && m.kvCopy != nil
-	} else {
-		c.h.placement.Finished(m.attempt, placement.OutcomeNeutral)
 	}
 	ended := s.ctx.Err() != nil
+	if m.firstCopy == nil || ended {
+		c.h.placement.Finished(m.attempt, placement.OutcomeNeutral)
+	}
 	c.h.metrics.recordMigration(c.service, err, ended)
 	attrs := []any{"request", c.req.ID, "from", s.endpoint.ID, "to", m.target.ID, "ends_in_ms", remaining.Milliseconds(),
 		"copy_ms", firstCopy.Milliseconds(), "stop_ms", (time.Since(start) - firstCopy).Milliseconds(),
@@ -234,13 +235,16 @@
 }
 
 // confirmStopped reports whether the stream's own engine certainly does not run it any more and a
-// copy of its KV cache exists. A stop whose response was lost is repeated.
+// copy of its KV cache exists. A stop whose response was lost is repeated. A request that is held
+// back may have ended its engine and does not get to another one.
 func (s *answerStream) confirmStopped(m *migrationState, cause error) bool {
 	switch {
 	case m.kvCopy != nil:
 		return true
 	case m.firstCopy == nil, !errors.IsAny(cause, ErrBrokenOff, ErrUnmarkedEnd): // it may go on there, unheard
 		return false
+	case s.call.h.guard.Check(s.call.identity) != nil:
+		return false
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, confirmTimeout)
 	defer cancel()
--- a/internal/serve/migration_test.go
+++ b/internal/serve/migration_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/jujubeshed/jujubeshed/internal/ident"
@@ -25,6 +26,9 @@
 	stopErr   error // returned by migrations with Stop; nil for success
 	copyOnErr bool  // a KV copy is returned together with stopErr
 	end       error // with which the stream of a stopped request ends; nil for io.ErrUnexpectedEOF
+	probe     serve.Reachability
+	guard     serve.Guard // nil for none
+	onStop    func()      // called before a request is stopped, if it is not nil
 	// resumption responds to attempts with a KV copy, if it is not nil.
 	resumption func() (*serve.Answer, error)
 
@@ -52,10 +56,8 @@
 	return streamResponse("second", numberedEvents(a.After+1, 4), io.EOF), nil
 }
 
-func (m *migratingTransport) Probe(context.Context, site.Endpoint) serve.Reachability {
-	return serve.Connected
-}
-func (m *migratingTransport) SetSignals(serve.EndpointSignals) {}
+func (m *migratingTransport) Probe(context.Context, site.Endpoint) serve.Reachability { return m.probe }
+func (m *migratingTransport) SetSignals(serve.EndpointSignals)                        {}
 
 func (m *migratingTransport) Migrate(_ context.Context, req serve.Migration) (*serve.KVCopy, error) {
 	m.mu.Lock()
@@ -65,6 +67,9 @@
 	if !req.Stop {
 		return c, nil
 	}
+	if m.onStop != nil {
+		m.onStop()
+	}
 	select {
 	case <-m.stopped: // the call is repeated
 	default:
@@ -142,7 +147,7 @@
 	node.config = &cfg
 	tr.stopped = make(chan struct{})
 	h := serve.NewHandler(serve.Dependencies{
-		NodeServices: node, Placement: node, Versions: node, Transport: tr, Log: log, Metrics: serve.NewMetrics(reg),
+		NodeServices: node, Placement: node, Versions: node, Transport: tr, Guard: tr.guard, Log: log, Metrics: serve.NewMetrics(reg),
 	})
 	c := &caller{}
 	done := make(chan struct{})
@@ -189,6 +194,50 @@
 	}
 }
 
+// holdingGuard holds a request back once it has begun to be answered at some length.
+type holdingGuard struct {
+	fakeGuard
+	held atomic.Bool
+}
+
+func (g *holdingGuard) Check(serve.Identity) *verdict.Error {
+	if !g.held.Load() {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.CodeHeld, "held by the test")
+}
+
+// TestFirstCopyIsUsedOnlyAfterTheRun checks when a stream goes on from the copy that was made while it
+// ran, as the stop has not been answered: only once its engine has ended the connection and certainly
+// does not run it, and if requests like it are not held back.
+func TestFirstCopyIsUsedOnlyAfterTheRun(t *testing.T) {
+	brokenOff := errors.Mark(io.ErrUnexpectedEOF, serve.ErrBrokenOff)
+	lost := refusal(verdict.MayHaveRun)
+	for name, tc := range map[string]struct {
+		end, stopErr error
+		probe        serve.Reachability
+		held, goesOn bool
+	}{
+		"engine has ended":              {end: brokenOff, stopErr: lost, probe: serve.Refused, goesOn: true},
+		"engine has ended, end unclear": {end: serve.ErrUnmarkedEnd, stopErr: lost, probe: serve.Refused, goesOn: true},
+		"engine does not run it":        {end: brokenOff, stopErr: verdict.New(verdict.NotRun, verdict.CodeNotRunning, "404"), probe: serve.Connected, goesOn: true},
+		"engine may run it":             {end: brokenOff, stopErr: lost, probe: serve.Connected},
+		"engine may be cut off":         {end: brokenOff, stopErr: lost, probe: serve.NoAnswer},
+		"connection has timed out":      {end: io.ErrUnexpectedEOF, stopErr: lost, probe: serve.Refused},
+		"held back":                     {end: brokenOff, stopErr: lost, probe: serve.Refused, held: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			guard := &holdingGuard{}
+			tr := &migratingTransport{end: tc.end, stopErr: tc.stopErr, probe: tc.probe, guard: guard}
+			tr.onStop = func() { guard.held.Store(tc.held) }
+			_, c, _ := serveMigrated(tr)
+			if want := map[bool]string{true: "abcd", false: "ab"}[tc.goesOn]; c.events != want || c.aborted == tc.goesOn {
+				t.Errorf("events %q, aborted %t", c.events, c.aborted)
+			}
+		})
+	}
+}
+
 // TestFailedResumptionReturnsItsMemory guards against nodes that run out of memory for bodies: an
 // engine answers the resumption of a migrated stream with an error, whose body is not passed on.
 func TestFailedResumptionReturnsItsMemory(t *testing.T) {
