gateway: A stopping node sends only what it can finish, and answers the rest

Cause: a stopping node knew when it stops to listen, not when it ends. Whatever arrived until the listener closed was sent, and so was what became ready later: a body whose last byte came late, and an attempt after another endpoint had refused. At the grace time less 0.6 s all connections were closed under whatever ran.

Ruled out: the time for which connections are accepted is what the balancer needs, and closing the listener earlier leaves the late bodies and attempts. Relayed requests were not seen to be sent late over sockets, since nodes learn within a second that one leaves; the relaying node itself checked nothing, and does now. A second SIGTERM and SIGHUPs around it change nothing.

Fix: internal/drain has the times of a stop and decides, from the time, the deadline of a request and whether its caller may repeat it, if it is still sent. The decision is taken when a request has been read, when an endpoint is chosen and right before the first byte of each attempt, on a relaying node as well. A refused one gets a 503 (not run, short Retry-After, connection closed) at once. At the end, what still runs is cancelled and gets a 502; a stream that has begun is aborted. A stream of which the caller has a part may always continue. Silence is no reason to give up an attempt that can't be followed by another. Idle connections are closed by their tracker, as Shutdown drops requests that have just arrived on one.

--- a/internal/attempt/machine.go
+++ b/internal/attempt/machine.go
@@ -113,6 +113,8 @@
 		return m.migrate(now)
 	case Stop:
 		return m.stop()
+	case Terminate:
+		return m.giveUp(verdict.CodeStopping, errTerminated)
 	case CallerGone:
 		return m.callerLeft()
 	default:
@@ -316,7 +318,10 @@
 	return append(acts, HandOver{State: s})
 }
 
-var errCallerGone = errors.New("caller disconnected")
+var (
+	errCallerGone = errors.New("caller disconnected")
+	errTerminated = errors.New("node exits before the response")
+)
 
 // callerLeft ends an idempotent request, and one with EndWithCaller. Any other continues as long
 // as an attempt may run, so that its outcome becomes known, and isn't dispatched again.
--- a/internal/attempt/retry.go
+++ b/internal/attempt/retry.go
@@ -27,6 +27,9 @@
 	if ev.Held {
 		return m.giveUp(verdict.CodeHeld, ev.Cause)
 	}
+	if ev.Stopping {
+		return m.giveUp(verdict.CodeStopping, ev.Cause)
+	}
 	if !ev.NoEndpoint && m.mayRetryRefused(now) && m.takeRetry() {
 		m.excludeRefused(a)
 		return m.dispatch(now, Dispatch{Prefer: m.preferred})
--- a/internal/attempt/runner/attempt.go
+++ b/internal/attempt/runner/attempt.go
@@ -151,6 +151,7 @@
 	if v := new(verdict.Error); errors.As(err, &v) {
 		ev.RetryAfter = v.RetryAfter
 		ev.Held = v.Code == verdict.CodeHeld
+		ev.Stopping = v.Code == verdict.CodeStopping
 		ev.NeverSent = v.Verdict == verdict.NotRun && (v.Code == verdict.CodeUpstream || v.Code == verdict.CodeNotSent)
 	}
 	return ev
--- a/internal/attempt/script_test.go
+++ b/internal/attempt/script_test.go
@@ -88,7 +88,7 @@
 	case "picked":
 		return s.step(attempt.Picked{Attempt: id, Endpoint: ident.EndpointID(arg("endpoint", "e1"))})
 	case "not-dispatched":
-		return s.step(attempt.NotDispatched{Attempt: id, NoEndpoint: d.HasArg("none"), RetryAfter: ms("after", 0), Cause: errors.New("refused")})
+		return s.step(attempt.NotDispatched{Attempt: id, NoEndpoint: d.HasArg("none"), Stopping: d.HasArg("stopping"), RetryAfter: ms("after", 0), Cause: errors.New("refused")})
 	case "failed":
 		return s.step(attempt.Failed{Attempt: id, Cause: errors.New("connection was reset")})
 	case "chunk":
@@ -106,6 +106,8 @@
 		return s.step(attempt.Leaving{Endpoint: ident.EndpointID(arg("endpoint", "e1")), Deadline: s.now.Add(ms("in", 10000))})
 	case "stop":
 		return s.step(attempt.Stop{})
+	case "terminate":
+		return s.step(attempt.Terminate{})
 	case "caller-gone":
 		return s.step(attempt.CallerGone{})
 	case "tick":
--- a/internal/attempt/types.go
+++ b/internal/attempt/types.go
@@ -102,7 +102,10 @@
 	// any endpoint: another attempt costs no retry budget if MaxRefusals is set.
 	NeverSent bool
 	// Held is set where no endpoint may get the request, so that it ends at once.
-	Held       bool
+	Held bool
+	// Stopping is set where this node shuts down before the attempt would end, so that the
+	// request ends at once.
+	Stopping   bool
 	RetryAfter time.Duration
 	Cause      error
 }
@@ -160,6 +163,9 @@
 // Stop reports that this node shuts down before the request can end.
 type Stop struct{}
 
+// Terminate reports that this node exits now: the request ends with what is known of it.
+type Terminate struct{}
+
 // CallerGone reports that the caller's connection has closed.
 type CallerGone struct{}
 
@@ -176,6 +182,7 @@
 func (Response) event()      {}
 func (Leaving) event()       {}
 func (Stop) event()          {}
+func (Terminate) event()     {}
 func (CallerGone) event()    {}
 func (Tick) event()          {}
 
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -166,6 +166,29 @@
 	}
 }
 
+// newConnectionTime is how long a draining listener waits for the first request on a connection.
+const newConnectionTime = time.Second
+
+// CloseIdle closes the connections that wait for another request, and returns the number of the
+// others.
+func (t *Tracker) CloseIdle(now time.Time) (open int) {
+	t.mu.Lock()
+	var idle []net.Conn
+	for c, s := range t.mu.states {
+		waits := !s.active && (s.used || now.Sub(s.since) > newConnectionTime)
+		if waits && !hasUnreadBytes(c) {
+			delete(t.mu.states, c)
+			idle = append(idle, c)
+		}
+	}
+	open = len(t.mu.states)
+	t.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close() // nothing is in flight on it
+	}
+	return open
+}
+
 // hasUnreadBytes reports whether bytes have arrived on a connection that the server has not read:
 // a request is on its way, for example while the host was suspended.
 func hasUnreadBytes(c net.Conn) bool {
--- a/internal/callerconn/tracker_test.go
+++ b/internal/callerconn/tracker_test.go
@@ -196,3 +196,52 @@
 		t.Error("not accepting after the failures have ended")
 	}
 }
+
+// TestCloseIdle guards against a draining listener that closes connections with a request, or
+// whose first request is on its way.
+func TestCloseIdle(t *testing.T) {
+	var limits atomic.Pointer[Limits]
+	limits.Store(&Limits{})
+	release := make(chan struct{})
+	tracker, ln := server(t, &limits, release)
+	address := ln.Addr().String()
+	idle, active := dial(t, address, "/"), dial(t, address, "/wait")
+	readResponse(t, idle)
+	unused, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = unused.Close() }()
+	waitFor(t, "all connections are known", func() bool {
+		tracker.mu.Lock()
+		defer tracker.mu.Unlock()
+		activeConns, usedConns := 0, 0
+		for _, s := range tracker.mu.states {
+			if s.active {
+				activeConns++
+			}
+			if s.used {
+				usedConns++
+			}
+		}
+		return len(tracker.mu.states) == 3 && activeConns == 1 && usedConns == 1
+	})
+	if n := tracker.CloseIdle(time.Now()); n != 2 || isOpen(idle) || !isOpen(active) || !isOpen(unused) {
+		t.Errorf("%d connections left; idle open %t, with a request %t, without one yet %t", n, isOpen(idle), isOpen(active), isOpen(unused))
+	}
+	if n := tracker.CloseIdle(time.Now().Add(2 * newConnectionTime)); n != 1 || !isOpen(active) || isOpen(unused) {
+		t.Errorf("%d connections left; with a request open %t, without one for long %t", n, isOpen(active), isOpen(unused))
+	}
+	close(release)
+	readResponse(t, active)
+	waitFor(t, "the last connection is closed", func() bool { return tracker.CloseIdle(time.Now()) == 0 })
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("timed out after 10 s waiting until %s", what)
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/jujubeshed/jujubeshed/internal/bytebudget"
 	"github.com/jujubeshed/jujubeshed/internal/callerconn"
 	"github.com/jujubeshed/jujubeshed/internal/directory"
+	"github.com/jujubeshed/jujubeshed/internal/drain"
 	"github.com/jujubeshed/jujubeshed/internal/duty"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/kernel"
@@ -31,6 +32,7 @@
 	"github.com/jujubeshed/jujubeshed/internal/serve"
 	"github.com/jujubeshed/jujubeshed/internal/sharing"
 	"github.com/jujubeshed/jujubeshed/internal/site"
+	"github.com/jujubeshed/jujubeshed/internal/verdict"
 	"github.com/jujubeshed/jujubeshed/internal/walltime"
 )
 
@@ -173,6 +175,8 @@
 	weights           weightCache
 	loadsUpdated      time.Time // by the ticker alone
 	draining          atomic.Bool
+	drainPlan         atomic.Pointer[drain.Plan] // nil until the node is told to stop
+	handler           *serve.Handler
 	caughtUp          atomic.Bool
 	startedAt         time.Time
 
@@ -204,7 +208,7 @@
 	}, n.currentConfig, n.meter, n.clock)
 	n.endpoints = directory.NewRegistry(p.DecodeEndpoint, missingRetention(settings.Bounds), doubtTime(settings), n.state.setEndpoints, log)
 	n.transport = relay.NewTransport(relay.Options{
-		Transport: p.Transport, Services: n.state.endpointServices, Endpoints: n.state.usableEndpoints, Nodes: n.relayingNodes, NodesNamed: n.nodesWithShares, Reserve: n.state.reserve, Bodies: p.Bodies, WallTime: n.clock.Now, Log: log, Metrics: reg,
+		Transport: p.Transport, Services: n.state.endpointServices, Endpoints: n.state.usableEndpoints, Nodes: n.relayingNodes, NodesNamed: n.nodesWithShares, Reserve: n.state.reserve, MayStart: func(deadline time.Time) *verdict.Error { return n.mayStart(deadline, false) }, Bodies: p.Bodies, WallTime: n.clock.Now, Log: log, Metrics: reg,
 	})
 	n.relay = relay.NewService(n.transport, p.Bodies, n.clock.Now, reg)
 	n.transport.SetSignals(newSignals(n.state, n.endpoints, reg, log))
@@ -281,16 +285,16 @@
 }
 
 func (n *Node) register() error {
-	handler := serve.NewHandler(serve.Dependencies{
+	n.handler = serve.NewHandler(serve.Dependencies{
 		NodeServices: n.state, Placement: n.state, Versions: n.versions, Transport: n.transport, Guard: n.guard, Log: n.log,
-		Metrics: serve.NewMetrics(n.metrics), Budget: n.retryBudget,
+		Metrics: serve.NewMetrics(n.metrics), Budget: n.retryBudget, MayStart: n.mayStart,
 	})
 	peers := http.NewServeMux()
 	peers.Handle(n.sharing.Handler())
 	peers.Handle(n.relay.Handler())
 	metrics := http.NewServeMux()
 	metrics.Handle(MetricsPath, promhttp.HandlerFor(n.metrics, promhttp.HandlerOpts{}))
-	callers := n.platform.Callers(handler, n.draining.Load)
+	callers := n.platform.Callers(n.handler, n.draining.Load)
 	metricsAddress := net.JoinHostPort(n.settings.IP, strconv.Itoa(MetricsPort))
 	type namedService struct {
 		name    kernel.Name
@@ -323,7 +327,7 @@
 		{serviceLease, &leaseService{holder: n.holder}},
 		{serviceExecutor, n.executor},
 		{serviceReady, newListener(n.settings.ReadyAddress, n.platform.Ready(n.ready), n.log)},
-		{serviceMigration, kernel.NewLoop(serve.MigrationInterval, func(context.Context) { handler.MigrateStreams(time.Now()) })},
+		{serviceMigration, kernel.NewLoop(serve.MigrationInterval, func(context.Context) { n.handler.MigrateStreams(time.Now()) })},
 		{serviceCallerConns, n.callerConns},
 		{serviceCallers, newCallersListener(n.settings.CallersAddress, callers, n.callerConns, n.log)},
 	}...) {
@@ -394,30 +398,3 @@
 	n.startedAt = time.Now()
 	return n.registry.Start(ctx)
 }
-
-const (
-	// balancerDelay is how long a stopping node continues to accept requests: the load
-	// balancer checks readiness once a second and removes the node after two failures.
-	balancerDelay = 2500 * time.Millisecond
-	// exitMargin is the share of the grace period before SIGKILL that is reserved for exiting.
-	exitMargin = 600 * time.Millisecond
-)
-
-// Stop drains and stops the node: it reports not ready, accepts requests until the load
-// balancer has removed it, completes its running requests and stops its services.
-func (n *Node) Stop(ctx context.Context) error {
-	n.draining.Store(true)
-	n.log.Info("gateway: Stop.", "grace", n.settings.Bounds.Grace)
-	ctx, cancel := context.WithTimeout(ctx, max(n.settings.Bounds.Grace-exitMargin, time.Second))
-	defer cancel()
-	n.holder.Release(true)
-	kernel.Sleep(ctx, min(balancerDelay, n.settings.Bounds.Grace/2))
-	err := n.registry.Drain(ctx)
-	stopCtx, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), exitMargin/2)
-	defer cancelStop()
-	if stopErr := n.registry.Stop(stopCtx); err == nil {
-		err = stopErr
-	}
-	n.log.Info("gateway: Stopped.", "error", err)
-	return err
-}
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -22,12 +22,16 @@
 	idleTimeout = 5 * time.Minute
 	// maxHeaderBytes is above the largest header size that a configuration allows.
 	maxHeaderBytes = 64 << 10
+	// drainCheckInterval is how often a draining listener closes the connections that have become
+	// idle.
+	drainCheckInterval = 20 * time.Millisecond
 )
 
 // listener serves HTTP at an address.
 type listener struct {
 	address string
 	server  *http.Server
+	ln      net.Listener // set by Start
 	log     *slog.Logger
 	// drains reports whether Drain waits for running requests.
 	drains bool
@@ -52,6 +56,7 @@
 	if l.connections != nil {
 		ln = l.connections.Listener(ln)
 	}
+	l.ln = ln
 	go func() {
 		if err := l.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			l.log.Error("listener: Ended.", "address", l.address, "error", err)
@@ -69,13 +74,26 @@
 	return l
 }
 
-// Drain implements kernel.Drainer: on a draining listener, it stops accepting requests and
-// waits for the running ones. On others it does nothing: calls of other nodes wait for
-// changes for many seconds and may be cut off.
+// Drain implements kernel.Drainer: on a draining listener, it stops accepting connections, closes
+// the idle ones and waits for the running requests. Shutdown alone would drop requests that have
+// arrived on idle connections without a response. On others it does nothing: calls of other nodes
+// wait for changes for many seconds and may be cut off.
 func (l *listener) Drain(ctx context.Context) error {
 	if !l.drains {
 		return nil
 	}
+	if err := l.ln.Close(); err != nil {
+		return errors.Wrapf(err, "close the listener at %s", l.address)
+	}
+	ticker := time.NewTicker(drainCheckInterval)
+	defer ticker.Stop()
+	for l.connections.CloseIdle(time.Now()) > 0 {
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "drain %s", l.address)
+		case <-ticker.C:
+		}
+	}
 	return errors.Wrapf(l.server.Shutdown(ctx), "drain %s", l.address)
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -342,3 +342,51 @@
 		mux.ServeHTTP(httptest.NewRecorder(), req)
 	})
 }
+
+// TestStoppingNodeRelaysNothingLate guards against requests that a stopping node relays although
+// it exits before they end: it refuses them before anything is sent, also if it is told to stop
+// while it waits for a connection, and the sender may try another node.
+func TestStoppingNodeRelaysNothingLate(t *testing.T) {
+	var stopsWhileConnecting, stops atomic.Bool
+	sent := 0
+	p := newPair(t, func(_ context.Context, a serve.Attempt) (*serve.Answer, error) {
+		if stopsWhileConnecting.Load() {
+			stops.Store(true)
+		}
+		if err := a.MayStart(); err != nil {
+			return nil, err
+		}
+		sent++
+		return &serve.Answer{Head: serve.Head{Status: 200}}, nil
+	})
+	p.service.transport.opts.MayStart = func(time.Time) *verdict.Error {
+		if stops.Load() {
+			return verdict.New(verdict.NotRun, verdict.CodeStopping, "stopping")
+		}
+		return nil
+	}
+	for name, set := range map[string]*atomic.Bool{"before": &stops, "while connecting": &stopsWhileConnecting} {
+		stops.Store(false)
+		set.Store(true)
+		_, tryNext, err := p.origin.sendThrough(context.Background(), p.origin.opts.Nodes("s", nil)[0], attemptOf(false), time.Second)
+		if verdict.Of(err) != verdict.NotRun || verdict.From(err).Code == verdict.CodeStopping || !tryNext || sent > 0 {
+			t.Errorf("%s: error %v, try another node: %t, sent %d times", name, err, tryNext, sent)
+		}
+		set.Store(false)
+	}
+}
+
+// TestStoppingNodeSendsThroughNone guards against a stopping node that sends an attempt through
+// another one although it exits before the response.
+func TestStoppingNodeSendsThroughNone(t *testing.T) {
+	sent := 0
+	p := newPair(t, func(context.Context, serve.Attempt) (*serve.Answer, error) {
+		sent++
+		return &serve.Answer{Head: serve.Head{Status: 200}}, nil
+	})
+	a := attemptOf(false)
+	a.MayStart = func() *verdict.Error { return verdict.New(verdict.NotRun, verdict.CodeStopping, "stopping") }
+	if _, err := p.origin.Send(context.Background(), a); verdict.Of(err) != verdict.NotRun || sent > 0 {
+		t.Errorf("error %v, sent %d times", err, sent)
+	}
+}
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -106,13 +106,22 @@
 	}
 }
 
+// mayStart returns errBusy if this node stops before a request with that deadline would end.
+func (s *Service) mayStart(deadline time.Time) *verdict.Error {
+	if check := s.transport.opts.MayStart; check != nil && check(deadline) != nil {
+		s.refused.Inc()
+		return errBusy
+	}
+	return nil
+}
+
 var errBusy = verdict.New(verdict.NotRun, verdict.CodeNotSent, "the node relays no more requests now")
 
 // Send implements relayv1connect.RelayServiceHandler.
 func (s *Service) Send(ctx context.Context, req *connect.Request[relayv1.SendRequest], out *connect.ServerStream[relayv1.SendResponse]) error {
 	a := decodeAttempt(req.Msg, time.Now(), walltime.SinceBoot(), s.wallTime())
 	bytes := int64(len(req.Msg.Body))
-	if !s.acquire(bytes) {
+	if s.mayStart(a.Deadline) != nil || !s.acquire(bytes) {
 		msg := encodeError(errBusy)
 		msg.PathsLost = true // another node may have room
 		return out.Send(&relayv1.SendResponse{Error: msg})
@@ -130,10 +139,11 @@
 	s.relayed.Inc()
 	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
 	defer cancel()
+	a.MayStart = func() *verdict.Error { return s.mayStart(a.Deadline) }
 	answer, err := s.transport.sendDirect(ctx, a)
 	if err != nil {
 		msg := encodeError(err)
-		msg.PathsLost = s.transport.pathsLost(a.Endpoint.Service)
+		msg.PathsLost = s.transport.pathsLost(a.Endpoint.Service) || errors.Is(err, errBusy)
 		return out.Send(&relayv1.SendResponse{Error: msg, Statements: encodeStatements(*a.Statements)})
 	}
 	if answer.Release != nil {
--- a/internal/relay/through.go
+++ b/internal/relay/through.go
@@ -58,17 +58,21 @@
 	return nil, err
 }
 
-// mayRelay returns an error if an attempt must not be relayed any more: its time is over, or its
-// caller has left.
+// mayRelay returns an error if an attempt must not be relayed any more: its time is over, its
+// caller has left, or this node stops before it would end.
 func mayRelay(ctx context.Context, a serve.Attempt, left time.Duration) error {
 	switch {
 	case left <= 0 || ctx.Err() != nil:
 		return verdict.New(verdict.NotRun, verdict.CodeNotSent, "deadline passed %s before the request was relayed", -left)
 	case a.CallerGone != nil && a.CallerGone():
 		return verdict.New(verdict.NotRun, verdict.CodeNotSent, "caller left before the request was relayed")
-	default:
-		return nil
 	}
+	if a.MayStart != nil {
+		if err := a.MayStart(); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // sendThroughShare sends an attempt through one of the nodes that have a share of its endpoint.
--- a/internal/relay/transport.go
+++ b/internal/relay/transport.go
@@ -57,6 +57,9 @@
 	// release is called.
 	NodesNamed func(names []ident.NodeID, homes site.Homes) []string
 	Reserve    func(e site.Endpoint) (release func(), err *verdict.Error)
+	// MayStart returns an error if this node stops before a request of another node would end that
+	// ends at the deadline at the latest. If nil, the node never stops.
+	MayStart func(deadline time.Time) *verdict.Error
 	// Bodies limits the memory for the bodies of responses.
 	Bodies   *bytebudget.Budget
 	WallTime func() time.Time
--- a/internal/serve/attempts.go
+++ b/internal/serve/attempts.go
@@ -148,6 +148,9 @@
 	if err := c.h.guard.Check(c.identity); err != nil {
 		return runner.Choice{}, err
 	}
+	if err := c.mayStart(); err != nil {
+		return runner.Choice{}, err
+	}
 	only, avoid := c.h.versions.ChooseVersion(c.service)
 	query := placement.Request{
 		Service: c.service, Prompt: c.req.Prompt, Exclude: p.Exclude, Version: only, AvoidVersion: avoid, Deadline: c.deadline,
@@ -203,7 +206,7 @@
 		return placement.OutcomeNeutral
 	case e.Verdict != verdict.NotRun:
 		return placement.OutcomeFault
-	case e.Code == verdict.CodeNotSent:
+	case e.Code == verdict.CodeNotSent, e.Code == verdict.CodeStopping:
 		return placement.OutcomeNeutral
 	case e.Code == verdict.CodeUnavailable:
 		return placement.OutcomeFull
@@ -244,7 +247,7 @@
 	return Attempt{
 		Request: c.req, Endpoint: e, Deadline: c.deadline, Priority: c.priority(),
 		After: c.lastEventID(), Stream: c.route.Kind == site.KindStream, Workspace: c.workspaceName(), Homes: c.homes(),
-		CallerGone: c.callerGone,
+		CallerGone: c.callerGone, MayStart: c.mayStart,
 	}
 }
 
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -131,6 +131,8 @@
 	metrics       *Metrics
 	budgets       *budgets
 	activeStreams *activeStreams
+	mayStart      func(deadline time.Time, repeatable bool) *verdict.Error
+	running       *runningCalls
 }
 
 // Dependencies are the components that a Handler uses.
@@ -143,6 +145,10 @@
 	Guard   Guard
 	Log     *slog.Logger
 	Metrics *Metrics
+	// MayStart returns an error if this node stops before a request would end that ends at the
+	// deadline at the latest; repeatable reports whether the caller may repeat it after it was
+	// cut off. If nil, the node never stops.
+	MayStart func(deadline time.Time, repeatable bool) *verdict.Error
 	// Budget returns the limit of this node's retries for each service, which changes
 	// with the number of nodes. If nil, the defaults apply.
 	Budget func() attempt.BudgetOptions
@@ -156,7 +162,11 @@
 	if deps.Guard == nil {
 		deps.Guard = noGuard{}
 	}
+	if deps.MayStart == nil {
+		deps.MayStart = func(time.Time, bool) *verdict.Error { return nil }
+	}
 	return &Handler{
+		mayStart: deps.MayStart, running: newRunningCalls(),
 		guard: deps.Guard,
 		node:  deps.NodeServices, placement: deps.Placement, versions: deps.Versions, transport: deps.Transport, log: deps.Log, metrics: deps.Metrics,
 		budgets:       &budgets{opts: deps.Budget, byService: make(map[ident.Service]*attempt.Budget)},
@@ -203,6 +213,7 @@
 	attempts  attemptLog
 	// callerGone reports whether the caller has left.
 	callerGone func() bool
+	control    chan attempt.Event
 }
 
 // Serve serves a request and writes the response to out. The end of ctx means that the
@@ -210,6 +221,7 @@
 func (h *Handler) Serve(ctx context.Context, req *Request, out Writer) {
 	c := &call{h: h, req: req, out: out, callerGone: func() bool { return ctx.Err() != nil }}
 	c.delivery.out = out
+	defer h.running.add(c)()
 	err := c.admit()
 	if err == nil {
 		err = c.dispatch(ctx)
@@ -246,6 +258,9 @@
 	if err := c.h.guard.Check(c.identity); err != nil {
 		return err
 	}
+	if err := c.mayStart(); err != nil {
+		return err
+	}
 	c.service = chooseService(c.route.Shares)
 	return c.charge()
 }
@@ -328,6 +343,7 @@
 		},
 		Options: opts,
 		Budget:  c.h.budgets.forService(c.service),
+		Control: c.control,
 	}, c, c, &c.delivery)
 	if err == nil {
 		err = c.delivery.close()
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -84,6 +84,9 @@
 	// CallerGone reports whether the caller has left. It is checked right before the attempt is
 	// sent; nil if it isn't known.
 	CallerGone func() bool
+	// MayStart returns an error with verdict NotRun if this node stops before the attempt would
+	// end. It is checked right before the attempt is sent; nil if nothing has to be checked.
+	MayStart func() *verdict.Error
 	// Statements, if not nil, is set to what the endpoint states in its response.
 	Statements *Statements
 	// Import is the KV copy of the migrated request that this attempt resumes; nil for a
--- a/internal/serve/watchdog.go
+++ b/internal/serve/watchdog.go
@@ -48,6 +48,9 @@
 	d := &watchdog{cancel: cancel, stallTimeout: max(stallGapFactor*c.route.MaxGap, minStallTimeout)}
 	firstTimeout := max(minFirstEventTimeout, firstEventTimeoutFactor*c.attempts.choice(id).EstimatedWait)
 	d.timer = time.AfterFunc(firstTimeout, func() {
+		if c.mayStart() != nil {
+			return // no other attempt could take its place
+		}
 		d.fired.Store(true)
 		cancel()
 	})
