node: Refuse the requests to plain services that a stopping node can't finish

An order whose body was complete only after SIGTERM was sent and cut off, and so was one that ran since before.

Cause: a stopping node hands its chat completions over, but had no bound for orders and lookups. New ones were taken as long as chats were waited for; after that all had five seconds, whatever the drain timeout, and were closed without a response.

Ruled out: handing them over. An order that was sent can't be moved, and one that wasn't needs no handover, as a refusal lets its caller go to another node.

Fix: the plan of internal/drain, with the drain delay and the drain timeout (five seconds at least, as before). It is asked at the head of a request, after its body, and before each attempt, which is also after the wait for admission and for the claim of an order. What still runs at the end gets a 502 with the verdict may-have-run, and the ledger records the outcome. Chat completions are accepted for the drain delay only. Responses of a stopping node announce the close, and idle connections are closed by their tracker.

With the fix: go test ./internal/e2e, ./internal/entry, ./internal/dispatch, ./internal/node, ./internal/handover and ./internal/once/... pass.

--- a/internal/dispatch/picker.go
+++ b/internal/dispatch/picker.go
@@ -45,6 +45,11 @@
 
 // Pick chooses an endpoint for an attempt.
 func (p *picker) Pick(_ context.Context, req runner.PickRequest) (runner.Choice, error) {
+	if p.request.MayStart != nil {
+		if err := p.request.MayStart(); err != nil {
+			return runner.Choice{}, err
+		}
+	}
 	c, err := p.sender.balancer.Dispatch(req.Attempt, route.Request{
 		Service:      p.request.Service.Name,
 		Class:        p.request.Route.Class,
--- a/internal/dispatch/sender.go
+++ b/internal/dispatch/sender.go
@@ -136,8 +136,30 @@
 // otherwise the error of handle.
 func (s *Sender) Forward(ctx context.Context, r *entry.Request, in *http.Request, body []byte, handle func(*http.Response) error) error {
 	d := &plainDispatch{picker: picker{sender: s, request: r}, in: in, body: body, handle: handle}
+	control := make(chan attempt.Event, 1)
+	d.picker.control = control
+	ended := make(chan struct{})
+	defer close(ended)
+	if r.Terminated != nil {
+		go func() {
+			select {
+			case <-r.Terminated:
+				control <- attempt.Terminate{}
+			case <-ended:
+			}
+		}()
+	}
 	if _, err := runner.Run(ctx, d.picker.runnerRequest(), &d.picker, d, d); err != nil {
-		return err
+		return terminatedError(err)
 	}
 	return d.err
 }
+
+// terminatedError returns the error of a request. One that may have run when the node exits has the
+// code of a failure at the endpoint: its caller must not take it for a refusal.
+func terminatedError(err error) error {
+	if e := verdict.From(err); e.Code == verdict.CodeStopping && e.Verdict != verdict.NotRun {
+		return verdict.Wrap(e.Verdict, verdict.CodeUpstream, e.Cause)
+	}
+	return err
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -61,6 +61,11 @@
 	DispatchBy time.Time
 	// Key is the caller's Idempotency-Key, or empty.
 	Key string
+	// MayStart returns an error with verdict NotRun if the node stops before the request would
+	// end; nil if nothing has to be checked.
+	MayStart func() *verdict.Error
+	// Terminated is closed when the node exits and the request has to end; nil if it never has.
+	Terminated <-chan struct{}
 }
 
 // Gate is the admission control.
@@ -103,6 +108,7 @@
 
 	serial  atomic.Uint64 // of the last request ID
 	unready atomic.Bool   // set by MarkUnready
+	stop    stop
 }
 
 // Dependencies are the services that a Server uses.
@@ -131,7 +137,7 @@
 	return &Server{
 		opts: opts, log: deps.Log, config: deps.Config, gate: deps.Gate, sender: deps.Sender,
 		ledger: deps.Ledger, answers: deps.Answers, peers: deps.Peers, metrics: deps.Metrics,
-		chats: newChatTable(),
+		chats: newChatTable(), stop: newStop(),
 	}
 }
 
@@ -171,6 +177,7 @@
 }
 
 func (s *Server) serveRoute(w http.ResponseWriter, r *http.Request) {
+	s.announceClose(w)
 	req, err := s.identify(r)
 	if err != nil {
 		s.problem(w, req, err)
@@ -182,6 +189,11 @@
 		s.problem(w, req, err)
 		return
 	}
+	s.announceClose(w)
+	if err := s.checkStop(req); err != nil { // the body may have taken long
+		s.problem(w, req, err)
+		return
+	}
 	if req.Service.Kind == platformapi.KindEngine {
 		s.serveChat(w, r, req, body)
 		return
@@ -219,6 +231,9 @@
 	if route.RequireKey && req.Key == "" {
 		return req, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "route %q requires the Idempotency-Key header", route.Name)
 	}
+	if err := s.checkStop(req); err != nil {
+		return req, err
+	}
 	return req, nil
 }
 
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/jujubeshed/jujubeshed/internal/callerconn"
+	"github.com/jujubeshed/jujubeshed/internal/drain"
 	"github.com/jujubeshed/jujubeshed/internal/entry"
 	"github.com/jujubeshed/jujubeshed/internal/kernel"
 )
@@ -20,6 +21,8 @@
 	// shutdownBudget is the time for writing the last responses.
 	shutdownBudget       = 5 * time.Second
 	answerExpiryInterval = 5 * time.Second
+	// idleCheckInterval is how often a stopping node closes the connections that have become idle.
+	idleCheckInterval = 20 * time.Millisecond
 )
 
 const (
@@ -78,18 +81,43 @@
 
 // Drain makes the readiness check fail and waits for the drain delay, so that load
 // balancers stop sending requests to this node. Then it waits up to the drain timeout
-// for the running requests and hands over the rest to other nodes.
+// for the running chat completions and hands over the rest to other nodes. Requests to plain
+// services have as long, and shutdownBudget at least; those that may not end by then are refused.
 func (c *callerListener) Drain(ctx context.Context) error {
-	c.entry.MarkUnready()
-	delay, timeout := c.reclaim.drainTimes(c.opts, time.Now())
+	now := time.Now()
+	delay, timeout := c.reclaim.drainTimes(c.opts, now)
+	plan := drain.Plan{Begin: now, Close: now.Add(delay)}
+	plan.End = plan.Close.Add(max(timeout, shutdownBudget))
+	plan.Exit = plan.End.Add(shutdownBudget)
+	c.entry.BeginStop(plan)
+	terminate := time.AfterFunc(time.Until(plan.End), c.entry.TerminateRequests)
+	defer terminate.Stop()
 	sleep(ctx, delay)
 	finishCtx, cancel := context.WithTimeout(ctx, timeout)
 	handedOver, lost := c.entry.FinishOrHandOver(finishCtx, handoverBudget)
 	cancel()
 	c.log.Info("node: Drained.", "handed_over", handedOver, "lost", lost)
-	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownBudget)
+	shutdownCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), plan.Exit)
 	defer cancel()
-	return c.server.Shutdown(shutdownCtx)
+	return c.shutdown(shutdownCtx)
+}
+
+// shutdown stops accepting connections, closes the idle ones and waits for the running requests.
+// Shutdown alone would drop requests that have arrived on idle connections without a response.
+func (c *callerListener) shutdown(ctx context.Context) error {
+	if err := c.ln.Close(); err != nil {
+		return errors.Wrap(err, "close the listener for callers")
+	}
+	ticker := time.NewTicker(idleCheckInterval)
+	defer ticker.Stop()
+	for c.connections.CloseIdle(time.Now()) > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return c.server.Shutdown(ctx)
 }
 
 // Stop closes the listener and ends the removal of expired answers.
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -53,7 +53,7 @@
 		ln = l.connections.Listener(ln)
 	}
 	go func() {
-		if err := l.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := l.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			l.log.Error("node: Listener failed.", "listener", l.name, "error", err)
 		}
 	}()
