A run that was stopped for its migration goes on while its node stops

Where the caller had no event yet, the check refused the continuation at each engine with a copy, although the request had been sent long before and the stop was our own.

The continuation isn't checked. Ruled out for streams with an event: these are never refused.

--- a/internal/serve/migration.go
+++ b/internal/serve/migration.go
@@ -281,6 +281,7 @@
 		}
 		a := s.call.newAttempt(p.endpoint)
 		a.After, a.Import, a.Repeated = max(s.lastReadID, a.After), p.kvCopy, plan.tries > 1
+		a.MayStart = nil // the request was sent before
 		var answer *Answer
 		if answer, err = h.transport.Send(s.ctx, a); err == nil && answer.Events != nil {
 			m.mayBeStopped.Store(false)
