Test that a stopping node charges and reserves nothing for what it refuses

Two checks could be removed without a failing test: the one at admission, as the choice of an endpoint refuses later, after the charge, and the one at the start of a relayed request, as the one before the first byte refuses after a share of the endpoint's limit was taken. The tests now tell these apart.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -365,14 +365,25 @@
 		}
 		return nil
 	}
-	for name, set := range map[string]*atomic.Bool{"before": &stops, "while connecting": &stopsWhileConnecting} {
+	reserved := 0
+	p.service.transport.opts.Reserve = func(site.Endpoint) (func(), *verdict.Error) {
+		reserved++
+		return func() {}, nil
+	}
+	for name, c := range map[string]struct {
+		set      *atomic.Bool
+		reserved int // shares of the endpoint's limit
+	}{"before": {&stops, 0}, "while connecting": {&stopsWhileConnecting, 1}} {
 		stops.Store(false)
-		set.Store(true)
-		_, tryNext, err := p.origin.sendThrough(context.Background(), p.origin.opts.Nodes("s", nil)[0], attemptOf(false), time.Second)
-		if verdict.Of(err) != verdict.NotRun || verdict.From(err).Code == verdict.CodeStopping || !tryNext || sent > 0 {
-			t.Errorf("%s: error %v, try another node: %t, sent %d times", name, err, tryNext, sent)
+		c.set.Store(true)
+		reserved = 0
+		a := attemptOf(false)
+		a.SpendsShare = true
+		_, tryNext, err := p.origin.sendThrough(context.Background(), p.origin.opts.Nodes("s", nil)[0], a, time.Second)
+		if verdict.Of(err) != verdict.NotRun || verdict.From(err).Code == verdict.CodeStopping || !tryNext || sent > 0 || reserved != c.reserved {
+			t.Errorf("%s: error %v, try another node: %t, sent %d times, %d shares taken", name, err, tryNext, sent, reserved)
 		}
-		set.Store(false)
+		c.set.Store(false)
 	}
 }
 
--- a/internal/serve/stopping_test.go
+++ b/internal/serve/stopping_test.go
@@ -42,6 +42,7 @@
 		return response(200, "ok"), nil
 	})
 	stopping.Store(true)
+	node.limitReached = true // charging would refuse the requests for another reason
 	for _, path := range allRoutes {
 		out := &caller{}
 		h.Serve(context.Background(), request(path), out)
