Continuations of stopped runs are not sent to engines that accept none any more

A node chooses where a stopped run continues by the time for which a leaving engine accepts requests, but connects after that. The check right before the first byte knew two cases: a new request, and all the rest. A continuation was of the rest, like a call, so that it passed the check also when the engine's time was over, its entry was gone, or another incarnation of the engine had its ID and address, whose handles may count from the start: a caller could get the rest of another run, and the engine a request it must not get (DRAIN).

Placement now tells three kinds: a request, a continuation, a call. A continuation needs the incarnation that was chosen, within AcceptsUntil; the error has verdict NotRun and code CodeNotSent, so that the run is tried at its other place. Calls are checked as before: kv-move has to reach an engine until it terminates. AcceptsUntil takes the endpoint and not its ID, so that the choice sees another incarnation, too.

--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/jujubeshed/jujubeshed/internal/directory"
+	"github.com/jujubeshed/jujubeshed/internal/placement"
 	"github.com/jujubeshed/jujubeshed/internal/serve"
 	"github.com/jujubeshed/jujubeshed/internal/site"
 	"github.com/jujubeshed/jujubeshed/internal/verdict"
@@ -75,6 +76,6 @@
 func (s *signals) SentUnplaced(e site.Endpoint) { s.state.sentUnplaced(e) }
 
 // MaySend implements serve.EndpointSignals.
-func (s *signals) MaySend(e site.Endpoint, newRequest bool) *verdict.Error {
-	return s.state.maySend(e, newRequest)
+func (s *signals) MaySend(e site.Endpoint, kind placement.SendKind) *verdict.Error {
+	return s.state.maySend(e, kind)
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -186,11 +186,11 @@
 	}, nil
 }
 
-// maySend returns an error if nothing, or no new request, may be sent to an endpoint now.
-func (s *state) maySend(e site.Endpoint, newRequest bool) *verdict.Error {
+// maySend returns an error if nothing, or nothing of a kind, may be sent to an endpoint now.
+func (s *state) maySend(e site.Endpoint, kind placement.SendKind) *verdict.Error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.mu.table.MaySend(time.Now(), e, newRequest)
+	return s.mu.table.MaySend(time.Now(), e, kind)
 }
 
 // TerminationTime implements serve.Placement.
@@ -201,10 +201,10 @@
 }
 
 // AcceptsUntil implements serve.Placement.
-func (s *state) AcceptsUntil(id ident.EndpointID) (until time.Time, known bool) {
+func (s *state) AcceptsUntil(e site.Endpoint) (until time.Time, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.mu.table.AcceptsUntil(id)
+	return s.mu.table.AcceptsUntil(e)
 }
 
 // usage returns the current usage of a service's endpoints.
--- a/internal/placement/backoff_test.go
+++ b/internal/placement/backoff_test.go
@@ -30,14 +30,14 @@
 			t.Fatalf("after %s: chose %q, error %v", at.Sub(now), c.Endpoint.ID, err)
 		}
 	}
-	if err := table.MaySend(now, a, false); err == nil || err.Verdict != verdict.NotRun {
+	if err := table.MaySend(now, a, SendCall); err == nil || err.Verdict != verdict.NotRun {
 		t.Errorf("sending to an endpoint that wants no calls: %v", err)
 	}
-	if err := table.MaySend(now, b, true); err != nil {
+	if err := table.MaySend(now, b, SendRequest); err != nil {
 		t.Errorf("sending to the other endpoint: %v", err)
 	}
 	later := now.Add(2*time.Second + time.Millisecond)
-	if table.BackingOff(later, a.ID) || table.members[a.ID].health.ejected(later) || table.MaySend(later, a, true) != nil {
+	if table.BackingOff(later, a.ID) || table.members[a.ID].health.ejected(later) || table.MaySend(later, a, SendRequest) != nil {
 		t.Error("the endpoint is not used again when its time is over")
 	}
 	next := a
@@ -62,13 +62,13 @@
 	leaving := a
 	leaving.Leaving = true
 	table.SetEndpoints(now, []site.Endpoint{leaving}, nil, services)
-	if err := table.MaySend(now, a, true); err == nil || err.Verdict != verdict.NotRun {
+	if err := table.MaySend(now, a, SendRequest); err == nil || err.Verdict != verdict.NotRun {
 		t.Errorf("new request: %v", err)
 	}
-	if err := table.MaySend(now, a, false); err != nil {
+	if err := table.MaySend(now, a, SendContinuation); err != nil {
 		t.Errorf("running request: %v", err)
 	}
-	if err := table.MaySend(now, llmEndpoint("gone"), true); err == nil {
+	if err := table.MaySend(now, llmEndpoint("gone"), SendRequest); err == nil {
 		t.Error("new request to an endpoint that is no longer known")
 	}
 }
@@ -153,6 +153,43 @@
 	}
 }
 
+// TestLateContinuationIsNotSent guards against continuations of stopped runs that reach an engine that
+// accepts none any more, or its next incarnation, whose copies may have the same handles: a node was
+// paused, or waited for a connection, between the choice and the first byte. Calls are accepted until
+// the engine terminates.
+func TestLateContinuationIsNotSent(t *testing.T) {
+	const drain = 2 * time.Second
+	now := time.Unix(1000, 0)
+	a := llmEndpoint("a")
+	leaving, next := a, a
+	leaving.Leaving, leaving.LeavesIn = true, time.Minute
+	next.Started = now.Add(time.Second)
+	for name, c := range map[string]struct {
+		listed, missing []site.Endpoint
+		after           time.Duration
+		sent            bool
+	}{
+		"ready":            {listed: []site.Endpoint{a}, after: time.Hour, sent: true},
+		"leaving":          {listed: []site.Endpoint{leaving}, after: drain / 2, sent: true},
+		"leaving, late":    {listed: []site.Endpoint{leaving}, after: drain},
+		"missing":          {missing: []site.Endpoint{a}, after: drain / 2, sent: true},
+		"missing, late":    {missing: []site.Endpoint{a}, after: drain},
+		"removed":          {},
+		"next incarnation": {listed: []site.Endpoint{next}},
+	} {
+		table := New(Options{DataCentre: "a", DrainTime: drain})
+		table.SetEndpoints(now, []site.Endpoint{a}, nil, services)
+		table.SetEndpoints(now, c.listed, c.missing, services)
+		err := table.MaySend(now.Add(c.after), a, SendContinuation)
+		if (err == nil) != c.sent || err != nil && (err.Verdict != verdict.NotRun || err.Code != verdict.CodeNotSent) {
+			t.Errorf("%s: continuation: %v", name, err)
+		}
+		if err := table.MaySend(now.Add(c.after), a, SendCall); err != nil {
+			t.Errorf("%s: call: %v", name, err)
+		}
+	}
+}
+
 // TestAcceptsUntil checks until when requests that continue are sent to a leaving endpoint: before the
 // drain time has passed since its report, and before it terminates.
 func TestAcceptsUntil(t *testing.T) {
@@ -181,7 +218,7 @@
 		table.SetEndpoints(now, []site.Endpoint{a}, nil, services)
 		table.SetEndpoints(now, c.listed, c.missing, services)
 		table.SetEndpoints(now.Add(500*time.Millisecond), c.listed, c.missing, services)
-		until, known := table.AcceptsUntil(a.ID)
+		until, known := table.AcceptsUntil(a)
 		if known != c.known || until.IsZero() == c.limited || c.limited && (until.After(now.Add(c.most)) || until.Before(now.Add(c.most/2))) {
 			t.Errorf("%s: known %t, until %s", name, known, until.Sub(now))
 		}
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -293,9 +293,9 @@
 	return out
 }
 
-// MaySend returns an error if nothing may be sent to an incarnation of an endpoint now, or no
-// new request. An endpoint that is no longer known has left.
-func (t *Table) MaySend(now time.Time, e site.Endpoint, newRequest bool) *verdict.Error {
+// MaySend returns an error if nothing, or nothing of a kind, may be sent to an incarnation of an
+// endpoint now. An endpoint that is no longer known has left.
+func (t *Table) MaySend(now time.Time, e site.Endpoint, kind SendKind) *verdict.Error {
 	m := t.members[e.ID]
 	known := m != nil && m.SameIncarnation(e)
 	switch {
@@ -303,11 +303,14 @@
 		return verdict.New(verdict.NotRun, verdict.CodeNotSent, "data centre %q of endpoint %q is evacuated", e.DataCentre, e.ID)
 	case known && m.health.backingOff(now):
 		return verdict.New(verdict.NotRun, verdict.CodeNotSent, "endpoint %q wants no calls for %s", e.ID, m.health.backoffUntil.Sub(now))
-	case newRequest && (!known || m.Leaving):
+	case kind == SendRequest && (!known || m.Leaving):
 		return verdict.New(verdict.NotRun, verdict.CodeNotSent, "endpoint %q is leaving or has left", e.ID)
-	default:
-		return nil
+	case kind == SendContinuation:
+		if until, accepts := t.AcceptsUntil(e); !accepts || !until.IsZero() && !now.Before(until) {
+			return verdict.New(verdict.NotRun, verdict.CodeNotSent, "endpoint %q continues no request any more", e.ID)
+		}
 	}
+	return nil
 }
 
 // TerminationTime returns when a leaving or missing endpoint terminates, or false for any
@@ -324,12 +327,15 @@
 // to a leaving endpoint. The rest is left for the time that its report takes to this node.
 const acceptsShare = 0.9
 
-// AcceptsUntil returns until when what continues a request may be sent to an endpoint, or the zero
-// time if it neither leaves nor is missing. known is false for an unknown endpoint.
-func (t *Table) AcceptsUntil(id ident.EndpointID) (until time.Time, known bool) {
-	m := t.members[id]
-	if m == nil || m.leavingSince.IsZero() {
-		return time.Time{}, m != nil
+// AcceptsUntil returns until when what continues a request may be sent to an incarnation of an
+// endpoint, or the zero time if it neither leaves nor is missing. known is false for an unknown one.
+func (t *Table) AcceptsUntil(e site.Endpoint) (until time.Time, known bool) {
+	m := t.members[e.ID]
+	if m == nil || !m.SameIncarnation(e) {
+		return time.Time{}, false
+	}
+	if m.leavingSince.IsZero() {
+		return time.Time{}, true
 	}
 	until = m.leavingSince.Add(seconds(acceptsShare * t.opts.DrainTime.Seconds()))
 	if m.terminationTime.Before(until) {
--- a/internal/placement/through.go
+++ b/internal/placement/through.go
@@ -40,7 +40,7 @@
 // Reserve takes this node's share of what an endpoint takes, for a request of another node that has
 // none. The error's verdict is NotRun. Release must be called when the request has ended.
 func (t *Table) Reserve(now time.Time, e site.Endpoint) *verdict.Error {
-	if err := t.MaySend(now, e, true); err != nil {
+	if err := t.MaySend(now, e, SendRequest); err != nil {
 		return err
 	}
 	m := t.members[e.ID]
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -174,3 +174,15 @@
 	o.DrainTime = cmp.Or(o.DrainTime, 2*time.Second)
 	return o
 }
+
+// SendKind is the kind of what is sent to an endpoint.
+type SendKind uint8
+
+const (
+	// SendRequest is a request that the endpoint does not run yet.
+	SendRequest SendKind = iota
+	// SendContinuation continues a request from a copy of its KV cache.
+	SendContinuation
+	// SendCall is a call about a request of the endpoint, which it accepts until it terminates.
+	SendCall
+)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -19,6 +19,7 @@
 	"github.com/jujubeshed/jujubeshed/api/gen/relay/v1/relayv1connect"
 	"github.com/jujubeshed/jujubeshed/internal/bytebudget"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/placement"
 	"github.com/jujubeshed/jujubeshed/internal/reach"
 	"github.com/jujubeshed/jujubeshed/internal/serve"
 	"github.com/jujubeshed/jujubeshed/internal/site"
@@ -61,7 +62,7 @@
 func (r *recorder) BackOff(_ site.Endpoint, d time.Duration) { r.backOff.Store(int64(d)) }
 func (r *recorder) Limit(site.Endpoint, serve.EndpointLimit) { r.limits.Add(1) }
 func (r *recorder) SentUnplaced(site.Endpoint)               {}
-func (r *recorder) MaySend(site.Endpoint, bool) *verdict.Error {
+func (r *recorder) MaySend(site.Endpoint, placement.SendKind) *verdict.Error {
 	if r.refuse.Load() {
 		return verdict.New(verdict.NotRun, verdict.CodeNotSent, "refused by the test")
 	}
--- a/internal/relay/through.go
+++ b/internal/relay/through.go
@@ -40,7 +40,7 @@
 	}
 	err := error(verdict.New(verdict.NotRun, verdict.CodeNotSent, "no path to endpoint %q, and no other node that has one", a.Endpoint.ID).After(noRelayRetryAfter))
 	for _, address := range t.chooseRelays(a.Endpoint.Service, a.Homes, maxTries) {
-		if err := t.signals.MaySend(a.Endpoint, a.Import == nil); err != nil {
+		if err := t.signals.MaySend(a.Endpoint, a.Kind()); err != nil {
 			return nil, err
 		}
 		left := a.TimeLeft(walltime.SinceBoot())
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -71,7 +71,7 @@
 	TerminationTime(id ident.EndpointID) (time.Time, bool)
 	// AcceptsUntil returns until when an endpoint accepts what continues a request, or the zero
 	// time if no end is known. known is false for an endpoint that has left.
-	AcceptsUntil(id ident.EndpointID) (until time.Time, known bool)
+	AcceptsUntil(e site.Endpoint) (until time.Time, known bool)
 }
 
 // Versions splits requests between the versions of a service and records the outcomes
--- a/internal/serve/handler_test.go
+++ b/internal/serve/handler_test.go
@@ -115,10 +115,10 @@
 	defer node.mu.Unlock()
 	return node.table.TerminationTime(id)
 }
-func (node *fakeNode) AcceptsUntil(id ident.EndpointID) (time.Time, bool) {
+func (node *fakeNode) AcceptsUntil(e site.Endpoint) (time.Time, bool) {
 	node.mu.Lock()
 	defer node.mu.Unlock()
-	return node.table.AcceptsUntil(id)
+	return node.table.AcceptsUntil(e)
 }
 func (node *fakeNode) Migrate(context.Context, serve.Migration) (*serve.KVCopy, error) {
 	return nil, errors.New("unexpected migration")
--- a/internal/serve/migration.go
+++ b/internal/serve/migration.go
@@ -272,7 +272,7 @@
 	var err error
 	for {
 		for _, p := range plan.places {
-			until, known := h.placement.AcceptsUntil(p.endpoint.ID)
+			until, known := h.placement.AcceptsUntil(p.endpoint)
 			p.until, p.gone = until, p.gone || !known
 		}
 		p, wait, ok := plan.next(time.Now())
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -97,6 +97,14 @@
 	Import *KVCopy
 }
 
+// Kind returns what the attempt is to its endpoint.
+func (a Attempt) Kind() placement.SendKind {
+	if a.Import != nil {
+		return placement.SendContinuation
+	}
+	return placement.SendRequest
+}
+
 // KVCopy refers to the KV cache of a running request that was copied for its migration
 // to another engine.
 type KVCopy struct {
@@ -229,9 +237,9 @@
 	// been placed there, since it concerns a request at that endpoint.
 	SentUnplaced(e site.Endpoint)
 	// MaySend returns an error with verdict NotRun if nothing may be sent to an endpoint
-	// now. A leaving endpoint still accepts what continues one of its requests, but no new
-	// ones. It is checked right before the first byte is sent.
-	MaySend(e site.Endpoint, newRequest bool) *verdict.Error
+	// now. A leaving endpoint still accepts calls, and for some time what continues a request,
+	// but no new ones. It is checked right before the first byte is sent.
+	MaySend(e site.Endpoint, kind placement.SendKind) *verdict.Error
 }
 
 // Transport sends attempts to endpoints. Its errors are of type *verdict.Error, with
