The continuation of a stopped run reaches few engines, and none more once it is held back

The 12 tries of a stopped run were bounded only in all. A target that resets the connection each time got the same request 9 times in 2 s; at an engine each arrival counts as a request, one that is refused, too (BUDGET). And a run whose target ended under it went to its own engine again, although requests like it were held back in the meantime: only the start of the continuation asked the guard, and the end of a target was not recorded.

Arrivals (outcome unknown, refused or failed) are limited to 3 at the same engine and 4 in all. Tries that were never sent go on within 12 and the deadline. After a try with an unknown outcome, or an engine that has ended, another engine gets the run only if the guard does not hold it back; a connection that a target ended is recorded for the guard. A second arrival at the same engine is kept on purpose: the copy is used once, so that it costs a request and not a run.

--- a/internal/serve/continuation.go
+++ b/internal/serve/continuation.go
@@ -10,6 +10,10 @@
 	// maxContinuationTries is the number of times that a stopped run is sent to the engines with
 	// its memory.
 	maxContinuationTries = 12
+	// maxArrivals is the number of these tries that may reach an engine, since each counts as a
+	// request there, and maxArrivalsPerCopy that at the same one.
+	maxArrivals        = 4
+	maxArrivalsPerCopy = 3
 	// maxCopyRefusals is the number of refusals after which a copy counts as gone.
 	maxCopyRefusals = 2
 	// minContinuationPause and maxContinuationPause bound the time between two tries at the same
@@ -26,6 +30,7 @@
 	until     time.Time
 	gone      bool // the copy, or the engine, is gone
 	refusals  int
+	arrivals  int           // of tries
 	pause     time.Duration // after the last try there
 	notBefore time.Time     // of the next try there
 }
@@ -54,16 +59,19 @@
 	places   []*copyPlace // the preferred one first
 	deadline time.Time
 	tries    int
+	arrivals int // of tries at all engines
 	last     *copyPlace
 	// unsure is the engine that may have continued the run; nil for none.
 	unsure *copyPlace
-	failed bool
+	// suspect is the last engine that may have ended under the run; nil for none.
+	suspect *copyPlace
+	failed  bool
 }
 
 // next returns the engine of the next try and the time until then. ok is false if the run can't
 // continue.
 func (c *continuation) next(now time.Time) (p *copyPlace, wait time.Duration, ok bool) {
-	if c.failed || c.tries >= maxContinuationTries {
+	if c.failed || c.tries >= maxContinuationTries || c.arrivals >= maxArrivals {
 		return nil, 0, false
 	}
 	for _, candidate := range c.places {
@@ -72,7 +80,7 @@
 			at = now
 		}
 		switch {
-		case candidate.gone, c.unsure != nil && c.unsure != candidate,
+		case candidate.gone, candidate.arrivals >= maxArrivalsPerCopy, c.unsure != nil && c.unsure != candidate,
 			!at.Before(c.deadline), !candidate.until.IsZero() && !at.Before(candidate.until):
 			continue
 		case p == nil, at.Sub(now) < wait:
@@ -93,6 +101,11 @@
 	p.pause = min(max(2*p.pause, minContinuationPause), maxContinuationPause)
 	p.notBefore = now.Add(p.pause)
 	switch o {
+	case continuationRefused, continuationUnknown, continuationFailed:
+		p.arrivals++
+		c.arrivals++
+	}
+	switch o {
 	case continuationNotSent:
 	case continuationRefused:
 		p.refusals++
@@ -101,9 +114,9 @@
 		}
 		p.gone = p.refusals >= maxCopyRefusals
 	case continuationUnknown:
-		c.unsure = p
+		c.unsure, c.suspect = p, p
 	case engineEnded:
-		p.gone, c.unsure = true, nil
+		p.gone, c.unsure, c.suspect = true, nil, p
 	case continuationFailed:
 		c.failed = true
 	}
--- a/internal/serve/continuation_test.go
+++ b/internal/serve/continuation_test.go
@@ -56,18 +56,19 @@
 }
 
 // TestContinuationIsBounded checks over random outcomes that no try begins after the deadline or after
-// its engine accepts requests, that the number of tries is limited, and that no engine gets the run
-// while another one may have continued it.
+// its engine accepts requests, that the numbers of tries and of arrivals are limited, and that no engine
+// gets the run while another one may have continued it.
 func TestContinuationIsBounded(t *testing.T) {
 	rng := rand.New(rand.NewPCG(42, 1))
 	for range 2000 {
-		plan, _, source := newTestContinuation()
+		plan, target, source := newTestContinuation()
 		plan.deadline = continuationStart.Add(time.Duration(rng.IntN(2000)) * time.Millisecond)
 		if rng.IntN(2) == 0 {
 			source.until = continuationStart.Add(time.Duration(1+rng.IntN(500)) * time.Millisecond)
 		}
 		now, tries := continuationStart, 0
 		var unsure *copyPlace
+		arrivals := make(map[*copyPlace]int)
 		for {
 			p, wait, ok := plan.next(now)
 			if !ok {
@@ -82,9 +83,14 @@
 				t.Fatalf("try at %s while %s may have continued the run", p.endpoint.ID, unsure.endpoint.ID)
 			case wait > maxContinuationPause:
 				t.Fatalf("pause of %s", wait)
+			case arrivals[p] >= 3, arrivals[target]+arrivals[source] >= 4:
+				t.Fatalf("try %d after %d arrivals at the target and %d at the source", tries, arrivals[target], arrivals[source])
 			}
 			now = now.Add(time.Duration(rng.IntN(100)) * time.Millisecond)
 			o := continuationOutcome(rng.IntN(int(engineEnded) + 1))
+			if o == continuationRefused || o == continuationUnknown {
+				arrivals[p]++
+			}
 			switch o {
 			case continuationUnknown:
 				unsure = p
--- a/internal/serve/migration.go
+++ b/internal/serve/migration.go
@@ -279,9 +279,16 @@
 		if !ok || !sleep(s.ctx, wait) {
 			break
 		}
+		if plan.suspect != nil && plan.suspect != p {
+			if refusal := h.guard.Check(s.call.identity); refusal != nil {
+				err = refusal
+				break
+			}
+		}
 		a := s.call.newAttempt(p.endpoint)
 		a.After, a.Import, a.Repeated = max(s.lastReadID, a.After), p.kvCopy, plan.tries > 1
 		a.MayStart = nil // the request was sent before
+		s.call.attempts.setSent(m.attempt, time.Now())
 		var answer *Answer
 		if answer, err = h.transport.Send(s.ctx, a); err == nil && answer.Events != nil {
 			m.mayBeStopped.Store(false)
@@ -295,6 +302,7 @@
 		}
 		var outcome continuationOutcome
 		outcome, err = s.continuationOutcome(p.endpoint, answer, err)
+		s.call.brokenOff(m.attempt, placement.Choice{Endpoint: p.endpoint}, false, s.eventsRead, err)
 		plan.record(time.Now(), outcome)
 	}
 	h.metrics.recordResumption(s.call.service, false, false)
--- a/internal/serve/migration_test.go
+++ b/internal/serve/migration_test.go
@@ -210,6 +210,12 @@
 type holdingGuard struct {
 	fakeGuard
 	held atomic.Bool
+	sent time.Time // of the last attempt that broke off
+}
+
+func (g *holdingGuard) BrokenOff(e site.Endpoint, id serve.Identity, sent time.Time, answering bool) {
+	g.sent = sent
+	g.fakeGuard.BrokenOff(e, id, sent, answering)
 }
 
 func (g *holdingGuard) Check(serve.Identity) *verdict.Error {
@@ -250,6 +256,44 @@
 	}
 }
 
+// TestContinuationsReachFewEngines guards against a stopped run that is sent over and over again to an
+// engine that resets the connection each time: every arrival counts as a request there.
+func TestContinuationsReachFewEngines(t *testing.T) {
+	tr := &migratingTransport{resumption: func() (*serve.Answer, error) { return nil, refusal(verdict.MayHaveRun) }}
+	serveMigrated(tr)
+	if got := len(tr.sent) - 1; got < 2 || got > 3 {
+		t.Errorf("the target got the run %d times, want 2 or 3", got)
+	}
+}
+
+// TestRunThatEndsItsTargetGoesNoFurther guards against requests that crash engines, stopped for their
+// migration: the target ends when it continues one, and requests like it are held back from then on.
+func TestRunThatEndsItsTargetGoesNoFurther(t *testing.T) {
+	for _, held := range []bool{false, true} {
+		guard := &holdingGuard{}
+		tr := &migratingTransport{guard: guard, probe: serve.Refused}
+		tries := 0
+		begin := time.Now()
+		tr.resumption = func() (*serve.Answer, error) {
+			switch tries++; tries {
+			case 1:
+				guard.held.Store(held)
+				return nil, errors.Mark(refusal(verdict.MayHaveRun), serve.ErrBrokenOff)
+			case 2:
+				return nil, verdict.New(verdict.NotRun, verdict.CodeUpstream, "connection refused")
+			}
+			return streamResponse("second", numberedEvents(3, 4), io.EOF), nil
+		}
+		_, c, _ := serveMigrated(tr)
+		if want := map[bool]int{false: 3, true: 2}[held]; tries != want || c.aborted != held {
+			t.Errorf("held %t: %d tries, events %q, aborted %t", held, tries, c.events, c.aborted)
+		}
+		if guard.cut != 1 || guard.sent.Before(begin) {
+			t.Errorf("held %t: %d ends of an engine are recorded, want 1; sent at %s", held, guard.cut, guard.sent)
+		}
+	}
+}
+
 // TestRunResumesWhileNodeStops guards against streams that a node has stopped for their migration and
 // then gives up, since it has been told to stop itself in the meantime: they have no event yet.
 func TestRunResumesWhileNodeStops(t *testing.T) {
