A stop whose response was lost is repeated until it is clear

Where the response to a stop is lost, the node repeats the stop when the stream ends, once. While the first call still copies, the engine answers the second with 409; a 503 without a handle and a call that was not sent ended in the same way: the probe connects, and the caller's stream was cut at once, although a copy existed and the memory became usable moments later. A stop without a response used up the time of the probe, too, so that an ended host was not noticed.

The stop is repeated every 50 ms for 350 ms, and each probe has 150 ms of its own, so that it takes 500 ms in all as before. No run can start twice by this: the copy is used only with a handle from a stop, after the engine has said that it does not run the request, or if its host refuses connections, as before. What it costs: a stream that can't go on ends up to 500 ms later.

Test, on the commit before with the test alone: go test ./internal/serve --- FAIL: TestStopIsRepeatedUntilItIsClear (0.55s) still copying: events "ab", aborted true, 3 calls unavailable: events "ab", aborted true, 3 calls not sent: events "ab", aborted true, 3 calls no response from an ended host: events "ab", aborted true, 3 calls The older cases passed with the harder probe in the same run. After: go test ./internal/serve, and ./platform -run 'StoppedStream|Migrat|NothingIsSent|Partition|Kinds' pass, once.

--- a/internal/serve/migration.go
+++ b/internal/serve/migration.go
@@ -37,8 +37,11 @@
 	// maxMigrationTargets is the number of engines to which a stream's KV cache is offered.
 	maxMigrationTargets = 3
 	// confirmTimeout limits the calls by which a node makes sure that an engine does not run a
-	// request any more.
-	confirmTimeout = 500 * time.Millisecond
+	// request any more. Of this, confirmProbeTimeout is left for a probe.
+	confirmTimeout      = 500 * time.Millisecond
+	confirmProbeTimeout = 150 * time.Millisecond
+	// confirmPause is the time between two such calls: an engine refuses a stop while it copies.
+	confirmPause = 50 * time.Millisecond
 )
 
 // migrationSuffix is appended to the ID of an attempt to form the ID under which its
@@ -235,7 +238,7 @@
 }
 
 // confirmStopped reports whether the stream's own engine certainly does not run it any more and a
-// copy of its KV cache exists. A stop whose response was lost is repeated. A request that is held
+// copy of its KV cache exists. A stop whose response was lost is repeated until it is clear. A request that is held
 // back may have ended its engine and does not get to another one.
 func (s *answerStream) confirmStopped(m *migrationState, cause error) bool {
 	switch {
@@ -246,15 +249,28 @@
 	case s.call.h.guard.Check(s.call.identity) != nil:
 		return false
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, confirmTimeout)
+	ctx, cancel := context.WithTimeout(s.ctx, confirmTimeout-confirmProbeTimeout)
 	defer cancel()
-	t := s.call.h.transport
-	kvCopy, err := t.Migrate(ctx, s.migration(m, true))
-	if kvCopy != nil {
-		m.kvCopy, m.atSource = kvCopy, err != nil
-		return true
+	for {
+		kvCopy, err := s.call.h.transport.Migrate(ctx, s.migration(m, true))
+		if kvCopy != nil {
+			m.kvCopy, m.atSource = kvCopy, err != nil
+			return true
+		}
+		if verdict.From(err).Code == verdict.CodeNotRunning || s.refuses(s.endpoint, confirmProbeTimeout) {
+			return true
+		}
+		if !sleep(ctx, confirmPause) {
+			return false
+		}
 	}
-	return verdict.From(err).Code == verdict.CodeNotRunning || t.Probe(ctx, s.endpoint) == Refused
+}
+
+// refuses reports whether an endpoint's host refuses connections, as far as that is clear in time.
+func (s *answerStream) refuses(e site.Endpoint, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(s.ctx, timeout)
+	defer cancel()
+	return s.call.h.transport.Probe(ctx, e) == Refused
 }
 
 // continueRun sends the request to the engines with a copy of its KV cache until one resumes the
@@ -330,9 +346,7 @@
 	case v.Code == verdict.CodeUnavailable:
 		return continuationRefused, err
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, confirmTimeout)
-	defer cancel()
-	if v.Code == verdict.CodeUpstream && s.call.h.transport.Probe(ctx, e) == Refused {
+	if v.Code == verdict.CodeUpstream && s.refuses(e, confirmTimeout) {
 		return engineEnded, err
 	}
 	return continuationNotSent, err
--- a/internal/serve/migration_test.go
+++ b/internal/serve/migration_test.go
@@ -23,11 +23,14 @@
 // migratingTransport is a serve.Transport whose engines stop a running request when its
 // migration asks for that.
 type migratingTransport struct {
-	stopErr   error // returned by migrations with Stop; nil for success
-	copyOnErr bool  // a KV copy is returned together with stopErr
-	end       error // with which the stream of a stopped request ends; nil for io.ErrUnexpectedEOF
-	probe     serve.Reachability
-	guard     serve.Guard // nil for none
+	stopErr   error              // returned by migrations with Stop; nil for success
+	stopErrs  []error            // of the first migrations with Stop, which return no copy
+	stopHangs bool               // migrations with Stop after these get no response
+	copyOnErr bool               // a KV copy is returned together with stopErr
+	end       error              // with which the stream of a stopped request ends; nil for io.ErrUnexpectedEOF
+	probe     serve.Reachability // zero for serve.Connected
+	cutOff    bool               // probes get no answer
+	guard     serve.Guard        // nil for none
 	mayStart  func(deadline time.Time, repeatable bool) *verdict.Error
 	onStop    func() // called before a request is stopped, if it is not nil
 	silent    bool   // no event comes before the stop
@@ -67,10 +70,16 @@
 	return streamResponse("second", numberedEvents(a.After+1, 4), io.EOF), nil
 }
 
-func (m *migratingTransport) Probe(context.Context, site.Endpoint) serve.Reachability { return m.probe }
-func (m *migratingTransport) SetSignals(serve.EndpointSignals)                        {}
+func (m *migratingTransport) Probe(ctx context.Context, _ site.Endpoint) serve.Reachability {
+	if m.cutOff || ctx.Err() != nil {
+		return serve.NoAnswer
+	}
+	return cmp.Or(m.probe, serve.Connected)
+}
 
-func (m *migratingTransport) Migrate(_ context.Context, req serve.Migration) (*serve.KVCopy, error) {
+func (m *migratingTransport) SetSignals(serve.EndpointSignals) {}
+
+func (m *migratingTransport) Migrate(ctx context.Context, req serve.Migration) (*serve.KVCopy, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.migrations = append(m.migrations, req)
@@ -86,6 +95,15 @@
 	default:
 		close(m.stopped)
 	}
+	if len(m.stopErrs) > 0 {
+		err := m.stopErrs[0]
+		m.stopErrs = m.stopErrs[1:]
+		return nil, err
+	}
+	if m.stopHangs {
+		<-ctx.Done()
+		return nil, refusal(verdict.MayHaveRun)
+	}
 	if m.stopErr != nil && !m.copyOnErr {
 		return nil, m.stopErr
 	}
@@ -235,18 +253,19 @@
 		end, stopErr error
 		probe        serve.Reachability
 		held, goesOn bool
+		cutOff       bool
 	}{
 		"engine has ended":              {end: brokenOff, stopErr: lost, probe: serve.Refused, goesOn: true},
 		"engine has ended, end unclear": {end: serve.ErrUnmarkedEnd, stopErr: lost, probe: serve.Refused, goesOn: true},
 		"engine does not run it":        {end: brokenOff, stopErr: verdict.New(verdict.NotRun, verdict.CodeNotRunning, "404"), probe: serve.Connected, goesOn: true},
 		"engine may run it":             {end: brokenOff, stopErr: lost, probe: serve.Connected},
-		"engine may be cut off":         {end: brokenOff, stopErr: lost, probe: serve.NoAnswer},
+		"engine may be cut off":         {end: brokenOff, stopErr: lost, cutOff: true},
 		"connection has timed out":      {end: io.ErrUnexpectedEOF, stopErr: lost, probe: serve.Refused},
 		"held back":                     {end: brokenOff, stopErr: lost, probe: serve.Refused, held: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			guard := &holdingGuard{}
-			tr := &migratingTransport{end: tc.end, stopErr: tc.stopErr, probe: tc.probe, guard: guard}
+			tr := &migratingTransport{end: tc.end, stopErr: tc.stopErr, probe: tc.probe, cutOff: tc.cutOff, guard: guard}
 			tr.onStop = func() { guard.held.Store(tc.held) }
 			_, c, _ := serveMigrated(tr)
 			if want := map[bool]string{true: "abcd", false: "ab"}[tc.goesOn]; c.events != want || c.aborted == tc.goesOn {
@@ -256,6 +275,29 @@
 	}
 }
 
+// TestStopIsRepeatedUntilItIsClear guards against streams that are cut since one repeated stop has failed,
+// although their memory can be used moments later: the first stop, whose response was lost, still
+// copies, or the engine did not get the second one.
+func TestStopIsRepeatedUntilItIsClear(t *testing.T) {
+	lost := refusal(verdict.MayHaveRun)
+	conflict := verdict.New(verdict.NotRun, verdict.CodeUpstream, "status 409")
+	for name, tc := range map[string]struct {
+		stopErrs []error
+		hangs    bool // the stops after these
+		probe    serve.Reachability
+	}{
+		"still copying":                  {stopErrs: []error{lost, conflict, conflict}},
+		"unavailable":                    {stopErrs: []error{lost, refusal(verdict.MayHaveRun)}},
+		"not sent":                       {stopErrs: []error{lost, verdict.New(verdict.NotRun, verdict.CodeNotSent, "not sent")}},
+		"no response from an ended host": {stopErrs: []error{lost}, hangs: true, probe: serve.Refused},
+	} {
+		tr := &migratingTransport{end: errors.Mark(io.ErrUnexpectedEOF, serve.ErrBrokenOff), stopErrs: tc.stopErrs, stopHangs: tc.hangs, probe: tc.probe}
+		if _, c, _ := serveMigrated(tr); c.events != "abcd" || c.aborted {
+			t.Errorf("%s: events %q, aborted %t, %d calls", name, c.events, c.aborted, len(tr.migrations))
+		}
+	}
+}
+
 // TestContinuationsReachFewEngines guards against a stopped run that is sent over and over again to an
 // engine that resets the connection each time: every arrival counts as a request there.
 func TestContinuationsReachFewEngines(t *testing.T) {
