A stream that another attempt may resume does not wait for its copies

A stopped run of a route whose streams can be resumed was sent up to 12 times to the engines with a copy, with pauses that double, before another engine resumed it from the events alone: 1.7 s of silence for the caller in the test.

Where the route allows it and the request has an attempt left, each copy is tried once, and an unclear stop repeated once; then the attempt ends and the usual resumption follows. A stream without an attempt left waits as before: "no further attempt" in the test, which has to pass before and after.

--- a/internal/serve/continuation.go
+++ b/internal/serve/continuation.go
@@ -31,6 +31,7 @@
 	gone      bool // the copy, or the engine, is gone
 	refusals  int
 	arrivals  int           // of tries
+	tried     bool          // at least once
 	pause     time.Duration // after the last try there
 	notBefore time.Time     // of the next try there
 }
@@ -58,6 +59,7 @@
 type continuation struct {
 	places   []*copyPlace // the preferred one first
 	deadline time.Time
+	once     bool // each place is tried once
 	tries    int
 	arrivals int // of tries at all engines
 	last     *copyPlace
@@ -80,7 +82,7 @@
 			at = now
 		}
 		switch {
-		case candidate.gone, candidate.arrivals >= maxArrivalsPerCopy, c.unsure != nil && c.unsure != candidate,
+		case candidate.gone, c.once && candidate.tried, candidate.arrivals >= maxArrivalsPerCopy, c.unsure != nil && c.unsure != candidate,
 			!at.Before(c.deadline), !candidate.until.IsZero() && !at.Before(candidate.until):
 			continue
 		case p == nil, at.Sub(now) < wait:
@@ -90,7 +92,7 @@
 	if p == nil {
 		return nil, 0, false
 	}
-	c.last = p
+	c.last, p.tried = p, true
 	c.tries++
 	return p, wait, true
 }
--- a/internal/serve/migration.go
+++ b/internal/serve/migration.go
@@ -260,7 +260,7 @@
 		if verdict.From(err).Code == verdict.CodeNotRunning || s.refuses(s.endpoint, confirmProbeTimeout) {
 			return true
 		}
-		if !sleep(ctx, confirmPause) {
+		if s.call.mayResumeElsewhere() || !sleep(ctx, confirmPause) {
 			return false
 		}
 	}
@@ -274,12 +274,12 @@
 }
 
 // continueRun sends the request to the engines with a copy of its KV cache until one resumes the
-// stream.
+// stream. A stream that another attempt may resume does not wait for them.
 func (s *answerStream) continueRun(m *migrationState) *Answer {
 	h := s.call.h
 	target := &copyPlace{endpoint: m.target, kvCopy: cmp.Or(m.kvCopy, m.firstCopy)}
 	source := &copyPlace{endpoint: s.endpoint, kvCopy: cmp.Or(m.kvCopy, m.firstCopy)}
-	plan := continuation{places: []*copyPlace{target, source}, deadline: s.call.deadline}
+	plan := continuation{places: []*copyPlace{target, source}, deadline: s.call.deadline, once: s.call.mayResumeElsewhere()}
 	if m.atSource {
 		target.kvCopy = m.firstCopy
 		plan.places = []*copyPlace{source, target}
--- a/internal/serve/watchdog.go
+++ b/internal/serve/watchdog.go
@@ -38,10 +38,15 @@
 	fired        atomic.Bool
 }
 
+// mayResumeElsewhere reports whether another attempt may resume the stream.
+func (c *call) mayResumeElsewhere() bool {
+	return c.route.Kind == site.KindStream && c.route.Resumable && c.attempts.count() < max(c.route.MaxAttempts, 1)
+}
+
 // startWatchdog returns the context of an attempt and the watchdog that cancels it; the
 // watchdog is nil for requests that can't be resumed.
 func (c *call) startWatchdog(ctx context.Context, id ident.AttemptID) (context.Context, *watchdog) {
-	if c.route.Kind != site.KindStream || !c.route.Resumable || c.attempts.count() >= max(c.route.MaxAttempts, 1) {
+	if !c.mayResumeElsewhere() {
 		return ctx, nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
