--- a/internal/serve/migration_test.go
+++ b/internal/serve/migration_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -23,14 +24,19 @@
 // migratingTransport is a serve.Transport whose engines stop a running request when its
 // migration asks for that.
 type migratingTransport struct {
-	stopErr   error // returned by migrations with Stop; nil for success
-	copyOnErr bool  // a KV copy is returned together with stopErr
-	end       error // with which the stream of a stopped request ends; nil for io.ErrUnexpectedEOF
-	probe     serve.Reachability
-	guard     serve.Guard // nil for none
+	stopErr   error              // returned by migrations with Stop; nil for success
+	stopErrs  []error            // of the first migrations with Stop, which return no copy
+	stopHangs bool               // migrations with Stop after these get no response
+	copyOnErr bool               // a KV copy is returned together with stopErr
+	end       error              // with which the stream of a stopped request ends; nil for io.ErrUnexpectedEOF
+	probe     serve.Reachability // zero for serve.Connected
+	cutOff    bool               // probes get no answer
+	guard     serve.Guard        // nil for none
 	mayStart  func(deadline time.Time, repeatable bool) *verdict.Error
 	onStop    func() // called before a request is stopped, if it is not nil
 	silent    bool   // no event comes before the stop
+	path      string // of the request; empty for one that must not run twice
+	attempts  int    // allowed by the routes; zero for those of testConfig
 	// resumption responds to attempts with a KV copy, if it is not nil.
 	resumption func() (*serve.Answer, error)
 
@@ -41,7 +47,7 @@
 }
 
 // Send responds to an attempt without a KV copy with two events, after which the stream
-// stays open until it is stopped. An attempt with a KV copy gets the events up to the
+// stays open until it is stopped. An attempt that resumes the stream gets the events up to the
 // fourth and the end.
 func (m *migratingTransport) Send(ctx context.Context, a serve.Attempt) (*serve.Answer, error) {
 	m.mu.Lock()
@@ -52,7 +58,7 @@
 		}
 	}
 	m.sent = append(m.sent, a)
-	if a.Import == nil {
+	if a.Import == nil && a.After == 0 {
 		answer := streamResponse("first", nil, nil)
 		running := events{queue: numberedEvents(1, 2), err: m.end}
 		if m.silent {
@@ -61,16 +67,22 @@
 		answer.Events = &stoppableEvents{running, ctx, m.stopped}
 		return answer, nil
 	}
-	if m.resumption != nil {
+	if m.resumption != nil && a.Import != nil {
 		return m.resumption()
 	}
 	return streamResponse("second", numberedEvents(a.After+1, 4), io.EOF), nil
 }
 
-func (m *migratingTransport) Probe(context.Context, site.Endpoint) serve.Reachability { return m.probe }
-func (m *migratingTransport) SetSignals(serve.EndpointSignals)                        {}
+func (m *migratingTransport) Probe(ctx context.Context, _ site.Endpoint) serve.Reachability {
+	if m.cutOff || ctx.Err() != nil {
+		return serve.NoAnswer
+	}
+	return cmp.Or(m.probe, serve.Connected)
+}
+
+func (m *migratingTransport) SetSignals(serve.EndpointSignals) {}
 
-func (m *migratingTransport) Migrate(_ context.Context, req serve.Migration) (*serve.KVCopy, error) {
+func (m *migratingTransport) Migrate(ctx context.Context, req serve.Migration) (*serve.KVCopy, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.migrations = append(m.migrations, req)
@@ -86,6 +98,15 @@
 	default:
 		close(m.stopped)
 	}
+	if len(m.stopErrs) > 0 {
+		err := m.stopErrs[0]
+		m.stopErrs = m.stopErrs[1:]
+		return nil, err
+	}
+	if m.stopHangs {
+		<-ctx.Done()
+		return nil, refusal(verdict.MayHaveRun)
+	}
 	if m.stopErr != nil && !m.copyOnErr {
 		return nil, m.stopErr
 	}
@@ -155,6 +176,13 @@
 	cfg := *testConfig
 	engine := site.Engine{Slots: 8, CacheTokens: 10000, SupportsMigration: true}
 	cfg.Services = map[ident.Service]site.Service{"llm": {Name: "llm", Engine: &engine}}
+	if tr.attempts > 0 {
+		cfg.Routes = slices.Clone(cfg.Routes)
+		for i := range cfg.Routes {
+			cfg.Routes[i].MaxAttempts = tr.attempts
+		}
+		cfg.Index()
+	}
 	node.config = &cfg
 	tr.stopped = make(chan struct{})
 	h := serve.NewHandler(serve.Dependencies{
@@ -165,7 +193,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		h.Serve(context.Background(), request("/draft/x"), c)
+		h.Serve(context.Background(), request(cmp.Or(tr.path, "/draft/x")), c)
 	}()
 	from := node.drainEngineOfFirstAttempt(tr)
 	now := time.Now()
@@ -210,6 +238,12 @@
 type holdingGuard struct {
 	fakeGuard
 	held atomic.Bool
+	sent time.Time // of the last attempt that broke off
+}
+
+func (g *holdingGuard) BrokenOff(e site.Endpoint, id serve.Identity, sent time.Time, answering bool) {
+	g.sent = sent
+	g.fakeGuard.BrokenOff(e, id, sent, answering)
 }
 
 func (g *holdingGuard) Check(serve.Identity) *verdict.Error {
@@ -229,18 +263,19 @@
 		end, stopErr error
 		probe        serve.Reachability
 		held, goesOn bool
+		cutOff       bool
 	}{
 		"engine has ended":              {end: brokenOff, stopErr: lost, probe: serve.Refused, goesOn: true},
 		"engine has ended, end unclear": {end: serve.ErrUnmarkedEnd, stopErr: lost, probe: serve.Refused, goesOn: true},
 		"engine does not run it":        {end: brokenOff, stopErr: verdict.New(verdict.NotRun, verdict.CodeNotRunning, "404"), probe: serve.Connected, goesOn: true},
 		"engine may run it":             {end: brokenOff, stopErr: lost, probe: serve.Connected},
-		"engine may be cut off":         {end: brokenOff, stopErr: lost, probe: serve.NoAnswer},
+		"engine may be cut off":         {end: brokenOff, stopErr: lost, cutOff: true},
 		"connection has timed out":      {end: io.ErrUnexpectedEOF, stopErr: lost, probe: serve.Refused},
 		"held back":                     {end: brokenOff, stopErr: lost, probe: serve.Refused, held: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			guard := &holdingGuard{}
-			tr := &migratingTransport{end: tc.end, stopErr: tc.stopErr, probe: tc.probe, guard: guard}
+			tr := &migratingTransport{end: tc.end, stopErr: tc.stopErr, probe: tc.probe, cutOff: tc.cutOff, guard: guard}
 			tr.onStop = func() { guard.held.Store(tc.held) }
 			_, c, _ := serveMigrated(tr)
 			if want := map[bool]string{true: "abcd", false: "ab"}[tc.goesOn]; c.events != want || c.aborted == tc.goesOn {
@@ -250,6 +285,102 @@
 	}
 }
 
+// TestStopIsRepeatedUntilItIsClear guards against streams that are cut since one repeated stop has failed,
+// although their memory can be used moments later: the first stop, whose response was lost, still
+// copies, or the engine did not get the second one.
+func TestStopIsRepeatedUntilItIsClear(t *testing.T) {
+	lost := refusal(verdict.MayHaveRun)
+	conflict := verdict.New(verdict.NotRun, verdict.CodeUpstream, "status 409")
+	for name, tc := range map[string]struct {
+		stopErrs []error
+		hangs    bool // the stops after these
+		probe    serve.Reachability
+	}{
+		"still copying":                  {stopErrs: []error{lost, conflict, conflict}},
+		"unavailable":                    {stopErrs: []error{lost, refusal(verdict.MayHaveRun)}},
+		"not sent":                       {stopErrs: []error{lost, verdict.New(verdict.NotRun, verdict.CodeNotSent, "not sent")}},
+		"no response from an ended host": {stopErrs: []error{lost}, hangs: true, probe: serve.Refused},
+	} {
+		tr := &migratingTransport{end: errors.Mark(io.ErrUnexpectedEOF, serve.ErrBrokenOff), stopErrs: tc.stopErrs, stopHangs: tc.hangs, probe: tc.probe}
+		if _, c, _ := serveMigrated(tr); c.events != "abcd" || c.aborted {
+			t.Errorf("%s: events %q, aborted %t, %d calls", name, c.events, c.aborted, len(tr.migrations))
+		}
+	}
+}
+
+// TestContinuationsReachFewEngines guards against a stopped run that is sent over and over again to an
+// engine that resets the connection each time: every arrival counts as a request there.
+func TestContinuationsReachFewEngines(t *testing.T) {
+	tr := &migratingTransport{resumption: func() (*serve.Answer, error) { return nil, refusal(verdict.MayHaveRun) }}
+	serveMigrated(tr)
+	if got := len(tr.sent) - 1; got < 2 || got > 3 {
+		t.Errorf("the target got the run %d times, want 2 or 3", got)
+	}
+}
+
+// TestResumableStreamGoesOnElsewhere guards against streams that wait for an engine with a copy of their
+// KV cache to accept them, although another attempt can resume them without it. Where there can be none, they wait.
+func TestResumableStreamGoesOnElsewhere(t *testing.T) {
+	conflict := verdict.New(verdict.NotRun, verdict.CodeUpstream, "status 409")
+	for name, tc := range map[string]struct {
+		tr           *migratingTransport
+		stops, tries int
+	}{
+		"no engine accepts it": {tr: &migratingTransport{}, stops: 1, tries: 2},
+		"stop is not clear":    {tr: &migratingTransport{stopErrs: []error{refusal(verdict.MayHaveRun), conflict, conflict}}, stops: 2},
+		"no further attempt":   {tr: &migratingTransport{attempts: 1}, stops: 1, tries: 12},
+	} {
+		tr := tc.tr
+		tr.path, tr.end = "/chat/x", errors.Mark(io.ErrUnexpectedEOF, serve.ErrBrokenOff)
+		tr.resumption = func() (*serve.Answer, error) {
+			return nil, verdict.New(verdict.NotRun, verdict.CodeNotSent, "not sent")
+		}
+		_, c, _ := serveMigrated(tr)
+		tries, stops := 0, 0
+		for _, a := range tr.sent {
+			if a.Import != nil {
+				tries++
+			}
+		}
+		for _, m := range tr.migrations {
+			if m.Stop {
+				stops++
+			}
+		}
+		if goesOn := tr.attempts != 1; (c.events == "abcd") != goesOn || c.aborted == goesOn || tries != tc.tries || stops != tc.stops {
+			t.Errorf("%s: events %q, aborted %t, %d tries at engines with a copy, %d stops", name, c.events, c.aborted, tries, stops)
+		}
+	}
+}
+
+// TestRunThatEndsItsTargetGoesNoFurther guards against requests that crash engines, stopped for their
+// migration: the target ends when it continues one, and requests like it are held back from then on.
+func TestRunThatEndsItsTargetGoesNoFurther(t *testing.T) {
+	for _, held := range []bool{false, true} {
+		guard := &holdingGuard{}
+		tr := &migratingTransport{guard: guard, probe: serve.Refused}
+		tries := 0
+		begin := time.Now()
+		tr.resumption = func() (*serve.Answer, error) {
+			switch tries++; tries {
+			case 1:
+				guard.held.Store(held)
+				return nil, errors.Mark(refusal(verdict.MayHaveRun), serve.ErrBrokenOff)
+			case 2:
+				return nil, verdict.New(verdict.NotRun, verdict.CodeUpstream, "connection refused")
+			}
+			return streamResponse("second", numberedEvents(3, 4), io.EOF), nil
+		}
+		_, c, _ := serveMigrated(tr)
+		if want := map[bool]int{false: 3, true: 2}[held]; tries != want || c.aborted != held {
+			t.Errorf("held %t: %d tries, events %q, aborted %t", held, tries, c.events, c.aborted)
+		}
+		if guard.cut != 1 || guard.sent.Before(begin) {
+			t.Errorf("held %t: %d ends of an engine are recorded, want 1; sent at %s", held, guard.cut, guard.sent)
+		}
+	}
+}
+
 // TestRunResumesWhileNodeStops guards against streams that a node has stopped for their migration and
 // then gives up, since it has been told to stop itself in the meantime: they have no event yet.
 func TestRunResumesWhileNodeStops(t *testing.T) {
