Streams that are cut by the stop of their node are named so

The verdict's code tells it apart. It is cut_by=stop now; no decision depends on it.

Before, on with the test alone: go test ./internal/serve -run TestCutStreamsName cut_test.go:126: the metric counts a stream cut by "connection", want "stop" After: passes.

--- a/internal/serve/cut.go
+++ b/internal/serve/cut.go
@@ -17,6 +17,7 @@
 	cutByMigration   cutCause = "migration"    // it was stopped for its migration and not resumed
 	cutByEndpoint    cutCause = "endpoint"     // the endpoint ended the connection
 	cutByDeadline    cutCause = "deadline"
+	cutByStop        cutCause = "stop"       // this node stops
 	cutByConnection  cutCause = "connection" // the connection failed, or its bytes were not the stream
 )
 
@@ -30,6 +31,8 @@
 		return cutByCallerWrite
 	case s != nil && s.stoppedForMigration():
 		return cutByMigration
+	case err.Code == verdict.CodeStopping:
+		return cutByStop
 	case err.Code == verdict.CodeDeadline:
 		return cutByDeadline
 	case s != nil && errors.Is(s.readErr, ErrBrokenOff):
--- a/internal/serve/cut_test.go
+++ b/internal/serve/cut_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -67,6 +68,10 @@
 	h := serve.NewHandler(serve.Dependencies{
 		NodeServices: node, Placement: node, Versions: node, Transport: tr, Log: slog.New(slog.NewTextHandler(&log, nil)), Metrics: serve.NewMetrics(reg),
 	})
+	if want == "stop" {
+		terminate := time.AfterFunc(20*time.Millisecond, func() { h.TerminateRequests() })
+		defer terminate.Stop()
+	}
 	h.Serve(ctx, request("/draft/x"), out)
 	if got := strings.Contains(log.String(), "cut_by="+want); got != (want != "") || want == "" && strings.Contains(log.String(), "cut_by") {
 		t.Errorf("log: %s", log.String())
@@ -118,6 +123,7 @@
 	ctx, leave := context.WithCancel(context.Background())
 	checkCut(t, ctx, hangingNode{node}, node, &leavingCaller{leave: leave}, "caller")
 	checkCut(t, context.Background(), hangingNode{node}, node, &caller{}, "deadline")
+	checkCut(t, context.Background(), hangingNode{node}, node, &caller{}, "stop")
 }
 
 // TestStreamCutByItsMigrationSaysSo checks the same for a stream that was stopped for its migration.
