--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -1,7 +1,7 @@
 // Package drain decides which requests a stopping node still sends to endpoints.
 //
-// A node that was told to stop accepts requests until the load balancer has removed it, and
-// exits at a known time. A request that may not end by then would be cut off without a
+// A stopping node accepts requests until the load balancer has removed it, and exits at a known
+// time. A request that may not end by then would be cut off without a
 // response, so it is refused before anything is sent and its caller goes to another node.
 package drain
 
@@ -26,7 +26,7 @@
 // Plan is the time that a stopping node has. The zero value is that of a node that isn't
 // stopping.
 type Plan struct {
-	// Begin is when the node was told to stop.
+	// Begin is when the stop began.
 	Begin time.Time
 	// Close is when the node stops to accept connections.
 	Close time.Time
@@ -36,8 +36,8 @@
 	Exit time.Time
 }
 
-// New returns the plan of a node that was told to stop at begin and is killed after grace; zero
-// if that time is unknown.
+// New returns the plan of a stop that begins at begin. The node is killed after grace; zero if that
+// time is unknown.
 func New(begin time.Time, grace time.Duration) Plan {
 	if grace <= 0 {
 		grace = unknownGrace
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -48,7 +48,7 @@
 			t.Errorf("grace %s: steps out of order: %+v", grace, p)
 		}
 		if grace > 0 && p.Exit.After(begin.Add(grace)) {
-			t.Errorf("grace %s: the node exits %s after it was told to", grace, p.Exit.Sub(begin))
+			t.Errorf("grace %s: the node exits %s after the stop began", grace, p.Exit.Sub(begin))
 		}
 	}
 }
--- a/internal/entry/stopping_test.go
+++ b/internal/entry/stopping_test.go
@@ -70,7 +70,7 @@
 }
 
 // TestStopWhileWaiting guards against requests that waited for admission, or for their body, while
-// the node was told to stop, and are sent late.
+// the node is stopping, and are sent late.
 func TestStopWhileWaiting(t *testing.T) {
 	late := drain.Plan{Begin: time.Now().Add(-time.Hour), Close: time.Now(), End: time.Now()}
 	var s *Server
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -175,7 +175,7 @@
 	weights           weightCache
 	loadsUpdated      time.Time // by the ticker alone
 	draining          atomic.Bool
-	drainPlan         atomic.Pointer[drain.Plan] // nil until the node is told to stop
+	drainPlan         atomic.Pointer[drain.Plan] // nil until the node is stopping
 	handler           *serve.Handler
 	caughtUp          atomic.Bool
 	startedAt         time.Time
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -376,7 +376,7 @@
 }
 
 // TestStoppingNodeRelaysNothingLate guards against requests that a stopping node relays although
-// it exits before they end: it refuses them before anything is sent, also if it is told to stop
+// it exits before they end: it refuses them before anything is sent, also if it is stopping
 // while it waits for a connection, and the sender may try another node.
 func TestStoppingNodeRelaysNothingLate(t *testing.T) {
 	var stopsWhileConnecting, stops atomic.Bool
--- a/internal/serve/migration_test.go
+++ b/internal/serve/migration_test.go
@@ -382,7 +382,7 @@
 }
 
 // TestRunResumesWhileNodeStops guards against streams that a node has stopped for their migration and
-// then gives up, since it has been told to stop itself in the meantime: they have no event yet.
+// then gives up, since it is stopping itself in the meantime: they have no event yet.
 func TestRunResumesWhileNodeStops(t *testing.T) {
 	var stopping atomic.Bool
 	tr := &migratingTransport{silent: true, onStop: func() { stopping.Store(true) }}
