--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -208,7 +208,11 @@
 	}, n.currentConfig, n.meter, n.clock)
 	n.endpoints = directory.NewRegistry(p.DecodeEndpoint, missingRetention(settings.Bounds), doubtTime(settings), n.state.setEndpoints, log)
 	n.transport = relay.NewTransport(relay.Options{
-		Transport: p.Transport, Services: n.state.endpointServices, Endpoints: n.state.usableEndpoints, Nodes: n.relayingNodes, NodesNamed: n.nodesWithShares, Reserve: n.state.reserve, MayStart: func(deadline time.Time) *verdict.Error { return n.mayStart(deadline, false) }, Bodies: p.Bodies, WallTime: n.clock.Now, Log: log, Metrics: reg,
+		Transport: p.Transport, Services: n.state.endpointServices, Endpoints: n.state.usableEndpoints,
+		Nodes: n.relayingNodes, NodesNamed: n.nodesWithShares, Reserve: n.state.reserve,
+		// Whether the caller of another node may repeat a request isn't known here.
+		MayStart: func(deadline time.Time) *verdict.Error { return n.mayStart(deadline, false) },
+		Bodies:   p.Bodies, WallTime: n.clock.Now, Log: log, Metrics: reg,
 	})
 	n.relay = relay.NewService(n.transport, p.Bodies, n.clock.Now, reg)
 	n.transport.SetSignals(newSignals(n.state, n.endpoints, reg, log))
--- a/internal/serve/migration.go
+++ b/internal/serve/migration.go
@@ -238,7 +238,7 @@
 }
 
 // confirmStopped reports whether the stream's own engine certainly does not run it any more and a
-// copy of its KV cache exists. A stop whose response was lost is repeated until it is clear. A request that is held
+// copy of its KV cache exists. A stop without a clear response is repeated. A request that is held
 // back may have ended its engine and does not get to another one.
 func (s *answerStream) confirmStopped(m *migrationState, cause error) bool {
 	switch {
@@ -303,7 +303,7 @@
 		}
 		a := s.call.newAttempt(p.endpoint)
 		a.After, a.Import, a.Repeated = max(s.lastReadID, a.After), p.kvCopy, plan.tries > 1
-		a.MayStart = nil // the request was sent before
+		a.MayStart = nil // a run that was stopped goes on, even while this node stops
 		s.call.attempts.setSent(m.attempt, time.Now())
 		var answer *Answer
 		if answer, err = h.transport.Send(s.ctx, a); err == nil && answer.Events != nil {
