--- a/review/_standins-2/config.go
+++ b/review/_standins-2/config.go
@@ -2,11 +2,11 @@
 
 // Names of the installation.
 const (
-	host        = "kallergis.example"
+	host        = "kaptaan.example"
 	deskService = "order-desk"
-	llmService  = "draft-models"
-	apiKey      = "key-of-the-council"
-	tenant      = "council"
+	llmService  = "design-llm"
+	apiKey      = "key-of-the-club"
+	tenant      = "club"
 )
 
 // configure writes the operator's configuration.
@@ -30,7 +30,7 @@
 		"services": []any{
 			map[string]any{
 				"name": llmService, "health_path": "/health", "max_conns": 300,
-				"engine":    map[string]any{"slots": 48, "kv_capacity": 444000, "kv_bytes": 131072, "link_mbps": 550000, "moves": true},
+				"engine":    map[string]any{"slots": 48, "kv_capacity": 579713, "kv_bytes": 131072, "link_mbps": 550000, "moves": true},
 				"autoscale": map[string]any{"min": 1, "max": 10, "boot_s": 4, "spot_price": 0.22, "zone_prices": prices},
 			},
 			map[string]any{"name": deskService, "health_path": "/health", "max_conns": 110},
--- a/review/_standins-2/main.go
+++ b/review/_standins-2/main.go
@@ -19,7 +19,8 @@
 var errBroken = errors.New("the rule was broken")
 
 var cases = map[string]func(*world) error{
-	"stale-duty": staleDuty,
+	"stale-duty":    staleDuty,
+	"config-memory": configMemory,
 }
 
 // maxTime ends a case that hangs, before the limit of 120 seconds.
--- a/review/_standins-2/world.go
+++ b/review/_standins-2/world.go
@@ -19,7 +19,7 @@
 // program is the command of the deploy file, after its build.
 var program = []string{"target/jujubeshed", "serve"}
 
-// Bounds of the installation kallergis-plaques.
+// Bounds of the installation kaptaan-edge.
 const (
 	graceTime   = 8 * time.Second
 	drainTime   = 2 * time.Second
@@ -28,7 +28,7 @@
 	thawTime    = 300 * time.Millisecond
 )
 
-var zones = []string{"kalamaria", "pylaia", "evosmos", "thermi"}
+var zones = []string{"sialkot-a", "sialkot-b", "lahore-a", "lahore-b"}
 
 // world is the platform, its workers and the nodes of one case.
 type world struct {
@@ -151,7 +151,7 @@
 			return err
 		}
 		lines := []string{
-			"node_id=" + n.name, "role=entry", "class=front", "serves=front,control", "ip=" + n.ip, "zone=" + n.zone, "region=thessaloniki",
+			"node_id=" + n.name, "role=entry", "class=front", "serves=front,control", "ip=" + n.ip, "zone=" + n.zone, "region=pk-north",
 			"listen.front=" + n.front(), "listen.ready=" + n.ip + ":7702", "listen.control=" + control(i), "internal_ports=7600,7615",
 			"seeds=" + strings.Join(seeds, ","), "bootstrap=true", "limits.cpu_share=0.4", "limits.cores=1", "limits.memory_mb=284", "limits.max_fds=4100",
 			"discovery=platform", "entry=vip", "heartbeat_ms=1200",
@@ -164,7 +164,7 @@
 			"cloud_api.duties=usage_report,autoscale", "cloud_api.duty_per_s=50.0",
 		}
 		for _, z := range zones {
-			lines = append(lines, "zones."+z+"=thessaloniki")
+			lines = append(lines, "zones."+z+"=pk-north")
 		}
 		if err := os.WriteFile(n.settings(), []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
 			return err
