Review: the stand-ins end the nodes when they are interrupted

The nodes of a script that was ended from outside went on running. The stand-in now ends them and exits with 2. No case changes by it.

--- a/review/_standins-2/main.go
+++ b/review/_standins-2/main.go
@@ -12,6 +12,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -38,10 +40,14 @@
 		fmt.Fprintln(os.Stderr, "review2:", err)
 		return 2
 	}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
 	done := make(chan error, 1)
 	go func() { done <- cases[os.Args[1]](w) }()
 	select {
 	case err = <-done:
+	case <-interrupted:
+		err = errors.New("interrupted")
 	case <-time.After(maxTime):
 		err = errors.New("the case took too long")
 	}
