Duties: calls are sent only while the store has just confirmed the lease

A holder acts for up to two seconds after the start of its last renewal (HoldTime), so that a call can be sent into a partition that began in that time. It times out, and a proxy or the kernel of a peer that has already acknowledged it may deliver it after the next holder's calls; no reset of ours takes that back.

Fix: the lease knows when the store last answered that this node is the owner (ConfirmTime, 1/10 of the term: 300 ms after each answer; the lease is renewed every 750 ms). Orders and reports are decided on, and their first byte is sent, only in that time. This costs no call; a due order waits for the next renewal, 0.45 s at most. The lease itself is held as long as before.

Tests: TestConfirmed (lease), TestNoCallsIntoPartition (duty): with the checks in executor.go removed it fails with "an order was placed though the store has not confirmed the lease" and "the permission is still valid when the call is sent later".

--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -56,13 +56,17 @@
 }
 
 // fakeLease is a lease that is held while its epoch is not zero.
-type fakeLease struct{ epoch atomic.Uint64 }
+type fakeLease struct {
+	epoch       atomic.Uint64
+	unconfirmed atomic.Bool
+}
 
 func (l *fakeLease) Held() (ident.Epoch, bool) {
 	e := ident.Epoch(l.epoch.Load())
 	return e, e > 0
 }
-func (l *fakeLease) Settled() bool { return true }
+func (l *fakeLease) Settled() bool   { return true }
+func (l *fakeLease) Confirmed() bool { return !l.unconfirmed.Load() }
 
 // fakeCloud passes on the reports it receives. If failed is not nil, it accepts the first
 // report of each window but returns an error, as if the response was lost.
@@ -207,6 +211,58 @@
 	}
 }
 
+// eagerPlanner always has an order to place.
+type eagerPlanner struct{}
+
+func (eagerPlanner) Next(time.Time) (duty.EndpointOrder, bool) {
+	return duty.EndpointOrder{Service: "s", Count: 1}, true
+}
+func (eagerPlanner) OrderDone(time.Time, duty.EndpointOrder, error) {}
+func (eagerPlanner) Reset()                                         {}
+
+// permissionCloud passes on the permissions of the orders that it receives.
+type permissionCloud struct {
+	fakeCloud
+	permissions chan duty.Permission
+}
+
+func (c *permissionCloud) OrderEndpoints(_ context.Context, p duty.Permission, _ duty.EndpointOrder) error {
+	c.permissions <- p
+	return nil
+}
+
+// TestNoCallsIntoPartition guards against orders that a partition of the holder holds up and
+// delivers after the next holder's: none may be sent unless the store has just confirmed the lease.
+func TestNoCallsIntoPartition(t *testing.T) {
+	_, store := newStore(t)
+	m := duty.NewMeter(window)
+	c := &permissionCloud{permissions: make(chan duty.Permission, 1000)}
+	var l fakeLease
+	l.epoch.Store(1)
+	l.unconfirmed.Store(true)
+	e := duty.NewExecutor(duty.Options{
+		Store: store, Cloud: c, Lease: &l, Planner: eagerPlanner{}, Meter: m, UsageTable: duty.NewUsageTable("n", 1, m, time.Now), Now: time.Now, Log: discardLog,
+	})
+	if err := e.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = e.Stop(context.Background()) }()
+	select {
+	case <-c.permissions:
+		t.Error("an order was placed though the store has not confirmed the lease")
+	case <-time.After(time.Second):
+	}
+	l.unconfirmed.Store(false)
+	p := <-c.permissions
+	if !p.Valid() {
+		t.Error("the permission of a confirmed lease is not valid")
+	}
+	l.unconfirmed.Store(true)
+	if p.Valid() {
+		t.Error("the permission is still valid when the call is sent later")
+	}
+}
+
 // TestReportWaitsForLiveNodes checks that a report is not finalised before each live node
 // has sent its counts up to the window's end.
 func TestReportWaitsForLiveNodes(t *testing.T) {
--- a/internal/duty/executor.go
+++ b/internal/duty/executor.go
@@ -43,9 +43,9 @@
 type Permission struct {
 	// Fence is the fencing token of the lease, which increases with each holder.
 	Fence ident.Epoch
-	// Valid reports whether the lease is still held with that token. It is checked again
-	// right before the first byte of a call is sent: the process may have been paused, or
-	// have waited for a connection, since the call was decided on.
+	// Valid reports whether the lease is still held with that token, and confirmed. It is
+	// checked again right before the first byte of a call is sent: the process may have been
+	// paused, or have waited for a connection, since the call was decided on.
 	Valid func() bool
 }
 
@@ -65,6 +65,9 @@
 	Held() (ident.Epoch, bool)
 	// Settled reports whether calls of the previous holder can no longer arrive.
 	Settled() bool
+	// Confirmed reports whether the store has just said that this node holds the lease. A
+	// call that is sent into a partition could arrive after it, and after the next holder's.
+	Confirmed() bool
 }
 
 // Planner decides which endpoints to order. It does no I/O.
@@ -168,7 +171,7 @@
 func (e *Executor) step(ctx context.Context) {
 	e.observeEra()
 	epoch, held := e.opts.Lease.Held()
-	if !held || !e.opts.Lease.Settled() {
+	if !held || !e.opts.Lease.Settled() || !e.opts.Lease.Confirmed() {
 		return
 	}
 	if epoch != e.epoch {
@@ -191,7 +194,7 @@
 func (e *Executor) permission(epoch ident.Epoch) Permission {
 	return Permission{Fence: epoch, Valid: func() bool {
 		now, held := e.opts.Lease.Held()
-		return held && now == epoch
+		return held && now == epoch && e.opts.Lease.Confirmed()
 	}}
 }
 
@@ -207,7 +210,7 @@
 			return
 		}
 		epoch, held := e.opts.Lease.Held()
-		if !held || epoch != e.epoch {
+		if !held || epoch != e.epoch || !e.opts.Lease.Confirmed() {
 			return
 		}
 		err := e.opts.Cloud.OrderEndpoints(ctx, e.permission(epoch), o)
@@ -288,7 +291,7 @@
 // send sends a finalised report and reports whether it was accepted.
 func (e *Executor) send(ctx context.Context, r UsageReport) bool {
 	epoch, held := e.opts.Lease.Held()
-	if !held || epoch != e.epoch {
+	if !held || epoch != e.epoch || !e.opts.Lease.Confirmed() {
 		return false
 	}
 	err := e.opts.Cloud.ReportUsage(ctx, e.permission(epoch), r)
--- a/internal/lease/holder/holder.go
+++ b/internal/lease/holder/holder.go
@@ -130,6 +130,14 @@
 	return h.mu.lease.Settled(h.observeEra())
 }
 
+// Confirmed reports whether this node holds the lease and the store has just said so, so that a
+// call can be sent that a partition must not hold up.
+func (h *Holder) Confirmed() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.mu.lease.Confirmed(h.observeEra())
+}
+
 // Release releases the lease, so that the next holder need not wait for the term. Run
 // returns once the release is written. Set idle if no action of this holder is in progress.
 func (h *Holder) Release(idle bool) {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -75,6 +75,9 @@
 	// ObserveInterval is the longest time between two reads of a lease held by another
 	// node. Default: 1/2 of Term.
 	ObserveInterval time.Duration
+	// ConfirmTime is how long a holder counts as confirmed after the store has answered a
+	// call on its record. Default: 1/10 of Term.
+	ConfirmTime time.Duration
 	// RetryDelay is the delay after a failed store call. Default: 1/20 of Term.
 	RetryDelay time.Duration
 	// MaxPause is the longest time assumed between a holder's check of its lease and
@@ -91,6 +94,7 @@
 	o.HoldTime = cmp.Or(o.HoldTime, o.Term*2/3)
 	o.RenewInterval = cmp.Or(o.RenewInterval, o.Term/4)
 	o.ObserveInterval = cmp.Or(o.ObserveInterval, o.Term/2)
+	o.ConfirmTime = cmp.Or(o.ConfirmTime, o.Term/10)
 	o.RetryDelay = cmp.Or(o.RetryDelay, o.Term/20)
 	o.MaxPause = cmp.Or(o.MaxPause, 30*time.Second)
 	return o
@@ -152,6 +156,7 @@
 	lastHeld Instant // when Held last returned true; zero for never
 
 	renewedAt    Instant // start of the last successful write as owner
+	confirmedAt  Instant // when the store last answered that this node is the owner
 	settledAt    Instant
 	acquired     bool // the lease was acquired and has not lapsed since
 	releasing    bool
@@ -208,6 +213,14 @@
 	return held && now.Monotonic >= l.settledAt.Monotonic
 }
 
+// Confirmed reports whether the lease is held and the store has just said so: a partition of
+// this node from it is then most likely not older than ConfirmTime. Actions that a partition may
+// hold up and deliver after the next holder's are started only then.
+func (l *Lease) Confirmed(now Instant) bool {
+	_, held := l.Held(now)
+	return held && !now.mayHaveElapsed(l.confirmedAt, l.opts.ConfirmTime)
+}
+
 // Record returns the last record read or written.
 func (l *Lease) Record() Record { return l.record }
 
@@ -326,7 +339,7 @@
 func (l *Lease) HandleWrite(now Instant, version platformapi.Version, err error) {
 	switch {
 	case err == nil:
-		l.applyWrite(version)
+		l.applyWrite(now, version)
 	case errors.Is(err, platformapi.ErrUnknown):
 		l.state = needsRead // a read shows whether the pending write took effect
 	case errors.Is(err, platformapi.ErrConflict):
@@ -339,13 +352,13 @@
 }
 
 // applyWrite applies a pending write that took effect. HoldTime counts from its start.
-func (l *Lease) applyWrite(version platformapi.Version) {
+func (l *Lease) applyWrite(now Instant, version platformapi.Version) {
 	p := l.pending
 	l.pending = nil
 	takeover := p.record.Epoch != l.record.Epoch
 	noLateActions := (l.version == 0 && l.era == 0 || l.record.Released && !l.record.Unsettled) && l.isOfEra(l.record)
 	l.state, l.record, l.version = holding, p.record, version
-	l.renewedAt = p.started
+	l.renewedAt, l.confirmedAt = p.started, now
 	if p.record.Released {
 		l.acquired, l.done = false, true
 		return
@@ -380,7 +393,7 @@
 // handleRecord processes a record read from the store.
 func (l *Lease) handleRecord(now Instant, r Record, version platformapi.Version) {
 	if p := l.pending; p != nil && p.record == r {
-		l.applyWrite(version)
+		l.applyWrite(now, version)
 		return
 	}
 	l.pending = nil
@@ -389,7 +402,7 @@
 			"epoch %d is held by %v, but its record is owned by %v", epoch, l.self, r.Owner)
 	}
 	if r.Owner == l.self && !r.Released && l.isOfEra(r) {
-		l.handleOwnRecord(r, version)
+		l.handleOwnRecord(now, r, version)
 		return
 	}
 	if version != l.version || l.firstSeen == (Instant{}) {
@@ -403,7 +416,7 @@
 // handleOwnRecord processes a record owned by this node. If the version is unchanged, a
 // write of unknown outcome had no effect and the lease is still held; otherwise it has to
 // be reacquired with a new epoch.
-func (l *Lease) handleOwnRecord(r Record, version platformapi.Version) {
-	l.acquired = l.acquired && version == l.version
+func (l *Lease) handleOwnRecord(now Instant, r Record, version platformapi.Version) {
+	l.acquired, l.confirmedAt = l.acquired && version == l.version, now
 	l.state, l.record, l.version = holding, r, version
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -534,3 +534,44 @@
 		}
 	}
 }
+
+// TestConfirmed guards against actions of a holder that has not heard of the store: the lease is
+// confirmed only for a short time after each answer that names this node the owner.
+func TestConfirmed(t *testing.T) {
+	l := New(Owner{Node: "a"}, Options{Term: 10 * time.Second})
+	now := Instant{Monotonic: time.Hour, Wall: time.Unix(1e9, 0)}
+	advance := func(d time.Duration) { now = now.Add(d) }
+	check := func(what string, want bool) {
+		t.Helper()
+		if _, held := l.Held(now); !held {
+			t.Fatalf("%s: the lease is not held", what)
+		}
+		if got := l.Confirmed(now); got != want {
+			t.Errorf("%s: confirmed is %v", what, got)
+		}
+	}
+	l.HandleRead(now, platformapi.Object{}, platformapi.ErrNotFound)
+	put, ok := l.Next(now).(PutAction)
+	if !ok {
+		t.Fatal("the free lease is not acquired")
+	}
+	advance(2 * time.Second)
+	l.HandleWrite(now, 1, nil)
+	check("acquired by a slow write", true)
+	advance(time.Second - time.Millisecond)
+	check("before the time has passed", true)
+	advance(time.Millisecond)
+	check("after the time", false)
+
+	if _, ok := l.Next(now).(PutAction); !ok {
+		t.Fatal("the lease is not renewed")
+	}
+	l.HandleWrite(now, 0, platformapi.ErrUnknown)
+	check("after a renewal without an answer", false)
+	l.HandleRead(now, platformapi.Object{}, platformapi.ErrUnavailable)
+	check("after a read without an answer", false)
+	l.HandleRead(now, platformapi.Object{Value: put.Value, Version: 1}, nil)
+	check("after a read that names this node", true)
+	advance(time.Second)
+	check("after the time", false)
+}
