Endpoint requests and store writes: bytes that are given up are discarded

A request whose caller has left, or whose attempt timed out during a partition, runs at its endpoint when the path is back; a write that was given up reaches the store then.

Cause: an ordinary close leaves what the peer has not acknowledged to the kernel, which sends it later.

What built on it: verdicts are "may have run" and store writes carry the version that they replace, so no promise rested on it here. But a request that arrives late takes a slot for nobody, with a Deadline-Remaining from before.

Fix: a connection with unacknowledged bytes (SIOCOUTQ) is reset when it is closed. Others are closed as before: a FIN is sent again if it is lost, a reset isn't, and the endpoint has to learn that its caller has left. No TCP_USER_TIMEOUT here: an endpoint may stop reading a long body for a while.

--- a/internal/keepalive/discard.go
+++ b/internal/keepalive/discard.go
@@ -1,6 +1,7 @@
 package keepalive
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -38,3 +39,48 @@
 	err := unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(maxUnacknowledged.Milliseconds()))
 	return errors.Wrap(err, "set TCP_USER_TIMEOUT")
 }
+
+// discardingConn is a connection whose Close discards bytes that the peer has not acknowledged.
+// If there are none, it closes in the ordinary way, which tells the peer reliably: a reset that
+// gets lost is not sent again.
+type discardingConn struct{ *net.TCPConn }
+
+// Close implements net.Conn.
+func (c discardingConn) Close() error {
+	if hasUnacknowledged(c.TCPConn) {
+		_ = c.SetLinger(0) // fails only on a connection that is closed already
+	}
+	return c.TCPConn.Close()
+}
+
+// hasUnacknowledged reports whether the kernel holds bytes that the peer has not acknowledged.
+func hasUnacknowledged(c *net.TCPConn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	held := false
+	err = raw.Control(func(fd uintptr) {
+		n, ioctlErr := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		held = ioctlErr == nil && n > 0
+	})
+	return err == nil && held
+}
+
+// DiscardingDialFunc returns a function that dials like Dialer. The connections discard what the
+// peer has not acknowledged when they are closed: a request that is given up while a partition
+// holds it up doesn't arrive later.
+func DiscardingDialFunc(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := Dialer(timeout)
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := c.(*net.TCPConn)
+		if !ok {
+			return c, nil
+		}
+		return discardingConn{tcp}, nil
+	}
+}
--- a/internal/keepalive/discard_test.go
+++ b/internal/keepalive/discard_test.go
@@ -8,25 +8,26 @@
 	"net"
 	"os"
 	"os/exec"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/testpeer"
 )
 
 const (
-	// heldBytes is the size of a message that fits into the buffers of its sender's kernel, but
-	// not into those of a peer that doesn't read.
-	heldBytes = 64 << 10
 	// maxUnacknowledged is that of the connections under test.
 	maxUnacknowledged = 500 * time.Millisecond
-	// senderVariable makes the test binary send a message with the dialer that is its first word
-	// to the address that is the second, and then wait.
-	senderVariable = "JUJUBESHED_TEST_SENDER"
+	// senderVariable makes the test binary send a message to the address that follows the
+	// separator, with the dialer that is named before it, and then wait.
+	senderVariable  = "JUJUBESHED_TEST_SENDER"
+	senderSeparator = "@"
 )
 
 func TestMain(m *testing.M) {
-	if name, address, ok := strings.Cut(os.Getenv(senderVariable), " "); ok {
+	if name, address, ok := strings.Cut(os.Getenv(senderVariable), senderSeparator); ok {
 		if _, err := sendMessage(name, address); err != nil {
 			fmt.Println(err)
 			os.Exit(1)
@@ -39,35 +40,23 @@
 
 // sendMessage sends a message and returns once the kernel has it.
 func sendMessage(dialer, address string) (net.Conn, error) {
-	d := Dialer(time.Second)
-	if dialer == "discarding" {
-		d = DiscardingDialer(time.Second, maxUnacknowledged)
-	}
-	c, err := d.Dial("tcp", address)
+	dial := map[string]func(ctx context.Context, network, address string) (net.Conn, error){
+		"ordinary":          Dialer(time.Second).DialContext,
+		"discards":          DiscardingDialer(time.Second, maxUnacknowledged).DialContext,
+		"discards on close": DiscardingDialFunc(time.Second),
+	}[dialer]
+	c, err := dial(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	_, err = c.Write(make([]byte, heldBytes))
+	_, err = c.Write(make([]byte, testpeer.HeldBytes))
 	return c, err
 }
 
-// listenWithSmallBuffer returns a listener whose connections accept few bytes that are not read.
-func listenWithSmallBuffer(t *testing.T) net.Listener {
-	t.Helper()
-	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
-	}}
-	ln, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	return ln
-}
-
 // TestAbandonedBytesAreDiscarded checks that a message that its sender's kernel still holds doesn't
 // arrive once its sender has closed the connection, was killed, or was stopped for a while. With
-// an ordinary connection it does, which shows that the kernel holds it.
+// an ordinary connection it does, which shows that the kernel holds it. A connection that discards
+// on its close alone does so in that case.
 func TestAbandonedBytesAreDiscarded(t *testing.T) {
 	endings := map[string]func(t *testing.T, dialer, address string){
 		"closed": func(t *testing.T, dialer, address string) {
@@ -90,20 +79,15 @@
 			time.Sleep(3 * maxUnacknowledged)
 		},
 	}
+	discardsOn := map[string][]string{"ordinary": nil, "discards": {"closed", "killed", "stopped"}, "discards on close": {"closed"}}
 	for ending, abandon := range endings {
-		for _, dialer := range []string{"ordinary", "discarding"} {
+		for dialer, discards := range discardsOn {
 			t.Run(ending+"/"+dialer, func(t *testing.T) {
-				ln := listenWithSmallBuffer(t)
-				abandon(t, dialer, ln.Addr().String())
-				c, err := ln.Accept()
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer func() { _ = c.Close() }()
-				_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
-				n, err := io.CopyN(io.Discard, c, heldBytes)
-				if arrived := n == heldBytes; arrived != (dialer == "ordinary") {
-					t.Errorf("%d of %d bytes arrived, error %v", n, heldBytes, err)
+				peer := testpeer.NewUnread(t)
+				abandon(t, dialer, peer.Address())
+				n, err := io.CopyN(io.Discard, peer.Accept(t), testpeer.HeldBytes)
+				if arrived := n == testpeer.HeldBytes; arrived == slices.Contains(discards, ending) {
+					t.Errorf("%d of %d bytes arrived, error %v", n, testpeer.HeldBytes, err)
 				}
 			})
 		}
@@ -114,7 +98,7 @@
 func startSender(t *testing.T, dialer, address string) *exec.Cmd {
 	t.Helper()
 	p := exec.Command(os.Args[0])
-	p.Env = append(os.Environ(), senderVariable+"="+dialer+" "+address)
+	p.Env = append(os.Environ(), senderVariable+"="+dialer+senderSeparator+address)
 	out, err := p.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
