Calls between nodes: bytes that are given up are discarded

Where it mattered: a relayed request that was given up may be sent through a second node, and still arrive at the first, which then sends it to an engine as well. An exchange of state that arrives seconds late carries a time of day that is long past; a node that was cut off gets such ones from several others at once, and walltime follows a majority of clocks until their next exchange. Messages of states themselves are ordered by their heartbeat and don't go back.

Fix: relay and sharing dial with DiscardingDialFunc.

--- a/internal/relay/transport.go
+++ b/internal/relay/transport.go
@@ -92,7 +92,7 @@
 	t := &Transport{
 		Transport: opts.Transport, opts: opts,
 		client: &http.Client{Transport: &http.Transport{
-			DialContext:         keepalive.Dialer(dialTimeout).DialContext,
+			DialContext:         keepalive.DiscardingDialFunc(dialTimeout),
 			MaxIdleConnsPerHost: maxIdlePerNode, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
 		}},
 		relayed: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "relay_requests_total", Help: "Attempts that were sent through other nodes, by whether they got a response."}, []string{"outcome"}),
--- a/internal/sharing/service.go
+++ b/internal/sharing/service.go
@@ -117,7 +117,7 @@
 	s := &Service{
 		opts: opts,
 		client: &http.Client{Transport: &http.Transport{
-			DialContext:         keepalive.Dialer(exchangeTimeout).DialContext,
+			DialContext:         keepalive.DiscardingDialFunc(exchangeTimeout),
 			MaxIdleConnsPerHost: 4,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
