jujubeshed node: releases, orders and answers that are given up are discarded

Where it mattered in `jujubeshed node`: - Release of a host: the planner cancels drains when the demand returns. A release that was given up during a partition, by this holder or the one before, then takes a host away that serves again. - Orders to engines that don't check the fence: the next holder waits for lease.Options.MaxPause (30 s), but the kernel retransmits for longer, also after the end of the process. - An answer whose handover was given up after 2 s is offered to the next node; it would run at both. - Attempts at endpoints take a slot for nobody. Purchases carry a token and store writes a version; nothing rested on these. Gossip has one connection for all calls and sends the rest of a call that was given up; its states are ordered by incarnation and number, so it stays.

Fix: calls to the platform and orders to engines use connections that are reset when they are closed and that the kernel gives up within the call's timeout (orders: 3 s); attempts and handovers discard on close.

The handover was changed without a test of its own; the dial function is tested in keepalive.

--- a/internal/endpoint/calls.go
+++ b/internal/endpoint/calls.go
@@ -38,7 +38,7 @@
 // Order sets the desired state of an engine and returns its current state.
 func (c *Client) Order(ctx context.Context, addr string, order EngineOrder) (EngineState, error) {
 	var out EngineState
-	err := c.call(ctx, http.MethodPost, addr, PathEngineOrder, order, &out)
+	err := callOver(ctx, c.orders, http.MethodPost, addr, PathEngineOrder, order, &out)
 	return out, err
 }
 
@@ -62,6 +62,10 @@
 }
 
 func (c *Client) call(ctx context.Context, method, addr, path string, in, out any) error {
+	return callOver(ctx, c.transport, method, addr, path, in, out)
+}
+
+func callOver(ctx context.Context, transport *http.Transport, method, addr, path string, in, out any) error {
 	var body io.Reader
 	if in != nil {
 		raw, err := json.Marshal(in)
@@ -75,7 +79,7 @@
 		return errors.Wrapf(err, "create request to %s", path)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return errors.Wrapf(err, "request to %s at %s", path, addr)
 	}
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/keepalive"
 	"github.com/jujubeshed/jujubeshed/internal/verdict"
 )
 
@@ -23,31 +24,48 @@
 	idleConnTimeout     = 90 * time.Second
 	maxErrorBodyBytes   = 4 << 10 // bytes of an error response's body that are read
 	maxRetryAfter       = time.Minute
+	// maxOrderDelay is how long the kernel goes on sending an order to an engine, also after the
+	// process was stopped. It is shorter than the time for which the next holder of a lease waits
+	// for the orders of the former one.
+	maxOrderDelay = 3 * time.Second
 )
 
 // Client sends attempts to endpoints over HTTP.
 type Client struct {
 	transport *http.Transport
+	// orders sends the orders to engines, which must not arrive late.
+	orders *http.Transport
 }
 
 // NewClient returns a client with its own connection pool.
 func NewClient() *Client {
-	return NewClientWithDialer((&net.Dialer{Timeout: dialTimeout}).DialContext)
+	return NewClientWithDialer(keepalive.DiscardingDialFunc(dialTimeout))
 }
 
-// NewClientWithDialer returns a client that opens its connections with dial.
-func NewClientWithDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
-	return &Client{transport: &http.Transport{
+// NewClientWithDialer returns a client that opens its connections with dial, except those for
+// orders to engines.
+func NewClientWithDialer(dial dialFunc) *Client {
+	return &Client{
+		transport: newTransport(dial),
+		orders:    newTransport(keepalive.DiscardingDialer(dialTimeout, maxOrderDelay).DialContext),
+	}
+}
+
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+func newTransport(dial dialFunc) *http.Transport {
+	return &http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-	}}
+	}
 }
 
 // Close closes the idle connections.
 func (c *Client) Close() {
 	c.transport.CloseIdleConnections()
+	c.orders.CloseIdleConnections()
 }
 
 // Meta is the metadata of one attempt, sent to the endpoint as headers.
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -23,6 +23,7 @@
 	"github.com/jujubeshed/jujubeshed/internal/fleet/controller"
 	"github.com/jujubeshed/jujubeshed/internal/handover"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/keepalive"
 	"github.com/jujubeshed/jujubeshed/internal/kernel"
 	"github.com/jujubeshed/jujubeshed/internal/lease"
 	"github.com/jujubeshed/jujubeshed/internal/move/mover"
@@ -64,6 +65,9 @@
 // nodes are closed.
 const handoverIdleTimeout = time.Minute
 
+// handoverDialTimeout limits the connection to another node.
+const handoverDialTimeout = 500 * time.Millisecond
+
 // wiring builds the services of a node and registers them.
 type wiring struct {
 	opts        *Options
@@ -144,7 +148,8 @@
 
 func (w *wiring) buildRouting() {
 	w.endpoints = endpoint.NewClient()
-	w.handoverTransport = &http.Transport{IdleConnTimeout: handoverIdleTimeout}
+	// An answer whose handover was given up is offered to another node, and must not run at both.
+	w.handoverTransport = &http.Transport{IdleConnTimeout: handoverIdleTimeout, DialContext: keepalive.DiscardingDialFunc(handoverDialTimeout)}
 	w.balancer = balancer.New(route.Options{Node: w.opts.ID, DataCentre: w.opts.DataCentre}, uint64(w.incarnation))
 	w.gate = gate.New(gate.Options{})
 	w.peers.balancer = w.balancer
--- a/internal/platformapi/client.go
+++ b/internal/platformapi/client.go
@@ -13,6 +13,7 @@
 
 	api "github.com/jujubeshed/jujubeshed/api/gen/platform"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
+	"github.com/jujubeshed/jujubeshed/internal/keepalive"
 )
 
 // ClientOptions are the settings of a Client.
@@ -72,9 +73,10 @@
 // error if the address is invalid.
 func NewClient(opts ClientOptions) (*Client, error) {
 	opts = opts.withDefaults()
-	dialer := &net.Dialer{Timeout: opts.DialTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		// A release or a purchase that was given up must not reach the cloud later, when the
+		// plan may have changed.
+		DialContext:         keepalive.DiscardingDialer(opts.DialTimeout, opts.CallTimeout).DialContext,
 		MaxConnsPerHost:     opts.MaxConns,
 		MaxIdleConnsPerHost: opts.MaxConns,
 	}
