Version moves: no status is written for a replaced order or without a condition

Cause: reportOutcome took the version of whatever order was listed when it wrote. Between the choice of an outcome and the write, the order may be replaced (the state of the old target is then written to the new order) or be gone while the list is read anew (version 0, which the store takes for a write without any condition: it may arrive late and replace a later state).

--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -164,10 +164,14 @@
 	}
 	key := v.platform.MoveKind + "/" + platformapi.Key(o.Service)
 	v.mu.Lock()
-	version := v.mu.moves[key].version
+	listed, ok := v.mu.moves[key]
 	v.mu.Unlock()
-	// The condition keeps a holder that was paused from replacing a later state.
-	err = v.platform.Store.PutStatus(ctx, key, status, version)
+	if !ok || listed.Target != o.Target {
+		return // the order has been replaced or removed since
+	}
+	// The condition keeps a holder that was paused, or whose write was held up, from replacing a
+	// later state.
+	err = v.platform.Store.PutStatus(ctx, key, status, listed.version)
 	v.log.Info("rollout: State reported.", "service", o.Service, "target", o.Target, "state", string(o.State), "reason", o.Reason,
 		"target_count", o.TargetCount, "base_count", o.BaseCount, "error", err)
 	if err != nil {
