Responses of other nodes and of the platform without end stay within the memory

What callers saw: a process that exchanges state with a peer that answers with bytes without end takes 584 to 1038 MB within 3 to 8 s, with a limit of 144 MB: it is killed, and the requests of all its callers with it. A test in a real process shows it (TestPlatformAnswersWithoutEnd, rows "connect error" and "message").

Cause: the client of the sharing service had no limit on a response; it reads a message, or an error's body, completely before it decodes it. Every round (200 ms) begins up to three exchanges. Responses of the store and of the duties' API were limited to 8 MiB each, but not together: 109 MB at the peak.

Ruled out: the endpoints' responses (heads, bodies, refusals, events, trailers and others, 150 at once: 18 to 105 MB, rows of TestAnswersWithoutEnd).

A message between nodes has 4 MiB at most, its head 64 KiB.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/jujubeshed/jujubeshed/internal/bytebudget"
 	"github.com/jujubeshed/jujubeshed/internal/directory"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/platformapi"
@@ -39,7 +40,7 @@
 	standin := platformtest.New()
 	srv := httptest.NewServer(standin.Handler())
 	t.Cleanup(srv.Close)
-	store := platform.NewStore(srv.Listener.Addr().String(), prometheus.NewRegistry(), slog.New(slog.DiscardHandler))
+	store := platform.NewStore(srv.Listener.Addr().String(), bytebudget.New(0), prometheus.NewRegistry(), slog.New(slog.DiscardHandler))
 	return standin, store, directory.NewCurrentConfig(platform.ConfigKey, platform.DecodeConfig, discardLog)
 }
 
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/jujubeshed/jujubeshed/internal/bytebudget"
 	"github.com/jujubeshed/jujubeshed/internal/duty"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/platformapi"
@@ -31,7 +32,7 @@
 	standin := platformtest.New()
 	srv := httptest.NewServer(standin.Handler())
 	t.Cleanup(srv.Close)
-	return standin, platform.NewStore(srv.Listener.Addr().String(), prometheus.NewRegistry(), slog.New(slog.DiscardHandler))
+	return standin, platform.NewStore(srv.Listener.Addr().String(), bytebudget.New(0), prometheus.NewRegistry(), slog.New(slog.DiscardHandler))
 }
 
 func newRecorder(store *platform.Store, usage *duty.UsageTable) *duty.Recorder {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -122,6 +122,8 @@
 	Transport Transport
 	// Bodies limits the memory for the bodies of all requests and responses.
 	Bodies *bytebudget.Budget
+	// Messages limits the memory for responses of the platform and other nodes that are being read.
+	Messages *bytebudget.Budget
 	// DecodeConfig and DecodeEndpoint decode objects in the store. ConfigKey is the key of
 	// the operator's configuration, EndpointKind the kind of the endpoint registrations.
 	DecodeConfig   directory.Decoder
@@ -253,7 +255,7 @@
 
 func (n *Node) buildSharing() {
 	n.sharing = sharing.New(sharing.Options{
-		Self: n.self, Address: n.peerAddress(), Seeds: n.settings.Seeds, Log: n.log, Metrics: n.metrics,
+		Self: n.self, Address: n.peerAddress(), Seeds: n.settings.Seeds, Log: n.log, Metrics: n.metrics, Memory: n.platform.Messages,
 		LocalState: n.localState, OnStates: n.mergePeerStates, Now: n.clock.Now, OnTime: n.clock.Observe,
 		Config:      n.currentConfig.Raw,
 		OnConfig:    func(raw []byte, from string) { n.currentConfig.Offer(raw, "peer "+from) },
--- a/internal/sharing/service.go
+++ b/internal/sharing/service.go
@@ -15,6 +15,7 @@
 
 	sharingv1 "github.com/jujubeshed/jujubeshed/api/gen/sharing/v1"
 	"github.com/jujubeshed/jujubeshed/api/gen/sharing/v1/sharingv1connect"
+	"github.com/jujubeshed/jujubeshed/internal/bytebudget"
 	"github.com/jujubeshed/jujubeshed/internal/directory"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/keepalive"
@@ -41,6 +42,10 @@
 	// seedRoundInterval is the number of rounds between two exchanges with a seed. They
 	// reconnect a deployment after a network partition.
 	seedRoundInterval = 10
+	// maxMessageBytes is the maximum size of a message: an object of the store has up to 1 MiB, a
+	// state a few KiB. maxHeadBytes is that of the head of a response.
+	maxMessageBytes = 4 << 20
+	maxHeadBytes    = 64 << 10
 	// minCompressedBytes is the size of a response from which compressing it saves more of the
 	// small hosts' links than it costs of their processors.
 	minCompressedBytes = 1 << 10
@@ -81,6 +86,8 @@
 	// Changes returns changes of the store's objects, or an error if this node doesn't
 	// watch the store.
 	Changes func(ctx context.Context, kind platformapi.Key, after uint64, wait time.Duration) (platformapi.WatchResult, error)
+	// Memory limits the memory for responses that are being read; nil means no limit.
+	Memory  *bytebudget.Budget
 	Log     *slog.Logger
 	Metrics prometheus.Registerer
 }
@@ -114,13 +121,20 @@
 	if opts.Interval == 0 {
 		opts.Interval = DefaultInterval
 	}
+	if opts.Memory == nil {
+		opts.Memory = bytebudget.New(0)
+	}
 	s := &Service{
 		opts: opts,
-		client: &http.Client{Transport: &http.Transport{
-			DialContext:         keepalive.DiscardingDialFunc(exchangeTimeout),
-			MaxIdleConnsPerHost: 4,
-			IdleConnTimeout:     time.Minute,
-			DisableCompression:  true,
+		client: &http.Client{Transport: &bytebudget.Transport{
+			Budget: opts.Memory, MaxBytes: maxMessageBytes,
+			Base: &http.Transport{
+				DialContext:            keepalive.DiscardingDialFunc(exchangeTimeout),
+				MaxIdleConnsPerHost:    4,
+				IdleConnTimeout:        time.Minute,
+				DisableCompression:     true,
+				MaxResponseHeaderBytes: maxHeadBytes,
+			},
 		}},
 		exchanges:        prometheus.NewCounter(prometheus.CounterOpts{Name: "sharing_exchanges_total", Help: "Exchanges begun with other nodes."}),
 		exchangeFailures: prometheus.NewCounter(prometheus.CounterOpts{Name: "sharing_exchanges_failed_total", Help: "Exchanges that failed."}),
@@ -133,7 +147,7 @@
 
 // Handler returns the URL path and the HTTP handler of the service.
 func (s *Service) Handler() (string, http.Handler) {
-	return sharingv1connect.NewSharingServiceHandler(s, connect.WithCompressMinBytes(minCompressedBytes), fastCompression())
+	return sharingv1connect.NewSharingServiceHandler(s, connect.WithCompressMinBytes(minCompressedBytes), fastCompression(), connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 // Start starts the rounds of exchanges.
@@ -258,7 +272,7 @@
 }
 
 func (s *Service) clientFor(address string) sharingv1connect.SharingServiceClient {
-	return sharingv1connect.NewSharingServiceClient(s.client, "http://"+address)
+	return sharingv1connect.NewSharingServiceClient(s.client, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 func (s *Service) exchange(address string, req *sharingv1.ExchangeRequest) error {
