Relayed responses stay within the memory for bodies while they are read

Cause: the body of a relayed response is taken from the budget only after the message was read completely; a head had net/http's limit of 10 MB.

What a faulty endpoint sends without end is cut off by the node that relays and not passed on.

--- a/internal/bytebudget/response.go
+++ b/internal/bytebudget/response.go
@@ -46,6 +46,10 @@
 	return context.WithValue(ctx, meterKey{}, m)
 }
 
+// bufferFactor is the memory of a message that is being read as a multiple of the bytes read: the
+// buffers of its readers grow by doubling.
+const bufferFactor = 2
+
 // Transport is an http.RoundTripper that takes the memory for the bodies of responses from a budget
 // while they are read: clients that keep a message in memory until it is complete do not exceed
 // it, however many peers send bytes without end. Without a Meter in the context of the call, the
@@ -93,7 +97,7 @@
 	if b.limit > 0 && b.read > b.limit {
 		return 0, errors.Wrapf(ErrTooLarge, "response exceeds %d bytes", b.limit)
 	}
-	if !b.meter.take(int64(n)) {
+	if !b.meter.take(bufferFactor * int64(n)) {
 		return 0, ErrExhausted
 	}
 	return n, err
--- a/internal/relay/through.go
+++ b/internal/relay/through.go
@@ -112,9 +112,12 @@
 // reason that lies with that node.
 func (t *Transport) sendThrough(ctx context.Context, address string, a serve.Attempt, left time.Duration) (answer *serve.Answer, tryNext bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
+	meter := bytebudget.NewMeter(t.opts.Bodies) // of the message that is being read
+	ctx = bytebudget.WithMeter(ctx, meter)
 	defer func() {
 		if answer == nil || answer.Events == nil {
 			cancel()
+			meter.Release()
 		}
 	}()
 	stream, err := t.clientOf(address).Send(ctx, connect.NewRequest(encodeAttempt(a, left, t.opts.WallTime())))
@@ -142,8 +145,9 @@
 	}
 	t.relayed.WithLabelValues("response").Inc()
 	answer = decodeHead(msg.Head)
+	meter.Release() // the body is taken from the budget by itself
 	if msg.Head.Stream {
-		answer.Events = &relayedEvents{stream: stream, cancel: cancel}
+		answer.Events = &relayedEvents{stream: stream, cancel: cancel, meter: meter}
 		return answer, false, nil
 	}
 	_ = stream.Close() // the response is complete
@@ -181,7 +185,8 @@
 type relayedEvents struct {
 	stream *connect.ServerStreamForClient[relayv1.SendResponse]
 	cancel context.CancelFunc
-	err    error // after the last event
+	meter  *bytebudget.Meter // of the event that is being read
+	err    error             // after the last event
 }
 
 // Next implements serve.Events.
@@ -189,7 +194,9 @@
 	if e.err != nil {
 		return serve.Event{}, e.err
 	}
-	if !e.stream.Receive() {
+	received := e.stream.Receive()
+	e.meter.Release()
+	if !received {
 		e.err = verdict.Wrap(verdict.MayHaveRun, verdict.CodeRelay, errors.CombineErrors(errors.New("relayed stream ended without its end"), e.stream.Err()))
 		return serve.Event{}, e.err
 	}
