Tests of processes are run again after each change of the program

What was seen: `go test ./platform/soak -run TestRelayedAnswersWithoutEnd` printed a cached result after internal/relay had been changed back, though internal/testbinary imports the program "so that go test does not reuse cached results".

Cause: go test keys results by the content of the test's binary. An import for side effects alone leaves the program's functions unreachable; the linker drops them, and the binary doesn't change.

Fix: the binary refers to cli.Run. Checked by changing a constant in internal/relay between two runs: "(cached)" before, a new run after.

--- a/internal/testbinary/testbinary.go
+++ b/internal/testbinary/testbinary.go
@@ -6,13 +6,17 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"testing"
 
-	// Makes the program's sources a dependency, so that go test does not reuse cached
-	// results after they have changed.
-	_ "github.com/jujubeshed/jujubeshed/internal/cli"
+	"github.com/jujubeshed/jujubeshed/internal/cli"
 )
 
+// program makes the program's sources a part of the test's binary, so that go test does not reuse
+// cached results after they have changed. An import alone is not enough: the linker leaves out
+// what nothing refers to.
+var program = cli.Run
+
 // Run builds the program, sets path to the built file and runs the tests. It returns the
 // exit code for TestMain.
 func Run(m *testing.M, path *string) int {
@@ -22,6 +26,7 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
+	runtime.KeepAlive(program)
 	*path = filepath.Join(dir, "jujubeshed")
 	build := exec.Command("go", "build", "-o", *path, "github.com/jujubeshed/jujubeshed/cmd/jujubeshed")
 	build.Stderr = os.Stderr
