jujubeshed node: answers without end stay within the memory

What callers saw: 150 orders at once whose endpoint answers with a head without end take 1013 MB, a platform that does so 586 MB (3 s), on a host of 284 MB (TestAnswersWithoutEnd of e2e on the code before, real processes). A stream whose engine goes on sending after the end-of-stream marker, or sends comments, ended only with its timeout (TestStreamWithoutEnd: not cut off in 10 s).

Cause: heads had net/http's limit of 10 MB each. The generated client of the platform reads each body without a limit. Responses to control calls and recorded responses to orders were limited to 4 MiB each, but not together. The rest of a stream, and lines that are no event, were read without a limit.

Fix: heads have 64 KiB everywhere. The platform's responses have 64 MiB each and take their memory from 128 MB; control calls and recorded responses share 64 MB each. After the marker 4 KiB are read, and 256 KiB that are no event. Messages of answers between nodes have 8 MiB.

Ruled out: bodies of requests and plain responses (64 KiB are kept), error bodies (4 KiB), gossip (4 MiB, signed before it is read).

--- a/internal/endpoint/calls.go
+++ b/internal/endpoint/calls.go
@@ -9,6 +9,8 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/jujubeshed/jujubeshed/internal/bytebudget"
 )
 
 // maxControlBodyBytes is the maximum size of the response to a control call.
@@ -38,7 +40,7 @@
 // Order sets the desired state of an engine and returns its current state.
 func (c *Client) Order(ctx context.Context, addr string, order EngineOrder) (EngineState, error) {
 	var out EngineState
-	err := callOver(ctx, c.orders, http.MethodPost, addr, PathEngineOrder, order, &out)
+	err := c.callOver(ctx, c.orders, http.MethodPost, addr, PathEngineOrder, order, &out)
 	return out, err
 }
 
@@ -62,10 +64,10 @@
 }
 
 func (c *Client) call(ctx context.Context, method, addr, path string, in, out any) error {
-	return callOver(ctx, c.transport, method, addr, path, in, out)
+	return c.callOver(ctx, c.transport, method, addr, path, in, out)
 }
 
-func callOver(ctx context.Context, transport *http.Transport, method, addr, path string, in, out any) error {
+func (c *Client) callOver(ctx context.Context, transport *http.Transport, method, addr, path string, in, out any) error {
 	var body io.Reader
 	if in != nil {
 		raw, err := json.Marshal(in)
@@ -79,12 +81,13 @@
 		return errors.Wrapf(err, "create request to %s", path)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := transport.RoundTrip(req)
+	metered := bytebudget.Transport{Base: transport, Budget: c.controlMemory, MaxBytes: maxControlBodyBytes}
+	resp, err := metered.RoundTrip(req)
 	if err != nil {
 		return errors.Wrapf(err, "request to %s at %s", path, addr)
 	}
 	defer closeBody(resp.Body)
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBodyBytes))
+	raw, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return errors.Wrapf(err, "read response of %s at %s", path, addr)
 	}
--- a/internal/endpoint/chat.go
+++ b/internal/endpoint/chat.go
@@ -19,6 +19,12 @@
 // maxEventBytes is the maximum size of one server-sent event of an engine.
 const maxEventBytes = 256 << 10
 
+// maxTrailingBytes is the number of bytes after the end-of-stream marker that are read.
+const maxTrailingBytes = 4 << 10
+
+// maxIgnoredBytes is the number of bytes between two events that are ignored, such as comments.
+const maxIgnoredBytes = maxEventBytes
+
 // Chunk is one decoded event of an engine's stream.
 type Chunk struct {
 	Request ident.RequestID
@@ -85,9 +91,12 @@
 // Next reads the next chunk into ch. It returns io.ErrUnexpectedEOF if the stream
 // ended without the end-of-stream marker.
 func (s *ChatStream) Next(ch *Chunk) error {
-	for s.scanner.Scan() {
+	for ignored := 0; s.scanner.Scan(); {
 		line := s.scanner.Bytes()
 		if !bytes.HasPrefix(line, dataPrefix) {
+			if ignored += len(line) + 1; ignored > maxIgnoredBytes {
+				return errors.Newf("engine sent more than %d bytes that are no event", maxIgnoredBytes)
+			}
 			continue
 		}
 		data := line[len(dataPrefix):]
@@ -105,9 +114,11 @@
 }
 
 // readToEnd reads the rest of the body after the end-of-stream marker: a connection
-// is reused only if its response was read to the end.
+// is reused only if its response was read to the end. An engine that goes on sending does not
+// hold up the end of the stream.
 func (s *ChatStream) readToEnd() {
-	for s.scanner.Scan() {
+	for left := maxTrailingBytes; left > 0 && s.scanner.Scan(); {
+		left -= len(s.scanner.Bytes()) + 1
 	}
 }
 
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jujubeshed/jujubeshed/internal/bytebudget"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/keepalive"
 	"github.com/jujubeshed/jujubeshed/internal/verdict"
@@ -23,7 +24,10 @@
 	maxIdleConnsPerHost = 256
 	idleConnTimeout     = 90 * time.Second
 	maxErrorBodyBytes   = 4 << 10 // bytes of an error response's body that are read
-	maxRetryAfter       = time.Minute
+	maxHeadBytes        = 64 << 10
+	// controlMemoryBytes is the memory for all responses to control calls that are being read.
+	controlMemoryBytes = 64 << 20
+	maxRetryAfter      = time.Minute
 	// maxOrderDelay is how long the kernel goes on sending an order to an engine, also after the
 	// process was stopped. It is shorter than the time for which the next holder of a lease waits
 	// for the orders of the former one.
@@ -35,6 +39,8 @@
 	transport *http.Transport
 	// orders sends the orders to engines, which must not arrive late.
 	orders *http.Transport
+	// controlMemory limits the memory for responses to control calls.
+	controlMemory *bytebudget.Budget
 }
 
 // NewClient returns a client with its own connection pool.
@@ -48,6 +54,8 @@
 	return &Client{
 		transport: newTransport(dial),
 		orders:    newTransport(keepalive.DiscardingDialer(dialTimeout, maxOrderDelay).DialContext),
+
+		controlMemory: bytebudget.New(controlMemoryBytes),
 	}
 }
 
@@ -59,6 +67,8 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -9,12 +9,17 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jujubeshed/jujubeshed/internal/bytebudget"
 	"github.com/jujubeshed/jujubeshed/internal/httpabort"
 	"github.com/jujubeshed/jujubeshed/internal/verdict"
 )
 
-// maxRecordedBytes is the maximum size of a response body that the ledger records.
-const maxRecordedBytes = 4 << 20
+const (
+	// maxRecordedBytes is the maximum size of a response body that the ledger records.
+	maxRecordedBytes = 4 << 20
+	// recordedMemoryBytes is the memory for all of them that are being read or sent.
+	recordedMemoryBytes = 64 << 20
+)
 
 // RecordedResponse is the response to a non-idempotent request as stored in the ledger.
 type RecordedResponse struct {
@@ -79,7 +84,13 @@
 // forwardOnce runs a non-idempotent request at most once, if it has an idempotency key,
 // and sends the recorded response.
 func (s *Server) forwardOnce(ctx context.Context, w http.ResponseWriter, r *http.Request, req *Request, body []byte) error {
-	run := func(ctx context.Context) (*RecordedResponse, error) { return s.forwardAndRecord(ctx, r, req, body) }
+	var taken int64 // of the memory for recorded responses
+	defer func() { s.recorded.Return(taken) }()
+	run := func(ctx context.Context) (*RecordedResponse, error) {
+		rec, n, err := s.forwardAndRecord(ctx, r, req, body)
+		taken += n
+		return rec, err
+	}
 	var rec *RecordedResponse
 	var err error
 	if req.Key == "" {
@@ -97,28 +108,34 @@
 	return nil
 }
 
-// forwardAndRecord forwards a request and reads the complete response.
-func (s *Server) forwardAndRecord(ctx context.Context, r *http.Request, req *Request, body []byte) (*RecordedResponse, error) {
+// forwardAndRecord forwards a request and reads the complete response. It also returns the memory
+// that was taken for the body, which the caller has to return.
+func (s *Server) forwardAndRecord(ctx context.Context, r *http.Request, req *Request, body []byte) (*RecordedResponse, int64, error) {
 	var rec *RecordedResponse
+	var taken int64
 	err := s.sender.Forward(ctx, req, r, body, func(resp *http.Response) error {
-		var err error
-		rec, err = readRecordedResponse(resp)
-		return err
+		raw, n, err := s.recorded.ReadAll(resp.Body, resp.ContentLength, maxRecordedBytes)
+		taken += n
+		if err != nil {
+			return recordError(err)
+		}
+		rec = &RecordedResponse{Status: resp.StatusCode, Header: make(http.Header), Body: raw}
+		copyHeader(rec.Header, resp.Header)
+		return nil
 	})
-	return rec, err
+	return rec, taken, err
 }
 
-func readRecordedResponse(resp *http.Response) (*RecordedResponse, error) {
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxRecordedBytes+1))
-	if err != nil {
-		return nil, verdict.Wrap(verdict.MayHaveRun, verdict.CodeUnconfirmed, errors.Wrap(err, "the endpoint's response was truncated"))
-	}
-	if len(raw) > maxRecordedBytes {
-		return nil, verdict.New(verdict.Ran, verdict.CodeUpstream, "the endpoint's response exceeds %d bytes", maxRecordedBytes)
+// recordError returns the error of a response that could not be read completely.
+func recordError(err error) error {
+	switch {
+	case errors.Is(err, bytebudget.ErrTooLarge):
+		return verdict.New(verdict.Ran, verdict.CodeUpstream, "the endpoint's response exceeds %d bytes", maxRecordedBytes)
+	case errors.Is(err, bytebudget.ErrExhausted):
+		return verdict.Wrap(verdict.Ran, verdict.CodeUpstream, err)
+	default:
+		return verdict.Wrap(verdict.MayHaveRun, verdict.CodeUnconfirmed, errors.Wrap(err, "the endpoint's response was truncated"))
 	}
-	rec := &RecordedResponse{Status: resp.StatusCode, Header: make(http.Header), Body: raw}
-	copyHeader(rec.Header, resp.Header)
-	return rec, nil
 }
 
 // hopByHop lists the headers that are not forwarded (RFC 9110 section 7.6.1).
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/jujubeshed/jujubeshed/internal/answer"
+	"github.com/jujubeshed/jujubeshed/internal/bytebudget"
 	"github.com/jujubeshed/jujubeshed/internal/config"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/platformapi"
@@ -105,6 +106,8 @@
 	peers   Peers
 	metrics *Metrics
 	chats   *chatTable
+	// recorded is the memory for recorded responses.
+	recorded *bytebudget.Budget
 
 	serial  atomic.Uint64 // of the last request ID
 	unready atomic.Bool   // set by MarkUnready
@@ -137,7 +140,7 @@
 	return &Server{
 		opts: opts, log: deps.Log, config: deps.Config, gate: deps.Gate, sender: deps.Sender,
 		ledger: deps.Ledger, answers: deps.Answers, peers: deps.Peers, metrics: deps.Metrics,
-		chats: newChatTable(), stop: newStop(),
+		chats: newChatTable(), recorded: bytebudget.New(recordedMemoryBytes), stop: newStop(),
 	}
 }
 
--- a/internal/handover/client.go
+++ b/internal/handover/client.go
@@ -24,6 +24,8 @@
 	maxCandidates   = 4
 	findTimeout     = time.Second
 	handoverTimeout = 2 * time.Second
+	// maxMessageBytes limits a message of another node: the text of an answer.
+	maxMessageBytes = 8 << 20
 )
 
 // Member is another node of the system.
@@ -184,5 +186,5 @@
 }
 
 func (c *PeerClient) clientFor(m Member) handoverv1connect.AnswerServiceClient {
-	return handoverv1connect.NewAnswerServiceClient(c.http, "http://"+m.Address)
+	return handoverv1connect.NewAnswerServiceClient(c.http, "http://"+m.Address, connect.WithReadMaxBytes(maxMessageBytes))
 }
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -68,6 +68,9 @@
 // handoverDialTimeout limits the connection to another node.
 const handoverDialTimeout = 500 * time.Millisecond
 
+// peerHeadBytes limits the head of a response of another node.
+const peerHeadBytes = 64 << 10
+
 // wiring builds the services of a node and registers them.
 type wiring struct {
 	opts        *Options
@@ -149,7 +152,7 @@
 func (w *wiring) buildRouting() {
 	w.endpoints = endpoint.NewClient()
 	// An answer whose handover was given up is offered to another node, and must not run at both.
-	w.handoverTransport = &http.Transport{IdleConnTimeout: handoverIdleTimeout, DialContext: keepalive.DiscardingDialFunc(handoverDialTimeout)}
+	w.handoverTransport = &http.Transport{IdleConnTimeout: handoverIdleTimeout, DialContext: keepalive.DiscardingDialFunc(handoverDialTimeout), MaxResponseHeaderBytes: peerHeadBytes}
 	w.balancer = balancer.New(route.Options{Node: w.opts.ID, DataCentre: w.opts.DataCentre}, uint64(w.incarnation))
 	w.gate = gate.New(gate.Options{})
 	w.peers.balancer = w.balancer
--- a/internal/peer/gossip/auth.go
+++ b/internal/peer/gossip/auth.go
@@ -24,6 +24,8 @@
 	MinKeyBytes = 16
 	// MaxBodyBytes is the maximum length of the body of a call in bytes.
 	MaxBodyBytes = 4 << 20
+	// maxHeadBytes is the maximum length of the head of a response in bytes.
+	maxHeadBytes = 64 << 10
 )
 
 // Authentication errors.
--- a/internal/peer/gossip/service.go
+++ b/internal/peer/gossip/service.go
@@ -154,7 +154,9 @@
 		Protocols:          p,
 		IdleConnTimeout:    time.Minute,
 		DisableCompression: true,
-		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+
+		MaxResponseHeaderBytes: maxHeadBytes,
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
 }
 
--- a/internal/platformapi/client.go
+++ b/internal/platformapi/client.go
@@ -12,10 +12,19 @@
 	"github.com/cockroachdb/errors"
 
 	api "github.com/jujubeshed/jujubeshed/api/gen/platform"
+	"github.com/jujubeshed/jujubeshed/internal/bytebudget"
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/keepalive"
 )
 
+const (
+	// maxResponseBytes and maxHeadBytes limit the body and the head of a response.
+	maxResponseBytes = 64 << 20
+	maxHeadBytes     = 64 << 10
+	// responseMemoryBytes is the memory for all responses that are being read.
+	responseMemoryBytes = 128 << 20
+)
+
 // ClientOptions are the settings of a Client.
 type ClientOptions struct {
 	// Address of the platform: "ip:port" or a URL.
@@ -79,8 +88,12 @@
 		DialContext:         keepalive.DiscardingDialer(opts.DialTimeout, opts.CallTimeout).DialContext,
 		MaxConnsPerHost:     opts.MaxConns,
 		MaxIdleConnsPerHost: opts.MaxConns,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	c, err := api.NewClient(opts.Address, api.WithClient(&http.Client{Transport: hostListTransport{refusalTransport{transport}}}))
+	// The generated client reads each response completely, without a limit of its own.
+	metered := &bytebudget.Transport{Base: transport, Budget: bytebudget.New(responseMemoryBytes), MaxBytes: maxResponseBytes}
+	c, err := api.NewClient(opts.Address, api.WithClient(&http.Client{Transport: hostListTransport{refusalTransport{metered}}}))
 	if err != nil {
 		return nil, errors.Wrapf(err, "platform address %q", opts.Address)
 	}
--- a/internal/platformapi/hosts.go
+++ b/internal/platformapi/hosts.go
@@ -17,9 +17,6 @@
 	"github.com/jujubeshed/jujubeshed/internal/jsonvalue"
 )
 
-// maxHostListBytes is the maximum size of a host list of which single entries are left out.
-const maxHostListBytes = 64 << 20
-
 // readableOnly is the key of a context in whose calls the unreadable entries of a host list are
 // left out.
 type readableOnly struct{}
@@ -36,7 +33,7 @@
 	if err != nil || resp.StatusCode != http.StatusOK || req.Context().Value(readableOnly{}) == nil {
 		return resp, err
 	}
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxHostListBytes))
+	raw, err := io.ReadAll(resp.Body)
 	if err := errors.CombineErrors(err, resp.Body.Close()); err != nil {
 		return nil, err
 	}
