Log lines of libraries are debug lines of the log queue

What was seen: in the tests of answers without end, net/http prints up to 4 KiB to standard error for each connection on which a peer sends bytes unasked ("Unsolicited response received on idle HTTP channel"), in any number, and past the log queue, so that a reader that stops reading would block it.

Fix: the standard logger writes to the process's own log at level debug.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	stdlog "log"
 	"log/slog"
 	"time"
 
@@ -113,6 +114,17 @@
 }
 
 func buildLogger(w io.Writer, level, format string) (*slog.Logger, error) {
+	logger, err := formatLogger(w, level, format)
+	if err == nil {
+		// Libraries log without limits to the standard logger, for example each byte sequence that
+		// a peer sends unasked.
+		stdlog.SetOutput(slog.NewLogLogger(logger.Handler(), slog.LevelDebug).Writer())
+		stdlog.SetFlags(0)
+	}
+	return logger, err
+}
+
+func formatLogger(w io.Writer, level, format string) (*slog.Logger, error) {
 	var l slog.Level
 	if err := l.UnmarshalText([]byte(level)); err != nil {
 		return nil, usageError{fmt.Errorf("--log-level=%q: debug, info, warn or error is allowed", level)}
