TestConnectionsBeyondNumber: the connections become idle one after the other

"connection 40 is open, 41 closed".

Cause: the test is wrong. It opens the next connection as soon as the caller has the response, and expects the connections to be closed in the order in which they were opened. The server reports a connection as idle only after it has written the response, so that two can be reported in the other order within microseconds. No promise names their order then: the one that is reported first has been idle for longer.

Ruled out: choose (it sorts by the reported time; TestChoose).

Fix: the test waits until the server has reported each connection as idle before it opens the next one. The check stays as it was: exactly the 20 last ones are open. It is stricter in that no connection may be closed before the check.

--- a/internal/callerconn/tracker_test.go
+++ b/internal/callerconn/tracker_test.go
@@ -147,6 +147,27 @@
 	readResponse(t, reused)
 }
 
+// awaitIdle waits until a number of connections are idle after a response.
+func awaitIdle(t *testing.T, tracker *Tracker, want int) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(100 * time.Microsecond) {
+		tracker.mu.Lock()
+		idle := 0
+		for _, s := range tracker.mu.states {
+			if s.used && !s.active {
+				idle++
+			}
+		}
+		tracker.mu.Unlock()
+		if idle == want {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d of %d connections are idle", idle, want)
+		}
+	}
+}
+
 // TestConnectionsBeyondNumber checks that the connections that are idle for longest make room, and
 // that new ones are accepted.
 func TestConnectionsBeyondNumber(t *testing.T) {
@@ -158,8 +179,9 @@
 		c := dial(t, ln.Addr().String(), "/")
 		readResponse(t, c)
 		conns = append(conns, c)
+		// The server reports a connection as idle only after its caller has the response.
+		awaitIdle(t, tracker, len(conns))
 	}
-	time.Sleep(50 * time.Millisecond) // the server reports the last ones as idle
 	tracker.check(time.Now())
 	for i, c := range conns {
 		if isOpen(c) != (i >= 40) {
