Watches: a history that exceeds a response leads to a new list

What callers saw: a node that has missed more changes than fit into one response of the store (8 MiB, nine versions of a configuration of 1 MB) asks for them again and again until the store has dropped the history, and handles requests by its old configuration unless another node passes the new one on.

Fix: a response that is too large is told apart from one that did not arrive, and the watcher lists the objects after the usual delay.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -113,6 +114,24 @@
 	})
 }
 
+// TestHistoryBeyondResponse guards against a node that keeps an old configuration since the changes
+// that it has missed do not fit into one response of the store: it lists the objects instead.
+func TestHistoryBeyondResponse(t *testing.T) {
+	standin, store, current := newStore(t)
+	large := func(version uint64) any {
+		return map[string]any{"version": version, "x": strings.Repeat("x", 1<<20-200)}
+	}
+	standin.Set("config", "main", large(1))
+	startWatcher(t, directory.NewWatcher(directory.WatcherOptions{Store: store, Relay: store, Prefix: "config", Listener: current, WatchesStore: func() bool { return true }, Log: discardLog}))
+	eventually(t, "version 1", func() bool { return current.Version() == 1 })
+	standin.SetFaults(platformtest.Faults{Down: true})
+	for v := uint64(2); v <= 12; v++ {
+		standin.Set("config", "main", large(v))
+	}
+	standin.SetFaults(platformtest.Faults{})
+	eventually(t, "version 12", func() bool { return current.Version() == 12 })
+}
+
 type entry struct {
 	Service string `json:"service"`
 	Addr    string `json:"addr"`
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jujubeshed/jujubeshed/internal/bytebudget"
 	"github.com/jujubeshed/jujubeshed/internal/kernel"
 	"github.com/jujubeshed/jujubeshed/internal/platformapi"
 )
@@ -217,6 +218,9 @@
 			position, delay = next, minRetryDelay
 			continue
 		}
+		if errors.Is(err, bytebudget.ErrTooLarge) {
+			position = 0 // the changes since then do not fit into a response, but all objects may
+		}
 		kernel.Sleep(ctx, delay/2+rand.N(delay/2+1))
 		delay = min(2*delay, maxRetryDelay)
 	}
