Relayed stops of streams are not sent after their deadline

Cause: a call to move a stream that goes through another node carries only the time that is left. A node that was paused, with the call in its kernel, takes that time from when it goes on, and stops a stream seconds after the call was given up; the stream may run at that engine again by then, and is cut.

Fix: the call carries the time of day by which it must be made, as relayed requests do; later ones are answered as not sent. Calls of earlier builds carry none and are handled as before.

Evidence: TestLateMigrationIsNotSent; with the time that is left taken as before it fails: "held up for 2s: sent true".

--- a/internal/relay/migrate_test.go
+++ b/internal/relay/migrate_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/jujubeshed/jujubeshed/internal/bytebudget"
@@ -41,3 +42,27 @@
 		}
 	}
 }
+
+// TestLateMigrationIsNotSent guards against a stop of a stream that arrives at its engine long after
+// it was given up, since the node that relays it was paused: the stream may run there again.
+func TestLateMigrationIsNotSent(t *testing.T) {
+	p := newPair(t, func(context.Context, serve.Attempt) (*serve.Answer, error) { return nil, nil })
+	m := serve.Migration{Request: "r-1", From: testEndpoint, To: testEndpoint, Stop: true}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for held, sent := range map[time.Duration]bool{0: true, 900 * time.Millisecond: true, 2 * time.Second: false} {
+		msg := encodeMigration(ctx, m, time.Now().Add(-held))
+		resp, err := p.service.Migrate(ctx, connect.NewRequest(msg))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := resp.Msg.Copy != nil; got != sent {
+			t.Errorf("held up for %s: sent %t, error %v", held, got, resp.Msg.Error)
+		}
+	}
+	msg := encodeMigration(ctx, m, time.Now().Add(-2*time.Second))
+	msg.Deadline = 0
+	if resp, err := p.service.Migrate(ctx, connect.NewRequest(msg)); err != nil || resp.Msg.Copy == nil {
+		t.Errorf("call of an earlier build: %v, error %v", resp, err)
+	}
+}
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -183,11 +183,16 @@
 
 // Migrate implements relayv1connect.RelayServiceHandler.
 func (s *Service) Migrate(ctx context.Context, req *connect.Request[relayv1.MigrateRequest]) (*connect.Response[relayv1.MigrateResponse], error) {
+	left := migrationTimeLeft(req.Msg, s.wallTime())
+	if left <= 0 {
+		late := verdict.New(verdict.NotRun, verdict.CodeNotSent, "call arrived %s after its deadline", -left)
+		return connect.NewResponse(&relayv1.MigrateResponse{Error: encodeError(late)}), nil
+	}
 	if !s.acquire(0, false) {
 		return connect.NewResponse(&relayv1.MigrateResponse{Error: encodeError(errBusy)}), nil
 	}
 	defer s.release(0)
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.Msg.RemainingMs)*time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	kvCopy, err := s.transport.Transport.Migrate(ctx, decodeMigration(req.Msg))
 	return connect.NewResponse(&relayv1.MigrateResponse{Copy: encodeKVCopy(kvCopy), Error: encodeError(err)}), nil
--- a/internal/relay/through.go
+++ b/internal/relay/through.go
@@ -225,7 +225,7 @@
 	}
 	err := error(verdict.New(verdict.NotRun, verdict.CodeNotSent, "no path to endpoint %q, and no other node that has one", m.From.ID))
 	for _, address := range t.chooseRelays(m.From.Service, nil, maxTries) { // the call has no body
-		resp, callErr := t.clientOf(address).Migrate(ctx, connect.NewRequest(encodeMigration(ctx, m)))
+		resp, callErr := t.clientOf(address).Migrate(ctx, connect.NewRequest(encodeMigration(ctx, m, t.opts.WallTime())))
 		if callErr != nil {
 			err = t.callError(callErr, address)
 			if !neverConnected(callErr) {
--- a/internal/relay/transport.go
+++ b/internal/relay/transport.go
@@ -309,16 +309,28 @@
 	return nil
 }
 
-func encodeMigration(ctx context.Context, m serve.Migration) *relayv1.MigrateRequest {
+// encodeMigration encodes a migration with the time that is left for it. wallTime is the time of day.
+func encodeMigration(ctx context.Context, m serve.Migration, wallTime time.Time) *relayv1.MigrateRequest {
 	left := time.Second
 	if deadline, ok := ctx.Deadline(); ok {
-		left = time.Until(deadline)
+		left = max(time.Until(deadline), 0)
 	}
 	return &relayv1.MigrateRequest{
-		Request: string(m.Request), From: encodeEndpoint(m.From), To: encodeEndpoint(m.To), Stop: m.Stop, RemainingMs: uint32(max(left.Milliseconds(), 0)),
+		Request: string(m.Request), From: encodeEndpoint(m.From), To: encodeEndpoint(m.To), Stop: m.Stop,
+		RemainingMs: uint32(left.Milliseconds()), Deadline: wallTime.Add(left).UnixMilli(),
 	}
 }
 
+// migrationTimeLeft returns the time that is left for a migration that was received at a time of day.
+// It is none for one that was held up beyond its deadline: the stream may run on elsewhere by then.
+func migrationTimeLeft(msg *relayv1.MigrateRequest, wallTime time.Time) time.Duration {
+	left := time.Duration(msg.RemainingMs) * time.Millisecond
+	if msg.Deadline == 0 { // from a node of an earlier build
+		return left
+	}
+	return min(left, time.UnixMilli(msg.Deadline).Sub(wallTime)+clockTolerance)
+}
+
 func decodeMigration(msg *relayv1.MigrateRequest) serve.Migration {
 	return serve.Migration{Request: ident.RequestID(msg.Request), From: decodeEndpoint(msg.From), To: decodeEndpoint(msg.To), Stop: msg.Stop}
 }
