--- a/internal/lease/doc.go
+++ b/internal/lease/doc.go
@@ -18,6 +18,9 @@
 //     paused between its check of the lease and the action. Endpoints that check the
 //     fencing token refuse it. For endpoints that do not, the next holder waits until
 //     Settled, reads the state of the endpoint and orders the desired state again.
+//   - An action that a partition holds up arrives after it, however long it lasts. The driver
+//     discards what it gives up, and where that may not be enough, acts only while the lease
+//     is Confirmed: the partition is then most likely younger than ConfirmTime.
 //
 // The approach follows C. Gray and D. Cheriton, "Leases: an efficient
 // fault-tolerant mechanism for distributed file cache consistency", SOSP 1989,
