Quarantine: a signature is held back only with the segments that may be the cause

Cause: sound and deadly requests of one path, caller and body have one signature. While all engines are down, no completion clears it: it is suspected at three crashes, and from then on the sound requests that would clear it are refused. In a node's first five seconds the deadly segment itself needs five.

Ruled out: the segments that sound requests share (in 3 of 3 traces only the signature is suspected), a lack of time.

Fix: a suspected signature has as alternatives the segments at whose crashes it was, also below their own number of crashes. Requests that lack one of them go on and clear it; a repeat of the same request has all of them.

Evidence: TestSignatureOfDifferentRequests failed before ("held true, want false", and the signature held instead of the segment); TestRepeatedRequestWithSegmentsIsHeld: the other side. The models of the package pass.

--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -21,6 +21,8 @@
 // Several traits may be at the same crashes, and no answer distinguishes them: all nodes have just
 // started, or few sound requests come for each deadly one. Then only requests with all of these
 // traits are held back. Those with some of them go on, so that their answers clear the sound traits.
+// The same holds for a signature and the segments at whose crashes it was: different requests may
+// have one signature.
 //
 // Nodes exchange their crashes, and for the traits of these crashes when they last saw an
 // answer. Each node decides by itself and reverses the decision when an answer becomes known.
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -67,13 +67,49 @@
 			suspects[s] = endpointsOf(crashes)
 		}
 	}
-	t.apply(now, suspects)
+	t.apply(now, suspects, t.segmentsThatCover(byTrait, suspects))
+}
+
+// segmentsThatCover returns, for each signature among the suspects, the segments at whose crashes it
+// was: they may have caused these, also where they are not suspected yet. Different requests may have
+// one signature and other segments. A repeat of the request that the signature stands for has all of
+// these segments.
+func (t *Tracker) segmentsThatCover(byTrait map[Trait]evidence, suspects map[Trait]endpointSet) map[Trait][]Trait {
+	out := make(map[Trait][]Trait)
+	for s, own := range suspects {
+		if !byTrait[s].signature {
+			continue
+		}
+		for other, e := range byTrait {
+			if !e.signature && covers(endpointsOf(e.crashes), own) {
+				out[s] = append(out[s], other)
+			}
+		}
+	}
+	return out
+}
+
+// covers reports whether a set contains all endpoints of another one.
+func covers(all, some endpointSet) bool {
+	for e := range some {
+		if !all[e] {
+			return false
+		}
+	}
+	return true
 }
 
 // apply changes the suspected traits to the given ones, with the crashed endpoints that count for
-// them.
-func (t *Tracker) apply(now time.Time, suspects map[Trait]endpointSet) {
+// them, and with the segments that may be the cause instead of a signature.
+func (t *Tracker) apply(now time.Time, suspects map[Trait]endpointSet, covering map[Trait][]Trait) {
 	t.alternatives = alternatives(suspects)
+	for s, segments := range covering {
+		for _, other := range segments {
+			if !slices.Contains(t.alternatives[s], other) {
+				t.alternatives[s] = append(t.alternatives[s], other)
+			}
+		}
+	}
 	for s := range t.suspected {
 		if len(suspects[s]) == 0 {
 			delete(t.suspected, s)
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -244,3 +244,57 @@
 	c.crash(5, 1)
 	c.checkHeld(true, 1)
 }
+
+// TestSignatureOfDifferentRequests guards against sound requests that are refused for the signature
+// that they share with requests whose segment crashes endpoints: while all endpoints are down, no
+// answer clears the signature, and once it is held back none can.
+func TestSignatureOfDifferentRequests(t *testing.T) {
+	const signature, fatal = Trait(900), Trait(7)
+	c := &clocked{New(testStart.Add(-time.Second)), t, testStart}
+	crash := func(endpoint site.IncarnationHash) {
+		c.RecordCrash(c.now, Crash{Endpoint: endpoint, Dispatched: c.now.Add(-20 * time.Millisecond), At: c.now, Signature: signature, Segments: []Trait{1, 2, fatal}})
+		c.wait(200 * time.Millisecond)
+	}
+	c.RecordAnswer(c.now, c.now, []Trait{1, 2})
+	c.RecordCompletion(c.now, signature)
+	c.wait(100 * time.Millisecond)
+	for endpoint := range site.IncarnationHash(3) {
+		crash(endpoint)
+	}
+	c.checkHeld(true, 1, 2, fatal, signature)
+	c.checkHeld(false, 1, 2, signature)
+	c.wait(3 * time.Second) // until an endpoint is back
+	c.checkHeld(false, 1, 2, signature)
+	c.RecordAnswer(c.now, c.now, []Trait{1, 2})
+	c.RecordCompletion(c.now, signature)
+	crash(3)
+	crash(4)
+	c.wait(settleTime)
+	c.checkHeld(true, 1, 2, fatal, signature)
+	c.wait(2 * sharedSettleTime)
+	c.checkHeld(false, 1, 2, signature)
+	if holds := c.Holds(); len(holds) != 1 || holds[0].Trait != fatal {
+		t.Errorf("holds are %v", holds)
+	}
+}
+
+// TestRepeatedRequestWithSegmentsIsHeld checks that a request that comes again is held back by its
+// signature also while its segments may be the cause, and is held in the end.
+func TestRepeatedRequestWithSegmentsIsHeld(t *testing.T) {
+	const signature = Trait(900)
+	c := newClocked(t)
+	for endpoint := range site.IncarnationHash(3) {
+		c.RecordCrash(c.now, Crash{Endpoint: endpoint, Dispatched: c.now.Add(-20 * time.Millisecond), At: c.now, Signature: signature, Segments: []Trait{1, 2}})
+		c.wait(200 * time.Millisecond)
+	}
+	c.checkHeld(true, 1, 2, signature)
+	c.RecordAnswer(c.now, c.now, []Trait{1})
+	c.checkHeld(true, 1, 2, signature)
+	c.RecordAnswer(c.now, c.now, []Trait{2})
+	c.checkHeld(true, 1, 2, signature)
+	c.wait(sharedSettleTime)
+	c.checkHeld(true, 1, 2, signature)
+	if holds := c.Holds(); len(holds) != 1 || holds[0].Trait != signature {
+		t.Errorf("holds are %v", holds)
+	}
+}
