--- a/internal/e2e/endless_test.go
+++ b/internal/e2e/endless_test.go
@@ -7,13 +7,14 @@
 	"net/http/httptest"
 	"net/http/httputil"
 	"net/url"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/jujubeshed/jujubeshed/internal/testpeer"
 )
 
 const (
@@ -24,21 +25,12 @@
 
 // endlessHandler answers each request with head and then with piece until the connection is closed.
 func endlessHandler(head, piece string, calls *atomic.Int64) http.Handler {
-	piece = strings.Repeat(piece, 1+16<<10/len(piece))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		if r.Method == http.MethodPost {
 			calls.Add(1)
 		}
-		c, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		defer func() { _ = c.Close() }()
-		_, err = io.WriteString(c, head)
-		for err == nil {
-			_, err = io.WriteString(c, piece)
-		}
+		testpeer.AnswerEndlessly(w, head, piece)
 	})
 }
 
@@ -75,21 +67,6 @@
 	return srv.Listener.Addr().String()
 }
 
-// memoryMB returns the memory of a process without the program's file, in MB; zero if it has ended.
-func (p *process) memoryMB() int {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(raw)) {
-		if kb, ok := strings.CutPrefix(line, "RssAnon:"); ok {
-			v, _ := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(kb), " kB"))
-			return v / 1024
-		}
-	}
-	return 0
-}
-
 // checkNodeWhile checks, until done is closed, that a node stays within the memory of its host and
 // serves chats at sound engines.
 func (d *deployment) checkNodeWhile(t *testing.T, what string, done <-chan struct{}) {
@@ -119,7 +96,7 @@
 			}
 			return
 		case <-time.After(20 * time.Millisecond):
-			peak = max(peak, d.nodeProc[0].memoryMB())
+			peak = max(peak, testpeer.MemoryMB(d.nodeProc[0].cmd.Process.Pid))
 		}
 	}
 }
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -1,11 +1,8 @@
 package relay
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"log/slog"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -16,35 +13,9 @@
 	"github.com/jujubeshed/jujubeshed/internal/ident"
 	"github.com/jujubeshed/jujubeshed/internal/serve"
 	"github.com/jujubeshed/jujubeshed/internal/site"
+	"github.com/jujubeshed/jujubeshed/internal/testpeer"
 )
 
-// endlessNode answers each call with head, and then with bytes until the connection is closed.
-func endlessNode(t *testing.T, head string) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		piece := bytes.Repeat([]byte("x"), 16<<10)
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				_, err := io.WriteString(c, head)
-				for err == nil {
-					_, err = c.Write(piece)
-				}
-			}()
-		}
-	}()
-	return ln.Addr().String()
-}
-
 // TestRelayAnswersWithoutEnd guards against bytes without end from a node that relays which are taken
 // for a response, and against memory for them that is not returned. That a process stays within its
 // memory is checked by the test of that name in platform/soak.
@@ -59,7 +30,7 @@
 		"end of calls": connectHead + "\x02\x00\x80\x00\x00",
 	} {
 		t.Run(name, func(t *testing.T) {
-			bodies, address := bytebudget.New(budget), endlessNode(t, head)
+			bodies, address := bytebudget.New(budget), testpeer.NewEndless(t, head, "x")
 			origin := NewTransport(Options{
 				Transport: &fakeTransport{}, Services: func() []ident.Service { return []ident.Service{"s"} },
 				Endpoints: func(ident.Service) []site.Endpoint { return []site.Endpoint{testEndpoint} },
