Relayed streams return the memory of their last event when they are closed

Found by reading the change that takes relayed messages from the memory for bodies: Close could read bytes that have arrived, and did not return their memory. Not shown: TestClosedStreamReturnsMemory passes before, too, as the call is cancelled first and nothing is read then; it stays as a guard.

--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"sync"
 	"testing"
@@ -63,3 +64,27 @@
 		})
 	}
 }
+
+// TestClosedStreamReturnsMemory guards against memory that is taken for the events of a relayed stream
+// and never returned, since the caller leaves in the middle of it.
+func TestClosedStreamReturnsMemory(t *testing.T) {
+	const events = 100_000
+	p := newPair(t, func(context.Context, serve.Attempt) (*serve.Answer, error) {
+		return &serve.Answer{Head: serve.Head{Status: 200}, Events: &listedEvents{last: events, end: io.EOF}}, nil
+	})
+	for range 3 {
+		answer, err := p.origin.Send(context.Background(), attemptOf(true))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 10 {
+			if _, err := answer.Events.Next(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		answer.Events.Close()
+	}
+	if !p.origin.opts.Bodies.Take(4 << 20) {
+		t.Error("the memory of closed streams was not returned")
+	}
+}
--- a/internal/relay/through.go
+++ b/internal/relay/through.go
@@ -211,7 +211,8 @@
 // Close implements serve.Events. It ends the call, and with it the request at its endpoint.
 func (e *relayedEvents) Close() {
 	e.cancel()
-	_ = e.stream.Close() // nothing more is read from it
+	_ = e.stream.Close() // reads what has arrived
+	e.meter.Release()
 }
 
 // Migrate implements serve.Transport. A call that certainly was not sent, for a reason that lies with
