Duties: the answer to the report log confirms the lease, too

The write of the report log just before it has been answered by the store, which shows as much, and its condition shows that this node is still the one that writes it.

Fix: an answer to the report log counts for 300 ms like one to the lease. The log may be written without a confirmation: the write has a condition.

Evidence: TestReportFollowsItsLog fails with the lease's confirmation alone; TestNoCallsIntoPartition as before.

--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -264,6 +264,30 @@
 	}
 }
 
+// TestReportFollowsItsLog guards against reports that wait for the next renewal of the lease, and
+// may miss their time: the store's answer to the write of the log is confirmation enough.
+func TestReportFollowsItsLog(t *testing.T) {
+	_, store := newStore(t)
+	m := duty.NewMeter(window)
+	c := &fakeCloud{reports: make(chan duty.UsageReport, 1000)}
+	var l fakeLease
+	l.epoch.Store(1)
+	l.unconfirmed.Store(true)
+	e := duty.NewExecutor(duty.Options{
+		Store: store, Cloud: c, Lease: &l, Meter: m, UsageTable: duty.NewUsageTable("n", 1, m, time.Now), ReportTimeout: time.Minute, ReportUsage: true, Now: time.Now, Log: discardLog,
+		LiveNodes: func() []string { return []string{"n"} },
+	})
+	if err := e.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = e.Stop(context.Background()) }()
+	select {
+	case <-c.reports:
+	case <-time.After(10 * time.Second):
+		t.Error("no report was sent")
+	}
+}
+
 // TestReportWaitsForLiveNodes checks that a report is not finalised before each live node
 // has sent its counts up to the window's end.
 func TestReportWaitsForLiveNodes(t *testing.T) {
--- a/internal/duty/executor.go
+++ b/internal/duty/executor.go
@@ -29,6 +29,9 @@
 	// waitForRecordsShare is the fraction of the report timeout after which a report is
 	// finalised without the records in the store if these can't be read.
 	waitForRecordsShare = 0.8
+	// answerConfirmTime is how long an answer of the store on the report log shows that this node
+	// is not cut off from it.
+	answerConfirmTime = 300 * time.Millisecond
 )
 
 // EndpointOrder is an order for a number of endpoints of a service in one data centre.
@@ -111,6 +114,8 @@
 	reportsLoaded  bool
 	sent           map[int64]bool // windows in reports.Pending whose report was accepted
 
+	storeAnswered time.Time // when the store last answered a call on the report log
+
 	era      platformapi.Era
 	eraSince time.Time // when this node learned of the era, by Options.Now
 
@@ -171,7 +176,7 @@
 func (e *Executor) step(ctx context.Context) {
 	e.observeEra()
 	epoch, held := e.opts.Lease.Held()
-	if !held || !e.opts.Lease.Settled() || !e.opts.Lease.Confirmed() {
+	if !held || !e.opts.Lease.Settled() {
 		return
 	}
 	if epoch != e.epoch {
@@ -192,12 +197,19 @@
 
 // permission returns the right to call the platform with the lease of an epoch.
 func (e *Executor) permission(epoch ident.Epoch) Permission {
+	answered := e.storeAnswered // the permission may be checked by other goroutines
 	return Permission{Fence: epoch, Valid: func() bool {
 		now, held := e.opts.Lease.Held()
-		return held && now == epoch && e.opts.Lease.Confirmed()
+		return held && now == epoch && e.confirmed(answered)
 	}}
 }
 
+// confirmed reports whether the store has just answered this node: on the lease, or at the given time
+// on the report log.
+func (e *Executor) confirmed(answered time.Time) bool {
+	return time.Since(answered) < answerConfirmTime || e.opts.Lease.Confirmed()
+}
+
 // maxOrders limits the orders placed in one step, so that the loss of the lease is
 // noticed between steps.
 const maxOrders = 8
@@ -205,12 +217,15 @@
 // placeOrders places the due orders while the lease is held.
 func (e *Executor) placeOrders(ctx context.Context) {
 	for range maxOrders {
+		if !e.confirmed(e.storeAnswered) {
+			return
+		}
 		o, due := e.opts.Planner.Next(time.Now())
 		if !due {
 			return
 		}
 		epoch, held := e.opts.Lease.Held()
-		if !held || epoch != e.epoch || !e.opts.Lease.Confirmed() {
+		if !held || epoch != e.epoch {
 			return
 		}
 		err := e.opts.Cloud.OrderEndpoints(ctx, e.permission(epoch), o)
@@ -270,7 +285,7 @@
 	if reports.Era != o.Version.Era() || err != nil {
 		reports = e.recoverReports(reports)
 	}
-	e.reports, e.reportsVersion, e.reportsLoaded = reports, o.Version, true
+	e.reports, e.reportsVersion, e.reportsLoaded, e.storeAnswered = reports, o.Version, true, time.Now()
 	return true
 }
 
@@ -291,7 +306,7 @@
 // send sends a finalised report and reports whether it was accepted.
 func (e *Executor) send(ctx context.Context, r UsageReport) bool {
 	epoch, held := e.opts.Lease.Held()
-	if !held || epoch != e.epoch || !e.opts.Lease.Confirmed() {
+	if !held || epoch != e.epoch || !e.confirmed(e.storeAnswered) {
 		return false
 	}
 	err := e.opts.Cloud.ReportUsage(ctx, e.permission(epoch), r)
@@ -334,7 +349,7 @@
 		e.opts.Log.Warn("usage: Report log cannot be written.", "window", e.reports.Next, "error", err)
 		return
 	}
-	e.reports, e.reportsVersion = next, version
+	e.reports, e.reportsVersion, e.storeAnswered = next, version, time.Now()
 	e.recordWritten(next)
 	e.sent = make(map[int64]bool)
 	e.send(ctx, next.Pending[len(next.Pending)-1])
